--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+SOURCES := src features examples benchmarks .ci
+
+.PHONY: demo test lint format bench clean
+
+$(VENV)/installed: pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+demo: $(VENV)/installed
+	$(PYTHON) examples/demo.py
+
+test: $(VENV)/installed
+	$(PYTHON) -m behave --format progress --junit --junit-directory build/junit
+
+lint: $(VENV)/installed
+	$(PYTHON) -m pyink --check --quiet $(SOURCES)
+	$(PYTHON) -m ruff check --quiet $(SOURCES)
+
+format: $(VENV)/installed
+	$(PYTHON) -m ruff check --fix --quiet $(SOURCES)
+	$(PYTHON) -m pyink --quiet $(SOURCES)
+
+bench: $(VENV)/installed
+	$(PYTHON) -m benchmarks.run
+
+clean:
+	rm -rf build data .hypothesis
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run by `make bench`; no test depends on their figures."""
--- /dev/null
+++ b/features/whole_path.feature
@@ -0,0 +1,41 @@
+Feature: The whole path, in separate processes
+
+  Scenario: A request goes from the address question to a whole answer
+    Given a running fleet of 1 replicas, 2 entries and 2 engines
+    When a caller asks "entry-0" which address to use
+    Then 2 addresses are named, each an entry's
+    When a caller asks "entry-1" for 5 tokens
+    Then the answer is whole with 5 tokens
+
+  Scenario: An accepted patch is obeyed, a stale one is refused
+    Given a running fleet of 1 replicas, 2 entries and 1 engines
+    When an operator patches version 1 to allow 4 tokens as "p1"
+    Then the exit code is 0
+    When an operator patches version 1 to allow 9 tokens as "p2"
+    Then the exit code is 3
+    When an operator patches version 1 to allow 4 tokens as "p1"
+    Then the exit code is 0
+    And version 2 comes into force at every entry
+    When a caller asks "entry-0" for 8 tokens
+    Then the answer is refused with "bad_request" and ran "no"
+
+  Scenario: A non-idempotent call through two entries runs once
+    Given a running fleet of 1 replicas, 2 entries and 1 engines
+    When a charge with a fresh key goes through "entry-0" and "entry-1"
+    Then both answers are the same and say 1 run
+    When the same key comes with another body through "entry-1"
+    Then the answer is refused with "key_reused" and ran "no"
+
+  Scenario: SIGTERM drains an entry without cutting off a request
+    Given a running fleet of 1 replicas, 2 entries and 1 engines
+    When "entry-1" gets SIGTERM while it serves a long prompt
+    Then the long prompt is answered whole and the exit code is 0
+    And "entry-0" names only itself within seconds
+
+  Scenario: A killed leader is replaced and the configuration kept
+    Given a running fleet of 3 replicas, 2 entries and 1 engines
+    When the leader is killed
+    Then another replica leads
+    And an operator can patch version 1
+    When a caller asks "entry-0" for 3 tokens
+    Then the answer is whole with 3 tokens
--- /dev/null
+++ b/src/_coltsfootroad/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation of coltsfootroad; import from `coltsfootroad`."""
--- /dev/null
+++ b/src/_coltsfootroad/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines; each module is one program."""
--- /dev/null
+++ b/src/_coltsfootroad/commands/common.py
@@ -0,0 +1,95 @@
+"""What all programs share: flags, settings, signals, exit codes."""
+
+import asyncio
+from collections.abc import Callable
+import signal
+import sys
+
+from absl import app
+from absl import flags
+
+from _coltsfootroad import version
+from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import settings as settings_lib
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+LOG = logs.logger("main")
+
+SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file.")
+VERSION = flags.DEFINE_bool("version", False, "Show the version and stop.")
+
+
+def start(main: Callable[[list[str]], int]) -> None:
+    """Parse the command line and run a program."""
+
+    def guarded(arguments: list[str]) -> int:
+        if VERSION.value:
+            print(version.VERSION)
+            return EXIT_OK
+        return main(arguments)
+
+    app.run(guarded, flags_parser=parse_flags)
+
+
+def parse_flags(arguments: list[str]) -> list[str]:
+    """Parse flags; a wrong one gets one line, not a traceback."""
+    try:
+        return flags.FLAGS(arguments)
+    except flags.Error as error:
+        complain(f"{error}; see --help")
+        sys.exit(EXIT_USAGE)
+
+
+def complain(message: str) -> None:
+    """Write a message to standard error."""
+    print(message, file=sys.stderr)
+
+
+def read_settings(kind: type) -> object:
+    """Return the settings, or end the program with what is wrong."""
+    if not SETTINGS.value:
+        complain("--settings is missing; see examples/ for a sample")
+        sys.exit(EXIT_USAGE)
+    loaded = settings_lib.load(SETTINGS.value, kind)
+    if loaded.is_error():
+        complain(loaded.error)
+        sys.exit(EXIT_USAGE)
+    return loaded.ok
+
+
+def run_loop(main) -> int:
+    """Run a program's coroutine function on one loop."""
+    return asyncio.run(main())
+
+
+async def wait_for_stop(
+    broken: list[asyncio.Future], dump: Callable[[], bytes]
+) -> bool:
+    """Wait for SIGTERM or SIGINT; True, or False on a broken invariant.
+
+    SIGUSR1 writes a dump of the state to standard error.
+    """
+    loop = asyncio.get_running_loop()
+    stop = loop.create_future()
+
+    def on_stop() -> None:
+        if not stop.done():
+            stop.set_result(True)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_stop)
+    loop.add_signal_handler(signal.SIGUSR1, write_dump, dump)
+    done, _ = await asyncio.wait(
+        [stop, *broken], return_when=asyncio.FIRST_COMPLETED
+    )
+    failed = [future for future in done if future is not stop]
+    for future in failed:
+        LOG.critical("stopping: {!r}", future.exception())
+    return not failed
+
+
+def write_dump(dump: Callable[[], bytes]) -> None:
+    """Write a dump to standard error."""
+    print(dump().decode(), file=sys.stderr, flush=True)
--- /dev/null
+++ b/src/_coltsfootroad/commands/control.py
@@ -0,0 +1,65 @@
+"""`colts-control`: one replica of the durable state."""
+
+import pathlib
+
+from absl import flags
+
+from _coltsfootroad.commands import common
+from _coltsfootroad.shell import controlserver
+from _coltsfootroad.shell import disk as disk_lib
+from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import metrics
+from _coltsfootroad.shell import settings as settings_lib
+
+BOOTSTRAP = flags.DEFINE_bool(
+    "bootstrap",
+    False,
+    "Begin a new system with this replica as its only voter. Once, ever: a"
+    " replica that lost its disk must be replaced instead.",
+)
+
+
+def build(
+    settings: settings_lib.ControlSettings,
+) -> controlserver.ControlServer:
+    """Wire the parts of a replica."""
+    folder = disk_lib.DataFolder(pathlib.Path(settings.data_folder))
+    folder.open()
+    return controlserver.ControlServer(
+        settings, folder, metrics.Metrics.start("colts-control")
+    )
+
+
+async def serve(settings: settings_lib.ControlSettings, bootstrap: bool) -> int:
+    """Run a replica until it is told to stop."""
+    server = build(settings)
+    if bootstrap and not server.bootstrap():
+        common.complain(
+            f"--bootstrap: data folder {settings.data_folder} is in use"
+            " already; start without the flag"
+        )
+        return common.EXIT_USAGE
+    await server.start()
+    went_well = await common.wait_for_stop([server.broken], server.dump)
+    await server.stop()
+    return common.EXIT_OK if went_well else common.EXIT_FAILED
+
+
+def main(_: list[str]) -> int:
+    """Run a replica."""
+    settings = common.read_settings(settings_lib.ControlSettings)
+    logs.start(settings.log_level)
+    try:
+        return common.run_loop(lambda: serve(settings, BOOTSTRAP.value))
+    except disk_lib.DiskError as error:
+        common.complain(str(error))
+        return common.EXIT_FAILED
+
+
+def run() -> None:
+    """Run the program."""
+    common.start(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/_coltsfootroad/commands/entry.py
@@ -0,0 +1,58 @@
+"""`colts-entry`: faces callers and endpoints; keeps nothing on disk."""
+
+import time
+
+from _coltsfootroad.commands import common
+from _coltsfootroad.shell import endpointclient
+from _coltsfootroad.shell import entryserver
+from _coltsfootroad.shell import links
+from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import metrics
+from _coltsfootroad.shell import settings as settings_lib
+
+# Milliseconds, so that two starts never share an incarnation.
+INCARNATIONS_PER_S = 1_000
+
+
+def new_incarnation() -> int:
+    """Return a number above that of every earlier start."""
+    return int(time.time() * INCARNATIONS_PER_S)
+
+
+def build(settings: settings_lib.EntrySettings) -> entryserver.EntryServer:
+    """Wire the parts of an entry."""
+    return entryserver.EntryServer(
+        settings=settings,
+        incarnation=new_incarnation(),
+        control=links.GrpcControlLink(settings.control),
+        client=endpointclient.HttpEndpointClient(settings.max_connections),
+        metrics=metrics.Metrics.start("colts-entry"),
+    )
+
+
+def main(_: list[str]) -> int:
+    """Run an entry until it is told to stop."""
+    settings = common.read_settings(settings_lib.EntrySettings)
+    if not settings.control:
+        common.complain("settings: $.control is empty, needs an address")
+        return common.EXIT_USAGE
+    logs.start(settings.log_level)
+
+    async def serve() -> int:
+        server = build(settings)
+        await server.start()
+        if not await common.wait_for_stop([server.broken], server.dump):
+            return common.EXIT_FAILED
+        await server.drain()
+        return common.EXIT_OK
+
+    return common.run_loop(serve)
+
+
+def run() -> None:
+    """Run the program."""
+    common.start(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/_coltsfootroad/commands/standalone.py
@@ -0,0 +1,196 @@
+"""`colts-standalone`: every role in one process, for a first try."""
+
+import asyncio
+import json
+import pathlib
+
+import attrs
+
+from _coltsfootroad.commands import common
+from _coltsfootroad.commands import entry as entry_command
+from _coltsfootroad.control import messages
+from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.fakes import httpendpoint
+from _coltsfootroad.shell import controlserver
+from _coltsfootroad.shell import disk as disk_lib
+from _coltsfootroad.shell import endpointclient
+from _coltsfootroad.shell import entryserver
+from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import metrics as metrics_lib
+from _coltsfootroad.shell import operators
+from _coltsfootroad.shell import settings as settings_lib
+from _coltsfootroad.shell import web
+
+MAX_CONNECTIONS = 500
+LEADER_WAIT_S = 5.0
+POLL_S = 0.02
+
+
+@attrs.define(eq=False)
+class Standalone:
+    """All parts of a one-process system."""
+
+    settings: settings_lib.StandaloneSettings
+    control: controlserver.ControlServer
+    entry: entryserver.EntryServer
+    endpoints: list[httpendpoint.FakeEndpoint]
+    admin: object = None
+
+    async def start(self) -> None:
+        """Start the parts, the control state first."""
+        if not self.control.bootstrap():
+            LOG.info("data folder {} is in use, going on", self.data_folder)
+        self.control.wake()
+        await self.wait_for_leader()
+        await self.put_config()
+        self.listen_admin()
+        await self.entry.start(listen_admin=False)
+        for endpoint in self.endpoints:
+            await endpoint.start()
+
+    @property
+    def data_folder(self) -> str:
+        """Return the folder of the durable state."""
+        return self.settings.data_folder
+
+    async def wait_for_leader(self) -> None:
+        """Wait until the only replica leads."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LEADER_WAIT_S
+        while self.control.node.hub is None and loop.time() < end:
+            await asyncio.sleep(POLL_S)
+
+    async def put_config(self) -> None:
+        """Put the first configuration in force, if there is none."""
+        if self.control.node.state.configs.version or not self.settings.config:
+            return
+        answer = await self.control.call(
+            messages.PatchConfig(
+                patch_id="standalone-first",
+                base_version=0,
+                patch=json.dumps(self.settings.config).encode(),
+            )
+        )
+        if answer.failure is not None:
+            LOG.error("first configuration: {}", answer.failure.message)
+
+    def listen_admin(self) -> None:
+        """Serve operators, dump and metrics of all parts."""
+        routes = operators.routes(self.control) + web.admin_routes(
+            self.settings.admin_token, self.dump, self.entry.metrics
+        )
+        self.admin = web.listen(
+            operators.application(routes),
+            self.settings.admin_listen,
+            controlserver.MAX_OPERATOR_BODY,
+        )
+
+    def dump(self) -> bytes:
+        """Return the dumps of both roles."""
+        parts = {
+            "entry": json.loads(self.entry.dump()),
+            "control": json.loads(self.control.dump()),
+        }
+        return json.dumps(parts, indent=1).encode()
+
+    async def stop(self) -> None:
+        """Finish what is in progress, then stop."""
+        await self.entry.drain()
+        for endpoint in self.endpoints:
+            await endpoint.stop()
+        self.admin.stop()
+        await self.control.stop()
+
+
+LOG = logs.logger("standalone")
+
+
+def build(settings: settings_lib.StandaloneSettings) -> Standalone:
+    """Wire every role on one loop."""
+    metrics = metrics_lib.Metrics.start("colts-standalone")
+    folder = disk_lib.DataFolder(pathlib.Path(settings.data_folder))
+    folder.open()
+    control = controlserver.ControlServer(
+        settings_lib.ControlSettings(
+            replica="standalone",
+            listen=settings.admin_listen,
+            admin_listen=settings.admin_listen,
+            admin_token=settings.admin_token,
+            data_folder=settings.data_folder,
+        ),
+        folder,
+        metrics,
+    )
+    entry = entryserver.EntryServer(
+        settings=settings_lib.EntrySettings(
+            entry="standalone",
+            listen=settings.listen,
+            admin_listen=settings.admin_listen,
+            admin_token=settings.admin_token,
+        ),
+        incarnation=entry_command.new_incarnation(),
+        control=controlserver.LocalLink(control),
+        client=endpointclient.HttpEndpointClient(MAX_CONNECTIONS),
+        metrics=metrics,
+    )
+    return Standalone(settings, control, entry, fake_endpoints(settings))
+
+
+def fake_endpoints(
+    settings: settings_lib.StandaloneSettings,
+) -> list[httpendpoint.FakeEndpoint]:
+    """Return the stand-in endpoints: engines, and one plain service."""
+    host, port = settings_lib.split_address(settings.listen)
+    found = []
+    for number in range(settings.fake_engines):
+        found.append(
+            httpendpoint.FakeEndpoint(
+                name=f"engine-{number}",
+                service="assistant",
+                address=f"{host}:{port + 100 + number}",
+                entries=[settings.listen],
+                incarnation=entry_command.new_incarnation(),
+            )
+        )
+    if settings.fake_engines:
+        found.append(
+            httpendpoint.FakeEndpoint(
+                name="billing-0",
+                service="billing",
+                address=f"{host}:{port + 99}",
+                entries=[settings.listen],
+                kind=request_lib.ServiceKind.PLAIN,
+                incarnation=entry_command.new_incarnation(),
+            )
+        )
+    return found
+
+
+def main(_: list[str]) -> int:
+    """Run a whole system until it is told to stop."""
+    settings = common.read_settings(settings_lib.StandaloneSettings)
+    logs.start(settings.log_level)
+
+    async def serve() -> int:
+        system = build(settings)
+        await system.start()
+        LOG.info("try: curl http://{}/v1/addresses", settings.listen)
+        broken = [system.entry.broken, system.control.broken]
+        went_well = await common.wait_for_stop(broken, system.dump)
+        await system.stop()
+        return common.EXIT_OK if went_well else common.EXIT_FAILED
+
+    try:
+        return common.run_loop(serve)
+    except disk_lib.DiskError as error:
+        common.complain(str(error))
+        return common.EXIT_FAILED
+
+
+def run() -> None:
+    """Run the program."""
+    common.start(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/src/_coltsfootroad/control/__init__.py
@@ -0,0 +1,1 @@
+"""Durable replicated state: configuration, claims, leases, members."""
--- /dev/null
+++ b/src/_coltsfootroad/control/hub.py
@@ -0,0 +1,167 @@
+"""The leader's soft state: live entries, endpoints, shares, groups."""
+
+import attrs
+
+from _coltsfootroad.control import groups as groups_lib
+from _coltsfootroad.control import messages
+from _coltsfootroad.control import shares as shares_lib
+from _coltsfootroad.control import state as state_lib
+from _coltsfootroad.core import addresses
+from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import registry as registry_lib
+
+MEMBER_LEASE_S = 4.0
+# Changes of the registry that an entry can catch up with one by one.
+MAX_CHANGES = 4_096
+
+
+@attrs.define
+class LiveMember:
+    """An entry that has sent heartbeats lately."""
+
+    member: addresses.Member
+    until: float
+
+
+@attrs.define
+class KnownLoad:
+    """The newest load report of an endpoint and when it was measured."""
+
+    report: endpoints.LoadReport
+    measured_at: float
+    mark: int
+
+
+@attrs.define
+class Hub:
+    """Answers heartbeats from memory only; it is rebuilt after a restart.
+
+    Every change of the registry gets the next mark, and an entry is sent
+    what changed since the mark it knows, so a quiet registry costs nothing.
+    """
+
+    epoch: str
+    state: state_lib.ControlState
+    started_at: float
+    members: dict[str, LiveMember] = attrs.Factory(dict)
+    registry: registry_lib.Registry = attrs.Factory(registry_lib.Registry)
+    loads: dict[str, KnownLoad] = attrs.Factory(dict)
+    marks: dict[str, int] = attrs.Factory(dict)
+    gone: dict[str, int] = attrs.Factory(dict)
+    last_mark: int = 0
+    shares: shares_lib.ShareTable = attrs.field(init=False)
+    groups: groups_lib.GroupLedger = attrs.Factory(groups_lib.GroupLedger)
+
+    def __attrs_post_init__(self):
+        self.shares = shares_lib.ShareTable(started_at=self.started_at)
+
+    def on_sync(
+        self, request: messages.SyncRequest, now: float
+    ) -> messages.SyncReply:
+        """Take an entry's heartbeat and return what is new for it."""
+        self.expire(now)
+        self.take_member(request.member, now)
+        for announcement in request.announcements:
+            self.take_announcement(announcement, now)
+        for aged in request.loads:
+            self.take_load(aged.report, now - aged.age_s)
+        mark = request.registry_mark if request.epoch == self.epoch else 0
+        configs = self.state.configs
+        return messages.SyncReply(
+            epoch=self.epoch,
+            registry_mark=self.last_mark,
+            config=configs.update_since(request.config_version),
+            members=self.live_members(),
+            shares=self.shares.on_sync(
+                request.member.entry,
+                request,
+                configs.config,
+                len(self.members),
+                now,
+            ),
+            announcements=self.changed_since(mark),
+            gone=tuple(n for n, m in self.gone.items() if m > mark),
+            loads=self.loads_since(mark, now),
+            group_holds=self.groups.held_tokens(now),
+        )
+
+    def take_member(self, member: addresses.Member, now: float) -> None:
+        """Renew an entry's lease unless a later start of it is known."""
+        known = self.members.get(member.entry)
+        if known is not None and known.member.incarnation > member.incarnation:
+            return
+        self.members[member.entry] = LiveMember(member, now + MEMBER_LEASE_S)
+
+    def live_members(self) -> tuple[addresses.Member, ...]:
+        """Return the entries whose lease holds."""
+        return tuple(live.member for live in self.members.values())
+
+    def next_mark(self) -> int:
+        """Return a mark above all earlier ones."""
+        self.last_mark += 1
+        return self.last_mark
+
+    def take_announcement(
+        self, announcement: registry_lib.Announcement, now: float
+    ) -> None:
+        """Take an endpoint's announcement that an entry has received."""
+        lease_s = self.state.configs.config.fleet.endpoint_lease_s
+        change = self.registry.announce(announcement, now + lease_s, now)
+        if change is not registry_lib.Change.UPDATED:
+            return
+        name = announcement.endpoint
+        if name in self.registry.registrations:
+            self.marks[name] = self.next_mark()
+            self.gone.pop(name, None)
+        else:
+            self.note_gone(name)
+
+    def take_load(
+        self, report: endpoints.LoadReport, measured_at: float
+    ) -> None:
+        """Keep an endpoint's newest load report."""
+        known = self.loads.get(report.endpoint)
+        if known is not None:
+            newest = (known.report.incarnation, known.report.seq)
+            if (report.incarnation, report.seq) <= newest:
+                return
+        if report.endpoint in self.registry.registrations:
+            self.loads[report.endpoint] = KnownLoad(
+                report, measured_at, self.next_mark()
+            )
+
+    def changed_since(self, mark: int) -> tuple[registry_lib.Announcement, ...]:
+        """Return the announcements that changed after a mark."""
+        return tuple(
+            self.registry.registrations[name].announcement
+            for name, changed in self.marks.items()
+            if changed > mark
+        )
+
+    def loads_since(
+        self, mark: int, now: float
+    ) -> tuple[messages.AgedLoad, ...]:
+        """Return the load reports that came in after a mark."""
+        return tuple(
+            messages.AgedLoad(
+                report=known.report, age_s=now - known.measured_at
+            )
+            for known in self.loads.values()
+            if known.mark > mark
+        )
+
+    def note_gone(self, name: str) -> None:
+        """Tell entries that an endpoint is gone."""
+        self.marks.pop(name, None)
+        self.loads.pop(name, None)
+        self.gone[name] = self.next_mark()
+        while len(self.gone) > MAX_CHANGES:
+            del self.gone[next(iter(self.gone))]
+
+    def expire(self, now: float) -> None:
+        """Drop entries and endpoints whose lease has ended."""
+        for name, live in list(self.members.items()):
+            if live.until <= now:
+                del self.members[name]
+        for name in self.registry.expire(now):
+            self.note_gone(name)
--- /dev/null
+++ b/src/_coltsfootroad/control/node.py
@@ -0,0 +1,445 @@
+"""One replica: consensus, state, and while leading the hub; no sockets."""
+
+from collections.abc import Callable
+import json
+import random
+
+import attrs
+from expression import Error
+from expression import Ok
+
+from _coltsfootroad.control import fences
+from _coltsfootroad.control import hub as hub_lib
+from _coltsfootroad.control import log as log_lib
+from _coltsfootroad.control import messages
+from _coltsfootroad.control import peers
+from _coltsfootroad.control import raft as raft_lib
+from _coltsfootroad.control import replicas
+from _coltsfootroad.control import state as state_lib
+from _coltsfootroad.control import storage as storage_lib
+from _coltsfootroad.core import errors
+
+SNAPSHOT_EVERY = 4_096
+FULL_DISK_RETRY_S = 1.0
+MAX_WAITING = 10_000
+
+Reply = Callable[[object], None]
+Send = Callable[[str, peers.PeerMessage], None]
+
+COMMANDS = (
+    messages.PatchConfig,
+    messages.TakeClaim,
+    messages.SettleClaim,
+    fences.TakeLease,
+    fences.DropLease,
+)
+
+
+@attrs.define
+class Waiter:
+    """Somebody who waits for a proposed command to be applied."""
+
+    term: int
+    reply: Reply
+
+
+@attrs.define
+class ControlNode:
+    """Runs one replica; the shell gives it messages, calls and time.
+
+    Attributes:
+        replica: Who this is.
+        storage: Its disk.
+        send: Sends a message to another replica; may lose it.
+        wall: Returns unix seconds, for what must outlive processes.
+    """
+
+    replica: replicas.Replica
+    storage: storage_lib.Storage
+    send: Send
+    wall: Callable[[], float]
+    rng: random.Random
+    started_at: float = 0.0
+    raft: raft_lib.Raft = attrs.field(init=False)
+    state: state_lib.ControlState = attrs.field(init=False)
+    hub: hub_lib.Hub | None = None
+    waiters: dict[int, Waiter] = attrs.Factory(dict)
+    pending: list[raft_lib.Ready] = attrs.Factory(list)
+    blocked_until: float = 0.0
+    syncs: int = 0
+    in_process: bool = False
+
+    def __attrs_post_init__(self):
+        loaded = self.storage.load()
+        self.state = state_lib.ControlState()
+        if loaded.snapshot:
+            self.state = state_lib.load(loaded.snapshot)
+        self.raft = raft_lib.Raft(
+            identity=self.replica.identity,
+            rng=self.rng,
+            log=loaded.log,
+            hard_state=loaded.hard_state,
+            reader=self.storage,
+            started_at=self.started_at,
+        )
+
+    # --- time and messages -----------------------------------------------
+
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether a full disk keeps this replica from acting."""
+        return bool(self.pending)
+
+    def bootstrap(self, now: float) -> bool:
+        """Become the only voter of a new system; only on an empty disk."""
+        if self.raft.log.last_index or self.raft.term:
+            return False
+        entry = log_lib.Entry(
+            term=0,
+            index=1,
+            kind=log_lib.EntryKind.REPLICAS,
+            replica_set=replicas.ReplicaSet(voters=(self.replica,)),
+        )
+        self.raft.log.append(entry)
+        self.raft.ready.entries.append(entry)
+        # Nobody else exists whose leader could be disturbed.
+        self.raft.heard_leader_at = float("-inf")
+        self.raft.election_at = now
+        self.tick(now)
+        return True
+
+    def tick(self, now: float) -> None:
+        """Run the timers."""
+        if not self.is_blocked:
+            self.raft.tick(now)
+        self.process(now)
+
+    def next_wake(self) -> float:
+        """Return when `tick` is wanted next."""
+        return self.blocked_until if self.is_blocked else self.raft.next_wake()
+
+    def on_peer(self, message: peers.PeerMessage, now: float) -> None:
+        """Take a message from another replica."""
+        if not self.is_blocked:
+            self.raft.step(message, now)
+            self.process(now)
+
+    def process(self, now: float) -> None:
+        """Store, sync, send and apply until there is nothing to do."""
+        if self.in_process:
+            # A reply made while applying may lead to a call; the loop
+            # below picks up what it proposed.
+            return
+        self.in_process = True
+        try:
+            while self.process_one(now):
+                pass
+        finally:
+            self.in_process = False
+        self.update_hub(now)
+
+    def process_one(self, now: float) -> bool:
+        """Carry out one `Ready`; return whether there may be another."""
+        self.raft.flush_appends(now)
+        if not self.pending:
+            ready = self.raft.take_ready()
+            if ready.is_empty():
+                return False
+            self.pending.append(ready)
+        elif now < self.blocked_until:
+            return False
+        ready = self.pending[0]
+        if not self.persist(ready):
+            self.blocked_until = now + FULL_DISK_RETRY_S
+            return False
+        self.pending.clear()
+        if ready.entries:
+            self.raft.synced(ready.entries[-1].index, now)
+        for outgoing in ready.messages:
+            self.send(outgoing.to, outgoing.message)
+        for entry in ready.committed:
+            self.apply(entry)
+        self.maybe_snapshot()
+        return True
+
+    def persist(self, ready: raft_lib.Ready) -> bool:
+        """Store and sync; return False when the disk is full."""
+        if not ready.must_sync():
+            return True
+        self.syncs += 1
+        if ready.snapshot is not None:
+            stored = self.storage.save_snapshot(
+                ready.snapshot,
+                ready.snapshot_data,
+                self.raft.hard_state,
+                tuple(ready.entries),
+            )
+            if stored.is_ok():
+                self.state = state_lib.load(ready.snapshot_data)
+                self.hub = None
+            return stored.is_ok()
+        batch = storage_lib.Batch(
+            truncate_from=ready.truncate_from,
+            entries=tuple(ready.entries),
+            hard_state=ready.hard_state,
+        )
+        return self.storage.store(batch).is_ok()
+
+    def apply(self, entry: log_lib.Entry) -> None:
+        """Apply a committed entry and answer whoever waits for it."""
+        answer: object = messages.Done()
+        if entry.kind is log_lib.EntryKind.COMMAND:
+            command = state_lib.COMMANDS.decode(entry.data)
+            if command.is_error():
+                raise errors.BrokenInvariantError(command.error.message)
+            answer = self.state.apply(command.ok, entry.at)
+        waiter = self.waiters.pop(entry.index, None)
+        if waiter is None:
+            return
+        if waiter.term == entry.term:
+            waiter.reply(answer)
+        else:
+            waiter.reply(unavailable("another leader took over"))
+
+    def maybe_snapshot(self) -> None:
+        """Save a snapshot when the log has grown long."""
+        raft = self.raft
+        if raft.applied - raft.log.snapshot.index < SNAPSHOT_EVERY:
+            return
+        data = state_lib.save(self.state)
+        meta = log_lib.SnapshotMeta(
+            index=raft.applied,
+            term=raft.log.term_at(raft.applied),
+            replica_set=raft.log.replica_set_at(raft.applied),
+            size=len(data),
+        )
+        keep = raft.log.slice(raft.applied + 1, 1 << 40)
+        unstored = {entry.index for entry in raft.ready.entries}
+        stored = tuple(e for e in keep if e.index not in unstored)
+        saved = self.storage.save_snapshot(meta, data, raft.hard_state, stored)
+        if saved.is_ok():
+            raft.compacted(meta)
+
+    def update_hub(self, now: float) -> None:
+        """Keep a hub exactly while leading."""
+        ready = self.raft.is_leader and (
+            self.raft.applied >= self.raft.term_start
+        )
+        if ready and self.hub is None:
+            self.hub = hub_lib.Hub(
+                epoch=f"{self.replica.identity}/{self.raft.term}",
+                state=self.state,
+                started_at=now,
+            )
+        elif not ready:
+            self.hub = None
+        if not self.raft.is_leader and self.waiters:
+            self.fail_waiters()
+
+    def fail_waiters(self) -> None:
+        """Tell those who wait that the outcome is not known here."""
+        waiters, self.waiters = self.waiters, {}
+        for waiter in waiters.values():
+            waiter.reply(unavailable("this replica stopped leading"))
+
+    # --- calls -----------------------------------------------------------
+
+    def call(self, message: object, now: float, reply: Reply) -> None:
+        """Carry out a call; `reply` is called once, now or later."""
+        if isinstance(message, messages.ReplicaHello):
+            reply(self.info())
+        elif isinstance(message, COMMANDS):
+            self.propose(message, now, reply)
+        elif self.hub is None or not self.raft.has_lease(now):
+            reply(messages.NotLeader(hint=self.leader_address()))
+        elif isinstance(message, messages.ChangeReplicas):
+            self.change_replicas(message, now, reply)
+        else:
+            reply(self.read(message, now))
+
+    def propose(self, command: object, now: float, reply: Reply) -> None:
+        """Replicate a command; the reply comes once it is applied."""
+        if self.is_blocked:
+            reply(unavailable("the disk of the leader is full"))
+            return
+        if len(self.waiters) >= MAX_WAITING:
+            reply(unavailable("too many commands wait for the disk"))
+            return
+        index = self.raft.propose(
+            log_lib.EntryKind.COMMAND,
+            state_lib.COMMANDS.encode(command),
+            self.wall(),
+            now,
+        )
+        if index is None:
+            reply(messages.NotLeader(hint=self.leader_address()))
+            return
+        # The shell calls `process` once per turn of the loop, so that
+        # commands that arrive together share one sync.
+        self.waiters[index] = Waiter(self.raft.term, reply)
+
+    def read(self, message: object, now: float) -> object:
+        """Answer a read while the lease holds."""
+        match message:
+            case messages.SyncRequest():
+                return self.hub.on_sync(message, now)
+            case messages.GroupReserve():
+                return self.hub.groups.reserve(message, now)
+            case messages.GroupRelease():
+                self.hub.groups.release(message.group)
+                return messages.Done()
+            case messages.ReadConfig():
+                configs = self.state.configs
+                return messages.ConfigUpdate(
+                    version=configs.version,
+                    document=json.dumps(configs.document).encode(),
+                )
+            case messages.ReadStatus():
+                document = json.dumps(self.status(now)).encode()
+                return messages.Status(document=document)
+            case messages.TakeSnapshot():
+                return messages.SnapshotCopy(
+                    index=self.raft.applied, data=state_lib.save(self.state)
+                )
+        return messages.Refused(
+            failure=errors.Failure(
+                errors.ErrorCode.BAD_REQUEST,
+                f"{type(message).__name__} is no call",
+            )
+        )
+
+    def change_replicas(
+        self, message: messages.ChangeReplicas, now: float, reply: Reply
+    ) -> None:
+        """Change the set of replicas, if nothing speaks against it."""
+        current = self.raft.replica_set
+        wanted = wanted_set(current, message)
+        if wanted.is_error():
+            reply(messages.Refused(failure=wanted.error))
+        elif wanted.ok == current:
+            reply(messages.Done())
+        elif self.raft.change_replicas(wanted.ok, now):
+            index = self.raft.log.last_index
+            self.waiters[index] = Waiter(self.raft.term, reply)
+            self.process(now)
+        else:
+            reply(
+                unavailable(
+                    "another change is under way or the new voter has not"
+                    " caught up; try again"
+                )
+            )
+
+    # --- facts -----------------------------------------------------------
+
+    def info(self) -> messages.ReplicaInfo:
+        """Return who this is and where it stands."""
+        return messages.ReplicaInfo(
+            replica=self.replica,
+            role=self.raft.role.value,
+            term=self.raft.term,
+            last_index=self.raft.log.last_index,
+            commit=self.raft.commit,
+            leader=self.leader_address(),
+            version=self.state.configs.version,
+        )
+
+    def leader_address(self) -> str:
+        """Return the address of the leader as far as it is known."""
+        known = self.raft.replica_set.everyone().get(self.raft.leader)
+        return known.address if known is not None else ""
+
+    def status(self, now: float) -> dict:
+        """Return what operators ask for, as plain JSON values."""
+        raft = self.raft
+        return {
+            "leader": self.replica.identity,
+            "term": raft.term,
+            "version": self.state.configs.version,
+            "commit": raft.commit,
+            "claims": len(self.state.claims.claims),
+            "replicas": [
+                self.replica_status(identity, now)
+                for identity in raft.replica_set.everyone()
+            ],
+            "entries": [
+                attrs.asdict(live.member) for live in self.hub.members.values()
+            ],
+            "endpoints": [
+                endpoint_status(known.announcement)
+                for known in self.hub.registry.registrations.values()
+            ],
+        }
+
+    def replica_status(self, identity: str, now: float) -> dict:
+        """Return where one replica stands and why it is behind."""
+        raft = self.raft
+        replica = raft.replica_set.everyone()[identity]
+        progress = raft.progress[identity]
+        own = identity == raft.identity
+        silent_s = 0.0 if own else now - progress.acked_at
+        voter = identity in raft.replica_set.voter_identities()
+        lag = raft.log.last_index - progress.match
+        reason = "current"
+        if silent_s > raft_lib.ELECTION_MAX_S:
+            reason = "silent"
+        elif progress.snapshot is not None:
+            reason = "receiving a snapshot"
+        elif lag:
+            reason = "catching up"
+        return {
+            "identity": identity,
+            "address": replica.address,
+            "voter": voter,
+            "behind": lag,
+            "state": reason,
+            "silent_s": round(silent_s, 1) if silent_s < 1e9 else None,
+        }
+
+
+def endpoint_status(announcement) -> dict:
+    """Return an endpoint for operators."""
+    return {
+        "endpoint": announcement.endpoint,
+        "service": announcement.service,
+        "address": announcement.address,
+        "state": announcement.state.value,
+        "incarnation": announcement.incarnation,
+        "availability_zone": announcement.availability_zone,
+    }
+
+
+def unavailable(reason: str) -> messages.Refused:
+    """Return the refusal of a call that may be tried again."""
+    return messages.Refused(
+        failure=errors.Failure(
+            errors.ErrorCode.UNAVAILABLE, reason, errors.Ran.UNKNOWN, 0.5
+        )
+    )
+
+
+def wanted_set(current: replicas.ReplicaSet, message: messages.ChangeReplicas):
+    """Return the set that a change asks for, or why it is refused."""
+    identity = message.replica.identity
+    voters = tuple(r for r in current.voters if r.identity != identity)
+    learners = tuple(r for r in current.learners if r.identity != identity)
+    match message.action:
+        case messages.ReplicaAction.LEARN:
+            if identity in current.voter_identities():
+                return refuse(f"replica {identity!r} votes already")
+            learners += (message.replica,)
+            voters = current.voters
+        case messages.ReplicaAction.PROMOTE:
+            voters = tuple(r for r in voters if r.identity != message.replaces)
+            voters += (message.replica,)
+        case messages.ReplicaAction.REMOVE:
+            if identity not in current.everyone():
+                return refuse(f"replica {identity!r} is not known")
+            if not voters:
+                return refuse("the last voter cannot be removed")
+    return Ok(attrs.evolve(current, voters=voters, learners=learners))
+
+
+def refuse(message: str):
+    """Return the refusal of a change of replicas."""
+    return Error(errors.Failure(errors.ErrorCode.BAD_REQUEST, message))
--- /dev/null
+++ b/src/_coltsfootroad/control/peers.py
@@ -0,0 +1,85 @@
+"""Messages between replicas."""
+
+import attrs
+
+from _coltsfootroad.control import log as log_lib
+
+
+@attrs.frozen(kw_only=True)
+class VoteRequest:
+    """Ask for a vote; with `pre` only whether one would be given."""
+
+    term: int
+    sender: str
+    pre: bool
+    last_index: int
+    last_term: int
+
+
+@attrs.frozen(kw_only=True)
+class VoteReply:
+    """Answer to a vote request of `term`."""
+
+    term: int
+    sender: str
+    pre: bool
+    granted: bool
+    asked_term: int
+
+
+@attrs.frozen(kw_only=True)
+class Append:
+    """Entries, and the heartbeat; `sent_at` is the leader's own clock."""
+
+    term: int
+    sender: str
+    prev_index: int
+    prev_term: int
+    entries: tuple[log_lib.Entry, ...]
+    commit: int
+    sent_at: float
+
+
+@attrs.frozen(kw_only=True)
+class AppendReply:
+    """Answer to an append; `sent_at` comes back for the leader's lease."""
+
+    term: int
+    sender: str
+    success: bool
+    match: int
+    sent_at: float
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotChunk:
+    """A piece of a snapshot for a replica whose log is too far behind."""
+
+    term: int
+    sender: str
+    meta: log_lib.SnapshotMeta
+    offset: int
+    data: bytes
+    sent_at: float
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotReply:
+    """How much of a snapshot has arrived; `done` once it is installed."""
+
+    term: int
+    sender: str
+    index: int
+    received: int
+    done: bool
+    sent_at: float
+
+
+PeerMessage = (
+    VoteRequest
+    | VoteReply
+    | Append
+    | AppendReply
+    | SnapshotChunk
+    | SnapshotReply
+)
--- /dev/null
+++ b/src/_coltsfootroad/control/raft.py
@@ -0,0 +1,715 @@
+"""Consensus core: Raft with pre-vote, stickiness, check-quorum, leases.
+
+Does no I/O. The shell feeds messages and time, and carries out each
+`Ready` in order: store, sync, then send, then apply.
+
+Chosen over a fixed-leader primary/backup pair and over Paxos per register;
+see docs/design/consensus.md.
+"""
+
+import enum
+import random
+
+import attrs
+
+from _coltsfootroad.control import log as log_lib
+from _coltsfootroad.control import peers
+from _coltsfootroad.control import replicas
+from _coltsfootroad.core import errors
+
+HEARTBEAT_S = 0.15
+ELECTION_MIN_S = 1.0
+ELECTION_MAX_S = 2.0
+# Clocks may drift by a tenth against each other; a lease ends well before
+# any follower may elect somebody else.
+LEASE_S = 0.75 * ELECTION_MIN_S
+MAX_APPEND_BYTES = 512 * 1024
+SNAPSHOT_CHUNK_BYTES = 256 * 1024
+# Entries by which a learner may lag and still be made a voter.
+PROMOTE_LAG = 64
+
+
+class Role(enum.Enum):
+    """What a replica is doing."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.frozen(kw_only=True)
+class HardState:
+    """What must be on disk before a vote or acknowledgement is sent."""
+
+    term: int = 0
+    vote: str = ""
+
+
+@attrs.define
+class Progress:
+    """What the leader knows of another replica."""
+
+    next_index: int
+    match: int = 0
+    acked_at: float = float("-inf")
+    sent_at: float = float("-inf")
+    snapshot: log_lib.SnapshotMeta | None = None
+    snapshot_offset: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Outgoing:
+    """A message for another replica."""
+
+    to: str
+    message: peers.PeerMessage
+
+
+@attrs.define
+class Ready:
+    """What the shell has to do, in this order.
+
+    Attributes:
+        snapshot: Snapshot received in full, to be stored and loaded.
+        snapshot_data: Its bytes.
+        truncate_from: Drop stored entries from here on first, 0 for none.
+        entries: Entries to store.
+        hard_state: To store, None if unchanged.
+        messages: To send once all of the above is synced.
+        committed: Entries to apply.
+    """
+
+    snapshot: log_lib.SnapshotMeta | None = None
+    snapshot_data: bytes = b""
+    truncate_from: int = 0
+    entries: list[log_lib.Entry] = attrs.Factory(list)
+    hard_state: HardState | None = None
+    messages: list[Outgoing] = attrs.Factory(list)
+    committed: list[log_lib.Entry] = attrs.Factory(list)
+
+    def must_sync(self) -> bool:
+        """Return whether anything has to reach the disk."""
+        return bool(
+            self.snapshot
+            or self.truncate_from
+            or self.entries
+            or self.hard_state
+        )
+
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to do."""
+        return not (self.must_sync() or self.messages or self.committed)
+
+
+class SnapshotReader:
+    """Reads pieces of the newest stored snapshot."""
+
+    def read(self, index: int, offset: int, size: int) -> bytes | None:
+        """Return bytes of the snapshot at `index`, None if it is gone."""
+        raise errors.BrokenInvariantError("no snapshots are kept")
+
+
+@attrs.define
+class Raft:
+    """One replica of the log."""
+
+    identity: str
+    rng: random.Random
+    log: log_lib.Log = attrs.Factory(log_lib.Log)
+    hard_state: HardState = HardState()
+    reader: SnapshotReader = attrs.Factory(SnapshotReader)
+    started_at: float = 0.0
+    role: Role = Role.FOLLOWER
+    leader: str = ""
+    commit: int = 0
+    applied: int = 0
+    election_at: float = attrs.field(init=False)
+    heard_leader_at: float = attrs.field(init=False)
+    heartbeat_at: float = 0.0
+    led_since: float = 0.0
+    term_start: int = 0
+    votes: set[str] = attrs.Factory(set)
+    progress: dict[str, Progress] = attrs.Factory(dict)
+    incoming: bytearray = attrs.Factory(bytearray)
+    incoming_meta: log_lib.SnapshotMeta | None = None
+    ready: Ready = attrs.Factory(Ready)
+
+    def __attrs_post_init__(self):
+        self.commit = self.applied = self.log.snapshot.index
+        # A restarted replica has forgotten whom it heard lately. It keeps
+        # to the promise it may have made to a leader: no votes for a while.
+        self.heard_leader_at = self.started_at
+        self.reset_election(self.started_at)
+
+    # --- facts -----------------------------------------------------------
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.hard_state.term
+
+    @property
+    def replica_set(self) -> replicas.ReplicaSet:
+        """Return the set in force, which is the newest in the log."""
+        return self.log.replica_set()
+
+    @property
+    def is_leader(self) -> bool:
+        """Return whether this replica leads."""
+        return self.role is Role.LEADER
+
+    def others(self) -> list[str]:
+        """Return the identities of all other replicas."""
+        return [i for i in self.replica_set.everyone() if i != self.identity]
+
+    def has_lease(self, now: float) -> bool:
+        """Return whether no other leader can exist now.
+
+        Reads of the applied state are linearizable while this holds and an
+        entry of the own term has been applied.
+        """
+        if not self.is_leader or self.applied < self.term_start:
+            return False
+        acked = {i: p.acked_at for i, p in self.progress.items()}
+        acked[self.identity] = now
+        return now < self.replica_set.quorum_value(acked) + LEASE_S
+
+    # --- input -----------------------------------------------------------
+
+    def take_ready(self) -> Ready:
+        """Return the work for the shell and begin to collect anew."""
+        for index in range(self.applied + 1, self.commit + 1):
+            self.ready.committed.append(self.log.entry(index))
+        self.applied = self.commit
+        ready, self.ready = self.ready, Ready()
+        return ready
+
+    def tick(self, now: float) -> None:
+        """Run the timers."""
+        if self.is_leader:
+            self.check_quorum(now)
+        if self.is_leader and now >= self.heartbeat_at:
+            self.broadcast(now)
+        elif not self.is_leader and now >= self.election_at:
+            self.campaign(True, now)
+
+    def next_wake(self) -> float:
+        """Return when `tick` is wanted next."""
+        return self.heartbeat_at if self.is_leader else self.election_at
+
+    def propose(
+        self, kind: log_lib.EntryKind, data: bytes, at: float, now: float
+    ) -> int | None:
+        """Append a command if leading; return its index."""
+        if not self.is_leader:
+            return None
+        entry = log_lib.Entry(
+            term=self.term,
+            index=self.log.last_index + 1,
+            kind=kind,
+            at=at,
+            data=data,
+        )
+        self.append_own(entry)
+        return entry.index
+
+    def flush_appends(self, now: float) -> None:
+        """Send what was proposed since the last call, in one batch."""
+        if not self.is_leader:
+            return
+        for identity in self.others():
+            progress = self.progress[identity]
+            if progress.next_index <= self.log.last_index:
+                self.send_append(identity, now)
+
+    def synced(self, index: int, now: float) -> None:
+        """Count the own disk for what has been synced up to `index`."""
+        if not self.is_leader:
+            return
+        own = self.progress[self.identity]
+        own.match = max(own.match, index)
+        self.advance_commit(now)
+
+    def step(self, message: peers.PeerMessage, now: float) -> None:
+        """Take a message from another replica."""
+        if isinstance(message, peers.VoteRequest):
+            self.on_vote_request(message, now)
+            return
+        if message.term > self.term and not is_pre_grant(message):
+            self.become_follower(message.term, "", now)
+        match message:
+            case peers.VoteReply():
+                self.on_vote_reply(message, now)
+            case peers.Append():
+                self.on_append(message, now)
+            case peers.AppendReply():
+                self.on_append_reply(message, now)
+            case peers.SnapshotChunk():
+                self.on_snapshot_chunk(message, now)
+            case peers.SnapshotReply():
+                self.on_snapshot_reply(message, now)
+
+    # --- elections -------------------------------------------------------
+
+    def reset_election(self, now: float) -> None:
+        """Wait a random time for a leader."""
+        pause = self.rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
+        self.election_at = now + pause
+
+    def set_hard_state(self, state: HardState) -> None:
+        """Change term or vote; both must be synced before any message."""
+        if state != self.hard_state:
+            self.hard_state = state
+            self.ready.hard_state = state
+
+    def become_follower(self, term: int, leader: str, now: float) -> None:
+        """Follow, in this term or a later one."""
+        if term > self.term:
+            self.set_hard_state(HardState(term=term))
+        if self.role is not Role.FOLLOWER:
+            self.reset_election(now)
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self.progress = {}
+
+    def campaign(self, pre: bool, now: float) -> None:
+        """Ask for votes, first only whether they would be given."""
+        self.reset_election(now)
+        if self.identity not in self.replica_set.voter_identities():
+            return
+        self.leader = ""
+        self.votes = {self.identity}
+        if pre:
+            self.role = Role.PRE_CANDIDATE
+            term = self.term + 1
+        else:
+            self.role = Role.CANDIDATE
+            self.set_hard_state(
+                HardState(term=self.term + 1, vote=self.identity)
+            )
+            term = self.term
+        for identity in self.replica_set.voter_identities():
+            if identity != self.identity:
+                self.send(
+                    identity,
+                    peers.VoteRequest(
+                        term=term,
+                        sender=self.identity,
+                        pre=pre,
+                        last_index=self.log.last_index,
+                        last_term=self.log.last_term,
+                    ),
+                )
+        self.count_votes(now)
+
+    def on_vote_request(self, message: peers.VoteRequest, now: float) -> None:
+        """Vote, or say whether a vote would be given."""
+        # A follower that hears its leader protects it from replicas that
+        # do not; the leader's lease rests on this.
+        sticky = now < self.heard_leader_at + ELECTION_MIN_S
+        if sticky or self.is_leader_with_lease(now):
+            self.reply_vote(message, False)
+            return
+        if message.term > self.term and not message.pre:
+            self.become_follower(message.term, "", now)
+        mark = (message.last_term, message.last_index)
+        current = mark >= (self.log.last_term, self.log.last_index)
+        if message.pre:
+            granted = current and message.term > self.term
+        else:
+            free = self.hard_state.vote in ("", message.sender)
+            granted = current and free and message.term == self.term
+            if granted:
+                self.set_hard_state(
+                    HardState(term=self.term, vote=message.sender)
+                )
+                self.reset_election(now)
+        self.reply_vote(message, granted)
+
+    def is_leader_with_lease(self, now: float) -> bool:
+        """Return whether this leader is surely still followed."""
+        return self.has_lease(now)
+
+    def reply_vote(self, message: peers.VoteRequest, granted: bool) -> None:
+        """Answer a vote request."""
+        self.send(
+            message.sender,
+            peers.VoteReply(
+                term=self.term,
+                sender=self.identity,
+                pre=message.pre,
+                granted=granted,
+                asked_term=message.term,
+            ),
+        )
+
+    def on_vote_reply(self, message: peers.VoteReply, now: float) -> None:
+        """Count a vote."""
+        wanted_role = Role.PRE_CANDIDATE if message.pre else Role.CANDIDATE
+        wanted_term = self.term + 1 if message.pre else self.term
+        if self.role is not wanted_role or message.asked_term != wanted_term:
+            return
+        if message.granted:
+            self.votes.add(message.sender)
+            self.count_votes(now)
+
+    def count_votes(self, now: float) -> None:
+        """Go on once a quorum has answered yes."""
+        if not self.replica_set.has_quorum(self.votes):
+            return
+        if self.role is Role.PRE_CANDIDATE:
+            self.campaign(False, now)
+        elif self.role is Role.CANDIDATE:
+            self.become_leader(now)
+
+    def become_leader(self, now: float) -> None:
+        """Lead, and commit an entry of the own term first of all."""
+        self.role = Role.LEADER
+        self.leader = self.identity
+        self.led_since = now
+        first = self.log.last_index + 1
+        self.progress = {
+            identity: Progress(next_index=first)
+            for identity in self.replica_set.everyone()
+        }
+        self.progress[self.identity].match = self.log.last_index
+        self.term_start = first
+        self.append_own(
+            log_lib.Entry(
+                term=self.term, index=first, kind=log_lib.EntryKind.NOOP
+            )
+        )
+        self.broadcast(now)
+
+    def check_quorum(self, now: float) -> None:
+        """Step down when a quorum has not answered for long."""
+        acked = {i: p.acked_at for i, p in self.progress.items()}
+        acked[self.identity] = now
+        heard = max(self.replica_set.quorum_value(acked), self.led_since)
+        if now - heard > ELECTION_MAX_S:
+            self.become_follower(self.term, "", now)
+
+    # --- replication -----------------------------------------------------
+
+    def send(self, to: str, message: peers.PeerMessage) -> None:
+        """Queue a message for after the sync."""
+        self.ready.messages.append(Outgoing(to=to, message=message))
+
+    def append_own(self, entry: log_lib.Entry) -> None:
+        """Append an entry as leader."""
+        self.log.append(entry)
+        self.ready.entries.append(entry)
+        if entry.kind is log_lib.EntryKind.REPLICAS:
+            self.track_replicas()
+
+    def track_replicas(self) -> None:
+        """Keep progress of exactly the replicas in force."""
+        everyone = self.replica_set.everyone()
+        for identity in everyone:
+            if identity not in self.progress:
+                self.progress[identity] = Progress(
+                    next_index=self.log.last_index
+                )
+        for identity in set(self.progress) - set(everyone) - {self.identity}:
+            del self.progress[identity]
+
+    def broadcast(self, now: float) -> None:
+        """Send a heartbeat, with entries where some are missing."""
+        self.heartbeat_at = now + HEARTBEAT_S
+        for identity in self.others():
+            progress = self.progress[identity]
+            if progress.acked_at < now - 3 * HEARTBEAT_S:
+                # Nothing came back lately: what was sent ahead may be lost.
+                progress.next_index = min(
+                    progress.next_index, progress.match + 1
+                )
+            self.send_append(identity, now)
+
+    def send_append(self, identity: str, now: float) -> None:
+        """Send entries from where a replica is, or the snapshot."""
+        progress = self.progress[identity]
+        progress.sent_at = now
+        prev = progress.next_index - 1
+        prev_term = self.log.term_at(prev)
+        if prev_term is None:
+            self.send_snapshot(identity, progress, now)
+            return
+        entries = self.log.slice(progress.next_index, MAX_APPEND_BYTES)
+        progress.next_index += len(entries)
+        self.send(
+            identity,
+            peers.Append(
+                term=self.term,
+                sender=self.identity,
+                prev_index=prev,
+                prev_term=prev_term,
+                entries=entries,
+                commit=self.commit,
+                sent_at=now,
+            ),
+        )
+
+    def on_append(self, message: peers.Append, now: float) -> None:
+        """Take entries from the leader."""
+        if message.term < self.term:
+            self.reply_append(message, False, self.log.last_index)
+            return
+        self.follow(message.sender, now)
+        prev = message.prev_index
+        if prev < self.log.snapshot.index:
+            # All of it up to the snapshot is committed and the same.
+            self.reply_append(message, False, self.log.snapshot.index)
+            return
+        if self.log.term_at(prev) != message.prev_term:
+            hint = min(self.log.last_index, prev - 1)
+            self.reply_append(message, False, max(hint, self.commit))
+            return
+        self.store_entries(message.entries)
+        match = prev + len(message.entries)
+        self.commit = max(self.commit, min(message.commit, match))
+        self.reply_append(message, True, match)
+
+    def follow(self, leader: str, now: float) -> None:
+        """Note that the leader of the current term is alive."""
+        if self.role is not Role.FOLLOWER or self.leader != leader:
+            self.become_follower(self.term, leader, now)
+        self.heard_leader_at = now
+        self.reset_election(now)
+
+    def store_entries(self, entries: tuple[log_lib.Entry, ...]) -> None:
+        """Append what is new, dropping what contradicts it."""
+        for entry in entries:
+            known = self.log.term_at(entry.index)
+            if known == entry.term:
+                continue
+            if known is not None:
+                self.drop_from(entry.index)
+            self.log.append(entry)
+            self.ready.entries.append(entry)
+
+    def drop_from(self, index: int) -> None:
+        """Drop entries that a new leader does not have."""
+        if index <= self.commit:
+            raise errors.BrokenInvariantError(
+                f"committed entry {index} would be dropped"
+            )
+        self.log.truncate_from(index)
+        self.ready.entries = [e for e in self.ready.entries if e.index < index]
+        earlier = self.ready.truncate_from
+        self.ready.truncate_from = min(earlier, index) if earlier else index
+
+    def reply_append(
+        self, message: peers.Append, success: bool, match: int
+    ) -> None:
+        """Answer an append."""
+        self.send(
+            message.sender,
+            peers.AppendReply(
+                term=self.term,
+                sender=self.identity,
+                success=success,
+                match=match,
+                sent_at=message.sent_at,
+            ),
+        )
+
+    def on_append_reply(self, message: peers.AppendReply, now: float) -> None:
+        """Note how far a replica is and send more."""
+        progress = self.progress.get(message.sender)
+        if not self.is_leader or progress is None:
+            return
+        if message.term < self.term:
+            return
+        progress.acked_at = max(progress.acked_at, message.sent_at)
+        if message.success:
+            progress.match = max(progress.match, message.match)
+            progress.next_index = max(progress.next_index, progress.match + 1)
+            progress.snapshot = None
+            self.advance_commit(now)
+        else:
+            progress.next_index = max(progress.match, message.match) + 1
+            self.send_append(message.sender, now)
+            return
+        if progress.next_index <= self.log.last_index:
+            self.send_append(message.sender, now)
+
+    def advance_commit(self, now: float) -> None:
+        """Commit what a quorum has synced, of the own term only."""
+        matches = {i: float(p.match) for i, p in self.progress.items()}
+        reached = self.replica_set.quorum_value(matches)
+        if reached <= self.commit or reached == float("-inf"):
+            return
+        index = int(reached)
+        # An entry of an earlier term can be on a quorum and still be
+        # dropped by a later leader.
+        if self.log.term_at(index) != self.term:
+            return
+        self.commit = index
+        self.after_commit(now)
+
+    def after_commit(self, now: float) -> None:
+        """Finish a change of replicas, or step down when not in it."""
+        current = self.replica_set
+        in_log = self.replica_set_index()
+        if in_log > self.commit:
+            return
+        if current.is_joint:
+            self.change_replicas(attrs.evolve(current, old_voters=()), now)
+        elif self.identity not in current.voter_identities():
+            self.become_follower(self.term, "", now)
+
+    def replica_set_index(self) -> int:
+        """Return the index of the set in force."""
+        for entry in reversed(self.log.entries):
+            if entry.kind is log_lib.EntryKind.REPLICAS:
+                return entry.index
+        return self.log.snapshot.index
+
+    # --- snapshots -------------------------------------------------------
+
+    def send_snapshot(
+        self, identity: str, progress: Progress, now: float
+    ) -> None:
+        """Send the next piece of the newest snapshot."""
+        meta = self.log.snapshot
+        if progress.snapshot is None or progress.snapshot.index != meta.index:
+            progress.snapshot = meta
+            progress.snapshot_offset = 0
+        data = self.reader.read(
+            meta.index, progress.snapshot_offset, SNAPSHOT_CHUNK_BYTES
+        )
+        if data is None:
+            return
+        self.send(
+            identity,
+            peers.SnapshotChunk(
+                term=self.term,
+                sender=self.identity,
+                meta=meta,
+                offset=progress.snapshot_offset,
+                data=data,
+                sent_at=now,
+            ),
+        )
+
+    def on_snapshot_chunk(
+        self, message: peers.SnapshotChunk, now: float
+    ) -> None:
+        """Collect a snapshot and install it when it is whole."""
+        if message.term < self.term:
+            return
+        self.follow(message.sender, now)
+        meta = message.meta
+        if meta.index <= self.commit:
+            self.reply_snapshot(message, meta.size, True)
+            return
+        if self.incoming_meta != meta:
+            self.incoming_meta = meta
+            self.incoming = bytearray()
+        if message.offset == len(self.incoming):
+            self.incoming += message.data
+        if len(self.incoming) < meta.size:
+            self.reply_snapshot(message, len(self.incoming), False)
+            return
+        self.install(meta, bytes(self.incoming))
+        self.reply_snapshot(message, meta.size, True)
+
+    def install(self, meta: log_lib.SnapshotMeta, data: bytes) -> None:
+        """Replace log and state by a snapshot."""
+        self.incoming_meta = None
+        self.incoming = bytearray()
+        self.log.restore(meta)
+        self.commit = self.applied = meta.index
+        self.ready.entries = []
+        self.ready.truncate_from = 0
+        self.ready.snapshot = meta
+        self.ready.snapshot_data = data
+
+    def reply_snapshot(
+        self, message: peers.SnapshotChunk, received: int, done: bool
+    ) -> None:
+        """Say how much of a snapshot has arrived."""
+        self.send(
+            message.sender,
+            peers.SnapshotReply(
+                term=self.term,
+                sender=self.identity,
+                index=message.meta.index,
+                received=received,
+                done=done,
+                sent_at=message.sent_at,
+            ),
+        )
+
+    def on_snapshot_reply(
+        self, message: peers.SnapshotReply, now: float
+    ) -> None:
+        """Send the next piece, or go on with entries."""
+        progress = self.progress.get(message.sender)
+        if not self.is_leader or progress is None:
+            return
+        if message.term < self.term:
+            return
+        progress.acked_at = max(progress.acked_at, message.sent_at)
+        if message.done:
+            progress.match = max(progress.match, message.index)
+            progress.next_index = max(progress.next_index, progress.match + 1)
+            progress.snapshot = None
+            self.advance_commit(now)
+        elif progress.snapshot is None:
+            return
+        elif message.index == progress.snapshot.index:
+            progress.snapshot_offset = message.received
+        self.send_append(message.sender, now)
+
+    def compacted(self, meta: log_lib.SnapshotMeta) -> None:
+        """Drop what a stored snapshot covers."""
+        self.log.compact(meta)
+
+    # --- replica set -----------------------------------------------------
+
+    def change_replicas(self, wanted: replicas.ReplicaSet, now: float) -> bool:
+        """Append a new replica set; False when another change runs.
+
+        A change of voters goes through a joint set that needs a majority of
+        both, so that a repair swaps a dead replica for a caught-up learner
+        in one step and never passes through a smaller set.
+        """
+        if not self.is_leader or self.commit < self.term_start:
+            return False
+        current = self.replica_set
+        if self.replica_set_index() > self.commit:
+            return False
+        if not current.is_joint and wanted.voters != current.voters:
+            if not self.may_vote(wanted):
+                return False
+            wanted = attrs.evolve(wanted, old_voters=current.voters)
+        self.append_own(
+            log_lib.Entry(
+                term=self.term,
+                index=self.log.last_index + 1,
+                kind=log_lib.EntryKind.REPLICAS,
+                replica_set=wanted,
+            )
+        )
+        self.flush_appends(now)
+        return True
+
+    def may_vote(self, wanted: replicas.ReplicaSet) -> bool:
+        """Return whether every new voter has caught up as a learner."""
+        known = self.replica_set.voter_identities()
+        for replica in wanted.voters:
+            if replica.identity in known:
+                continue
+            progress = self.progress.get(replica.identity)
+            if progress is None:
+                return False
+            if progress.match + PROMOTE_LAG < self.log.last_index:
+                return False
+        return True
+
+
+def is_pre_grant(message: peers.PeerMessage) -> bool:
+    """Return whether a message is a pre-vote answer of a future term."""
+    return isinstance(message, peers.VoteReply) and message.pre
--- /dev/null
+++ b/src/_coltsfootroad/control/state.py
@@ -0,0 +1,148 @@
+"""The durable state machine: the same commands give the same state."""
+
+import json
+
+import attrs
+import msgspec
+
+from _coltsfootroad.control import claims as claims_lib
+from _coltsfootroad.control import codec
+from _coltsfootroad.control import configstore
+from _coltsfootroad.control import fences
+from _coltsfootroad.control import messages
+from _coltsfootroad.core import errors
+
+COMMANDS = codec.Codec.of(
+    messages.PatchConfig,
+    messages.TakeClaim,
+    messages.SettleClaim,
+    fences.TakeLease,
+    fences.DropLease,
+)
+
+
+@attrs.define
+class ControlState:
+    """Configuration, claims and fenced leases.
+
+    `now` is part of each command's log entry, in unix seconds of the leader
+    that accepted it, and never goes back.
+    """
+
+    now: float = 0.0
+    configs: configstore.ConfigStore = attrs.Factory(configstore.ConfigStore)
+    claims: claims_lib.ClaimTable = attrs.Factory(claims_lib.ClaimTable)
+    leases: fences.LeaseTable = attrs.Factory(fences.LeaseTable)
+
+    def apply(self, command: object, now: float) -> object:
+        """Apply one command and return its answer."""
+        self.now = max(self.now, now)
+        match command:
+            case messages.PatchConfig():
+                return self.configs.patch(command)
+            case messages.TakeClaim():
+                retention_s = self.configs.config.fleet.key_retention_s
+                return self.claims.take(command, retention_s, self.now)
+            case messages.SettleClaim():
+                self.claims.settle(command)
+                return messages.Done()
+            case fences.TakeLease():
+                return self.leases.take(command, self.now)
+            case fences.DropLease():
+                self.leases.drop(command)
+                return messages.Done()
+        raise errors.BrokenInvariantError(f"no such command: {command!r}")
+
+
+@attrs.frozen(kw_only=True)
+class SavedClaim:
+    """A claim as a snapshot holds it."""
+
+    workspace: str
+    key: str
+    claim: claims_lib.Claim
+
+
+@attrs.frozen(kw_only=True)
+class SavedPatch:
+    """The answer to a patch as a snapshot holds it."""
+
+    patch_id: str
+    record: configstore.PatchRecord
+
+
+@attrs.frozen(kw_only=True)
+class SavedState:
+    """All of the state, as a snapshot holds it."""
+
+    format: int
+    now: float
+    version: int
+    document: bytes
+    history: tuple[tuple[int, bytes], ...]
+    patches: tuple[SavedPatch, ...]
+    claims: tuple[SavedClaim, ...]
+    leases: tuple[fences.Lease, ...]
+    last_fence: int
+
+
+FORMAT = 1
+
+
+def save(state: ControlState) -> bytes:
+    """Return the bytes of a snapshot."""
+    saved = SavedState(
+        format=FORMAT,
+        now=state.now,
+        version=state.configs.version,
+        document=json.dumps(state.configs.document).encode(),
+        history=tuple(state.configs.history.items()),
+        patches=tuple(
+            SavedPatch(patch_id=name, record=record)
+            for name, record in state.configs.answers.items()
+        ),
+        claims=tuple(
+            SavedClaim(workspace=key[0], key=key[1], claim=claim)
+            for key, claim in state.claims.claims.items()
+        ),
+        leases=tuple(state.leases.leases.values()),
+        last_fence=state.leases.last_fence,
+    )
+    return codec.ENCODER.encode(saved)
+
+
+def load(data: bytes) -> ControlState:
+    """Return the state that a snapshot holds."""
+    saved = msgspec.msgpack.decode(data, type=SavedState)
+    if saved.format != FORMAT:
+        raise errors.BrokenInvariantError(
+            f"snapshot has format {saved.format}, this program reads {FORMAT}"
+        )
+    state = ControlState(now=saved.now)
+    restore_configs(state.configs, saved)
+    restore_claims(state.claims, saved)
+    for lease in saved.leases:
+        state.leases.leases[lease.name] = lease
+    state.leases.last_fence = saved.last_fence
+    return state
+
+
+def restore_configs(store: configstore.ConfigStore, saved: SavedState) -> None:
+    """Fill a configuration store from a snapshot."""
+    store.version = saved.version
+    store.document = configstore.read_json(saved.document)
+    store.config = configstore.parse_document(store.document).ok
+    store.history.update(saved.history)
+    for patch in saved.patches:
+        store.answers[patch.patch_id] = patch.record
+
+
+def restore_claims(table: claims_lib.ClaimTable, saved: SavedState) -> None:
+    """Fill a claim table from a snapshot."""
+    for item in sorted(saved.claims, key=lambda c: c.claim.forget_at):
+        key = (item.workspace, item.key)
+        table.claims[key] = item.claim
+        table.by_age.append((item.claim.forget_at, key))
+        if item.claim.answer is not None:
+            table.answers.append(key)
+            table.answer_bytes += len(item.claim.answer.body)
--- /dev/null
+++ b/src/_coltsfootroad/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision core without input or output; every call takes `now`."""
--- /dev/null
+++ b/src/_coltsfootroad/core/addresses.py
@@ -0,0 +1,66 @@
+"""Which entries callers are told to use."""
+
+import attrs
+
+from _coltsfootroad.core import hashing
+
+SAME_ZONE_WEIGHT = 4
+OTHER_ZONE_WEIGHT = 1
+MAX_ADDRESSES = 4
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """One entry as the control state knows it.
+
+    Attributes:
+        entry: Name of the entry.
+        incarnation: Grows with every start.
+        address: `ip:port` for callers.
+        peer_address: `ip:port` for other processes of the system.
+        availability_zone: Where it runs.
+        leaving: Whether it is draining.
+        load: Requests in flight at its last heartbeat.
+        config_version: Version in force at its last heartbeat.
+    """
+
+    entry: str
+    incarnation: int
+    address: str
+    peer_address: str = ""
+    availability_zone: str = ""
+    leaving: bool = False
+    load: int = 0
+    config_version: int = -1
+
+
+@attrs.frozen(kw_only=True)
+class AddressAnswer:
+    """Entries that a caller may use for `valid_for_s` seconds."""
+
+    addresses: tuple[str, ...]
+    valid_for_s: float
+
+
+def rank(member: Member, caller: str, zone: str) -> float:
+    """Return a weighted rendezvous score; larger is better.
+
+    Rendezvous hashing spreads callers evenly and moves only the callers of
+    an entry that leaves. The load divides the weight, so that an entry that
+    is behind gets fewer callers.
+    """
+    digest = hashing.stable_hash(member.entry, caller)
+    fraction = (digest + 1) / (2**64 + 1)
+    near = bool(zone) and member.availability_zone == zone
+    weight = SAME_ZONE_WEIGHT if near else OTHER_ZONE_WEIGHT
+    return fraction ** ((1.0 + member.load / 100.0) / weight)
+
+
+def answer(
+    members: tuple[Member, ...], caller: str, zone: str, valid_for_s: float
+) -> AddressAnswer:
+    """Return the entries for a caller, best first; none that is leaving."""
+    usable = [m for m in members if not m.leaving]
+    usable.sort(key=lambda m: rank(m, caller, zone), reverse=True)
+    chosen = tuple(m.address for m in usable[:MAX_ADDRESSES])
+    return AddressAnswer(addresses=chosen, valid_for_s=valid_for_s)
--- /dev/null
+++ b/src/_coltsfootroad/core/claiming.py
@@ -0,0 +1,108 @@
+"""Takes the durable claim of a non-idempotent request before dispatch."""
+
+from _coltsfootroad.control import messages
+from _coltsfootroad.core import actions
+from _coltsfootroad.core import admission
+from _coltsfootroad.core import errors
+from _coltsfootroad.core import flights
+from _coltsfootroad.core import request as request_lib
+
+CLAIM_RETRY_S = 0.5
+MAX_CLAIM_TRIES = 6
+# Content type under which the joined text of an engine's answer is stored.
+STREAM_CONTENT_TYPE = "text/x-engine-output"
+
+Status = messages.ClaimStatus
+
+REFUSALS = {
+    Status.IN_PROGRESS: (
+        errors.ErrorCode.IN_PROGRESS,
+        "another request with this idempotency key is in progress",
+        errors.Ran.UNKNOWN,
+    ),
+    Status.NOT_STORED: (
+        errors.ErrorCode.ANSWER_NOT_STORED,
+        "this idempotency key ran; its answer was too large to keep",
+        errors.Ran.YES,
+    ),
+    Status.UNKNOWN: (
+        errors.ErrorCode.OUTCOME_UNKNOWN,
+        "this idempotency key may have run; its outcome was lost",
+        errors.Ran.UNKNOWN,
+    ),
+    Status.KEY_REUSED: (
+        errors.ErrorCode.KEY_REUSED,
+        "this idempotency key was used with another body",
+        errors.Ran.NO,
+    ),
+    Status.KEY_EXPIRED: (
+        errors.ErrorCode.KEY_EXPIRED,
+        "the time in this idempotency key is outside what is kept",
+        errors.Ran.NO,
+    ),
+    Status.FULL: (
+        errors.ErrorCode.CLAIM_UNAVAILABLE,
+        "no more idempotency keys can be kept now",
+        errors.Ran.NO,
+    ),
+}
+
+
+def begin(core, flight: flights.Flight, now: float) -> None:
+    """Ask for the claim and wait for its answer."""
+    flight.state = flights.FlightState.CLAIMING
+    flight.claim_tries += 1
+    core.out.append(actions.TakeClaim(request=flight.request))
+    core.flights.arm(flight, now + CLAIM_RETRY_S)
+
+
+def retry(core, flight: flights.Flight, now: float) -> None:
+    """Ask again, with the same token, or give up."""
+    if flight.claim_tries < MAX_CLAIM_TRIES:
+        begin(core, flight, now)
+        return
+    refusal = admission.refuse(
+        errors.ErrorCode.CLAIM_UNAVAILABLE,
+        "the control state did not answer; the call was not made",
+        admission.ENTRY_RETRY_S,
+    )
+    core.fail(flight, refusal, now)
+
+
+def on_answer(
+    core,
+    flight: flights.Flight,
+    answer: messages.ClaimAnswer,
+    now: float,
+) -> None:
+    """Go on by what the control state said of the key."""
+    if flight.state is not flights.FlightState.CLAIMING:
+        # A repeated answer; the first one has been acted upon.
+        return
+    if answer.status is Status.GRANTED:
+        flight.claim_granted = True
+        core.enqueue(flight, now)
+        return
+    # The key is somebody else's: this flight must not settle it.
+    flight.claim_tries = 0
+    if answer.status is Status.DONE:
+        give_stored(core, flight, answer.answer, now)
+        return
+    code, message, ran = REFUSALS[answer.status]
+    core.fail(
+        flight,
+        errors.Failure(code, message, ran, answer.retry_after_s),
+        now,
+    )
+
+
+def give_stored(
+    core,
+    flight: flights.Flight,
+    answer: request_lib.Answer,
+    now: float,
+) -> None:
+    """Answer a resend with what the first run answered."""
+    core.counters.finished += 1
+    core.end(flight, 0, now)
+    core.out.append(actions.Finish(request_id=flight.request_id, answer=answer))
--- /dev/null
+++ b/src/_coltsfootroad/core/config.py
@@ -0,0 +1,225 @@
+"""The fleet configuration document and its checks."""
+
+import enum
+import json
+
+import attrs
+from attrs import validators
+import cattrs
+import cattrs.preconf.json
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from _coltsfootroad.core import errors
+from _coltsfootroad.core import request as request_lib
+
+MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
+HEX_SHA256_LENGTH = 64
+
+
+class Objective(enum.Enum):
+    """What routing optimizes for a service."""
+
+    SHORT_SLOWDOWN = "short_slowdown"
+    TTFT_ALL_LENGTHS = "ttft_all_lengths"
+
+
+def check_positive(_, attribute, value) -> None:
+    """Reject numbers that are not above zero."""
+    if value is not None and not value > 0:
+        raise ValueError(f"{attribute.name} is {value!r}, must be above 0")
+
+
+def check_key_hashes(_, attribute, value) -> None:
+    """Reject anything that is not a SHA-256 in lower-case hex."""
+    for item in value:
+        hexadecimal = all(c in "0123456789abcdef" for c in item)
+        if len(item) != HEX_SHA256_LENGTH or not hexadecimal:
+            raise ValueError(
+                f"{attribute.name} holds {item!r}, must be 64 hex digits"
+            )
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Settings of one service.
+
+    Attributes:
+        kind: Engine or plain.
+        objective: What routing optimizes; engines only.
+        model: Model that engines of this service must have loaded.
+        max_queue: Requests that one entry holds waiting.
+        default_deadline_s: Bound of requests that name none.
+        max_deadline_s: Largest bound that a request may name.
+        max_prompt_tokens: Longest prompt admitted.
+        max_output_tokens: Most tokens a request may ask for.
+        max_body_bytes: Largest body accepted.
+    """
+
+    kind: request_lib.ServiceKind = request_lib.ServiceKind.ENGINE
+    objective: Objective = Objective.SHORT_SLOWDOWN
+    model: str = ""
+    max_queue: int = attrs.field(default=1_000, validator=check_positive)
+    default_deadline_s: float = attrs.field(
+        default=120.0, validator=check_positive
+    )
+    max_deadline_s: float = attrs.field(
+        default=3_600.0, validator=check_positive
+    )
+    max_prompt_tokens: int = attrs.field(
+        default=1_200_000, validator=check_positive
+    )
+    max_output_tokens: int = attrs.field(
+        default=8_192, validator=check_positive
+    )
+    max_body_bytes: int = attrs.field(
+        default=16 * 1024 * 1024, validator=check_positive
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Workspace:
+    """Settings of one workspace; limits hold for the whole fleet.
+
+    Attributes:
+        key_sha256: Hashes of the API keys that may act for it.
+        services: Services that it may use.
+        weight: Share under contention, in the fair queue.
+        priority: 0 (most urgent) to 9.
+        tokens_per_s: Fleet-wide rate in tokens per second, none if null.
+        concurrency: Fleet-wide requests in flight, none if null.
+    """
+
+    key_sha256: tuple[str, ...] = attrs.field(
+        default=(), validator=check_key_hashes
+    )
+    services: tuple[str, ...] = ()
+    weight: float = attrs.field(default=1.0, validator=check_positive)
+    priority: int = attrs.field(
+        default=5, validator=[validators.ge(0), validators.le(9)]
+    )
+    tokens_per_s: float | None = attrs.field(
+        default=None, validator=check_positive
+    )
+    concurrency: int | None = attrs.field(
+        default=None, validator=check_positive
+    )
+
+
+@attrs.frozen(kw_only=True)
+class EndpointKind:
+    """How endpoints whose name starts with `prefix` treat orders."""
+
+    prefix: str
+    checks_fencing: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Fleet:
+    """Settings of the fleet as a whole.
+
+    Attributes:
+        address_validity_s: How long callers may keep an address answer.
+        staleness_bound_s: How old an entry's proof of currency may be.
+        endpoint_lease_s: How long an announcement lasts without renewal.
+        key_retention_s: Oldest idempotency key that is admitted.
+    """
+
+    address_validity_s: float = attrs.field(
+        default=10.0, validator=check_positive
+    )
+    staleness_bound_s: float = attrs.field(
+        default=8.0, validator=check_positive
+    )
+    endpoint_lease_s: float = attrs.field(default=5.0, validator=check_positive)
+    key_retention_s: float = attrs.field(
+        default=86_400.0, validator=check_positive
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Config:
+    """The whole configuration of one version."""
+
+    services: dict[str, Service] = attrs.Factory(dict)
+    workspaces: dict[str, Workspace] = attrs.Factory(dict)
+    endpoint_kinds: tuple[EndpointKind, ...] = ()
+    models: dict[str, "ModelPlacement"] = attrs.Factory(dict)
+    fleet: Fleet = Fleet()
+
+
+@attrs.frozen(kw_only=True)
+class ModelPlacement:
+    """Desired copies of a model over the engines of a service."""
+
+    service: str
+    copies: int = attrs.field(default=1, validator=check_positive)
+    version: str = "1"
+
+
+def make_converter() -> cattrs.Converter:
+    """Return a converter that refuses unknown keys and wrong types."""
+    converter = cattrs.preconf.json.make_converter(forbid_extra_keys=True)
+    for kind in (int, float, str, bool):
+        converter.register_structure_hook(kind, strict_hook(kind))
+    return converter
+
+
+def strict_hook(kind):
+    """Return a hook that takes only `kind`, never a value like it."""
+
+    def structure(value, _):
+        if kind is float and type(value) is int:
+            return float(value)
+        if type(value) is not kind:
+            raise TypeError(f"{value!r} is not of type {kind.__name__}")
+        return value
+
+    return structure
+
+
+attrs.resolve_types(Config, globals(), locals())
+CONVERTER = make_converter()
+
+
+def merge_patch(target: object, patch: object) -> object:
+    """Return `target` changed by a JSON Merge Patch (RFC 7396)."""
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(target) if isinstance(target, dict) else {}
+    for key, value in patch.items():
+        if value is None:
+            merged.pop(key, None)
+        else:
+            merged[key] = merge_patch(merged.get(key), value)
+    return merged
+
+
+def explain(error: Exception) -> str:
+    """Return one sentence per fault, each with the path of its key."""
+    return "; ".join(cattrs.transform_error(error, path="config"))
+
+
+def invalid(message: str) -> Result[Config, errors.Failure]:
+    """Return the refusal of a document."""
+    return Error(errors.Failure(errors.ErrorCode.INVALID_CONFIG, message))
+
+
+def parse(document: object) -> Result[Config, errors.Failure]:
+    """Check a JSON document and return it as a `Config`."""
+    if len(json.dumps(document)) > MAX_DOCUMENT_BYTES:
+        return invalid(f"config is larger than {MAX_DOCUMENT_BYTES} bytes")
+    try:
+        config = CONVERTER.structure(document, Config)
+    except Exception as error:  # pylint: disable=broad-except
+        # cattrs raises groups of whatever the hooks and validators raise.
+        return invalid(explain(error))
+    for name, workspace in config.workspaces.items():
+        for service in workspace.services:
+            if service not in config.services:
+                return invalid(
+                    f"config.workspaces.{name}.services names {service!r},"
+                    " which is no service"
+                )
+    return Ok(config)
--- /dev/null
+++ b/src/_coltsfootroad/core/freshness.py
@@ -0,0 +1,47 @@
+"""Whether an entry may still believe its configuration to be current."""
+
+import attrs
+
+from _coltsfootroad.core import addresses
+from _coltsfootroad.core import config as config_lib
+
+
+@attrs.define
+class Freshness:
+    """An entry's configuration and the proof that it is current.
+
+    A heartbeat that the leader answered proves that the version was current
+    when the heartbeat was *sent*. Past the bound the entry fences itself:
+    it cannot tell its own isolation from a loss of the quorum, and serving
+    on could revert a limit or a right that operators took away.
+    """
+
+    version: int = -1
+    document: dict = attrs.Factory(dict)
+    config: config_lib.Config = attrs.Factory(config_lib.Config)
+    confirmed_at: float = float("-inf")
+    members: tuple[addresses.Member, ...] = ()
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that the version was current at `asked_at`."""
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the proof is young enough to admit requests."""
+        bound = self.config.fleet.staleness_bound_s
+        return self.version >= 0 and now - self.confirmed_at < bound
+
+    def stale_at(self) -> float:
+        """Return when the present proof ends."""
+        return self.confirmed_at + self.config.fleet.staleness_bound_s
+
+    def adopt(
+        self, version: int, document: dict, config: config_lib.Config
+    ) -> bool:
+        """Put a newer version in force; never an older one."""
+        if version <= self.version:
+            return False
+        self.version = version
+        self.document = document
+        self.config = config
+        return True
--- /dev/null
+++ b/src/_coltsfootroad/core/limits.py
@@ -0,0 +1,146 @@
+"""An entry's leased share of the fleet-wide limits of each workspace."""
+
+import attrs
+
+# Seconds of its rate that an idle workspace can save up.
+BURST_S = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class Share:
+    """A part of one workspace's limits, granted to one entry.
+
+    Attributes:
+        workspace: Whose limits these are.
+        grant: Grows with every grant to this entry.
+        tokens_per_s: Rate share, none if the workspace has no rate limit.
+        concurrency: Requests in flight, none if there is no such limit.
+        lease_s: Seconds that it holds, counted from before it was asked for.
+    """
+
+    workspace: str
+    grant: int
+    tokens_per_s: float | None
+    concurrency: int | None
+    lease_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Demand:
+    """What an entry could use of one workspace's limits now."""
+
+    workspace: str
+    tokens_per_s: float = 0.0
+    concurrency: int = 0
+
+
+@attrs.define
+class WorkspaceMeter:
+    """Meters one workspace at one entry."""
+
+    share: Share | None = None
+    lease_until: float = float("-inf")
+    tokens: float = 0.0
+    filled_at: float = 0.0
+    in_flight: int = 0
+    waiting: int = 0
+    rate_used: float = 0.0
+    rate_at: float = 0.0
+
+    def fill(self, now: float) -> None:
+        """Add the tokens earned since the last call while the lease held."""
+        share = self.share
+        earned_until = min(now, self.lease_until)
+        if share is not None and share.tokens_per_s is not None:
+            seconds = max(0.0, earned_until - self.filled_at)
+            cap = BURST_S * share.tokens_per_s
+            if self.tokens < cap:
+                earned = seconds * share.tokens_per_s
+                self.tokens = min(cap, self.tokens + earned)
+        self.filled_at = max(self.filled_at, now)
+
+    def may_start(self, now: float) -> bool:
+        """Return whether one more request fits into the share now."""
+        if self.share is None or now >= self.lease_until:
+            return False
+        self.fill(now)
+        limit = self.share.concurrency
+        if limit is not None and self.in_flight >= limit:
+            return False
+        # A request longer than the burst goes into debt instead of waiting
+        # for a bucket that can never hold it.
+        return self.share.tokens_per_s is None or self.tokens > 0
+
+    def start(self, cost_tokens: int, now: float) -> None:
+        """Charge a request that starts."""
+        self.fill(now)
+        self.in_flight += 1
+        self.tokens -= cost_tokens
+        self.note_rate(cost_tokens, now)
+
+    def finish(self, unused_tokens: int) -> None:
+        """End a request and give back what it did not use."""
+        self.in_flight -= 1
+        self.tokens += unused_tokens
+
+    def note_rate(self, tokens: float, now: float) -> None:
+        """Track the rate in use with a window of about a second."""
+        elapsed = max(now - self.rate_at, 0.0)
+        self.rate_used *= max(0.0, 1.0 - elapsed)
+        self.rate_used += tokens
+        self.rate_at = now
+
+    def refill_at(self, now: float) -> float:
+        """Return when tokens are expected to be above zero again."""
+        share = self.share
+        if share is None or not share.tokens_per_s or self.tokens > 0:
+            return now
+        return now - self.tokens / share.tokens_per_s
+
+
+@attrs.define
+class LimitTable:
+    """Meters of all workspaces that an entry has seen."""
+
+    meters: dict[str, WorkspaceMeter] = attrs.Factory(dict)
+
+    def meter(self, workspace: str) -> WorkspaceMeter:
+        """Return the meter of a workspace, made on first use."""
+        return self.meters.setdefault(workspace, WorkspaceMeter())
+
+    def apply(self, shares: tuple[Share, ...], asked_at: float, now: float):
+        """Take shares; their leases count from before they were asked for."""
+        for share in shares:
+            meter = self.meter(share.workspace)
+            if meter.share is not None and share.grant <= meter.share.grant:
+                continue
+            meter.fill(now)
+            if meter.share is None and share.tokens_per_s is not None:
+                meter.tokens = max(meter.tokens, share.tokens_per_s)
+            meter.share = share
+            meter.lease_until = asked_at + share.lease_s
+
+    def demands(self, now: float) -> tuple[Demand, ...]:
+        """Return what each active workspace could use."""
+        found = []
+        for name, meter in self.meters.items():
+            wanted = meter.in_flight + meter.waiting
+            if not wanted and meter.rate_used < 1:
+                continue
+            meter.note_rate(0, now)
+            found.append(
+                Demand(
+                    workspace=name,
+                    tokens_per_s=meter.rate_used + max(0.0, -meter.tokens),
+                    concurrency=wanted,
+                )
+            )
+        return tuple(found)
+
+    def grants(self) -> dict[str, int]:
+        """Return the newest grant number applied per workspace."""
+        return {
+            name: meter.share.grant
+            for name, meter in self.meters.items()
+            if meter.share is not None
+        }
--- /dev/null
+++ b/src/_coltsfootroad/core/placement.py
@@ -0,0 +1,106 @@
+"""Places prompts above one engine's memory on several engines."""
+
+import math
+
+import attrs
+
+from _coltsfootroad.core import actions
+from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import pool as pool_lib
+from _coltsfootroad.core import request as request_lib
+
+MAX_GROUP = 8
+# Part of an engine's memory that a group may ask for.
+USABLE_SHARE = 0.95
+GROUP_LEASE_S = 10.0
+
+
+@attrs.frozen(kw_only=True)
+class GroupPlan:
+    """Parts of a prompt, leader first, and the predicted first token."""
+
+    parts: tuple[actions.Part, ...]
+    predicted_s: float
+
+    @property
+    def engines(self) -> dict[str, int]:
+        """Return the tokens of memory to reserve on each engine."""
+        return {p.endpoint: p.kv_tokens for p in self.parts}
+
+
+def needs_group(
+    request: request_lib.Request, pool: pool_lib.ServicePool
+) -> bool:
+    """Return whether no single engine can ever hold a request."""
+    if request.kind is request_lib.ServiceKind.PLAIN:
+        return False
+    return request.cost_tokens > pool.largest_kv
+
+
+def group_capacity(pool: pool_lib.ServicePool) -> int:
+    """Return the most tokens that one group of engines can hold."""
+    sizes = sorted(
+        (v.announcement.kv_tokens for v in pool.views.values() if v.accepts),
+        reverse=True,
+    )
+    return int(sum(sizes[:MAX_GROUP]) * USABLE_SHARE)
+
+
+def plan(
+    request: request_lib.Request,
+    band: int,
+    pool: pool_lib.ServicePool,
+    avoid: set[str],
+    now: float,
+) -> GroupPlan | None:
+    """Return the smallest group that can hold a request, least busy first.
+
+    Engines that read long prompts already come first where the wait is the
+    same, which leaves the clean ones to short prompts.
+    """
+    views = [
+        v
+        for v in pool.any_usable(now)
+        if v.name not in avoid and not v.kv_group_held
+    ]
+    views.sort(key=lambda v: engine_order(v, band, pool))
+    for count in range(2, min(MAX_GROUP, len(views)) + 1):
+        per_engine = math.ceil(request.cost_tokens / count)
+        roomy = [
+            v
+            for v in views
+            if v.announcement.kv_tokens * USABLE_SHARE >= per_engine
+        ]
+        if len(roomy) >= count:
+            return make_plan(request, band, roomy[:count], per_engine)
+    return None
+
+
+def engine_order(
+    view: endpoints.EndpointView, band: int, pool: pool_lib.ServicePool
+) -> tuple:
+    """Return how an engine sorts for a group."""
+    waiting_s = view.speed.prefill_s(view.ahead(band))
+    rank = pool_lib.fleet_rank(pool.service, view.name)
+    return (round(waiting_s, 1), view.is_clean(), rank)
+
+
+def make_plan(
+    request: request_lib.Request,
+    band: int,
+    views: list[endpoints.EndpointView],
+    per_engine: int,
+) -> GroupPlan:
+    """Return an even split over the given engines."""
+    tokens = math.ceil(request.prompt_tokens / len(views))
+    parts = tuple(
+        actions.Part(
+            endpoint=view.name,
+            index=index,
+            prompt_tokens=tokens,
+            kv_tokens=per_engine,
+        )
+        for index, view in enumerate(views)
+    )
+    slowest = max(v.speed.prefill_s(v.ahead(band) + tokens) for v in views)
+    return GroupPlan(parts=parts, predicted_s=slowest)
--- /dev/null
+++ b/src/_coltsfootroad/core/request.py
@@ -0,0 +1,82 @@
+"""Requests and the pieces of their answers."""
+
+import enum
+
+import attrs
+
+
+class ServiceKind(enum.Enum):
+    """What stands behind a service."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """One request of a caller, as admitted or refused by an entry.
+
+    Attributes:
+        request_id: Unique over the fleet and over restarts.
+        workspace: Name of the workspace that pays.
+        service: Name of the service asked for.
+        prompt_tokens: Estimated prompt length in tokens, at least 1.
+        output_tokens: Upper bound on generated tokens.
+        arrived_at: Seconds on the entry's clock.
+        deadline_at: Seconds on the entry's clock; always set.
+        kind: Engine or plain service.
+        priority: Workspace priority, 0 (most urgent) to 9.
+        non_idempotent: Must run at most once.
+        idempotency_key: Key of a resend, empty when there is none.
+        key_time: Creation time of the key in unix seconds.
+        body_hash: Hash of method, path and body; a resend must match.
+        session: Hint for locality, may be empty.
+        prefix_hashes: Chain of hashes of prompt blocks, longest last.
+        payload: Opaque body that the shell hands to the endpoint.
+    """
+
+    request_id: str
+    workspace: str
+    service: str
+    prompt_tokens: int
+    output_tokens: int
+    arrived_at: float
+    deadline_at: float
+    kind: ServiceKind = ServiceKind.ENGINE
+    priority: int = 5
+    non_idempotent: bool = False
+    idempotency_key: str = ""
+    key_time: float = 0.0
+    body_hash: str = ""
+    session: str = ""
+    prefix_hashes: tuple[str, ...] = ()
+    payload: object = None
+
+    @property
+    def cost_tokens(self) -> int:
+        """Return the tokens that rate limits and fairness charge."""
+        return self.prompt_tokens + self.output_tokens
+
+    @property
+    def claims_key(self) -> bool:
+        """Return whether a durable claim guards the dispatch."""
+        return self.non_idempotent and bool(self.idempotency_key)
+
+
+@attrs.frozen(kw_only=True)
+class Chunk:
+    """A piece of an answer at a position in the answer's token stream."""
+
+    offset: int
+    tokens: int
+    data: bytes
+    final: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """A whole answer as stored for resends; `status` is an HTTP status."""
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
--- /dev/null
+++ b/src/_coltsfootroad/core/stream.py
@@ -0,0 +1,55 @@
+"""Puts the pieces of one answer in order, once each."""
+
+import attrs
+
+from _coltsfootroad.core import request as request_lib
+
+# Pieces held for a gap; engines that leave longer gaps are broken.
+MAX_HELD = 256
+
+
+@attrs.define
+class AnswerStream:
+    """Orders and de-duplicates the chunks of the current attempt.
+
+    Chunks carry the attempt they belong to, so that a late answer of an
+    old attempt never mixes into the current one.
+    """
+
+    attempt: int = 0
+    next_offset: int = 0
+    held: dict[int, request_lib.Chunk] = attrs.Factory(dict)
+    complete: bool = False
+    overflow: bool = False
+
+    def begin(self, attempt: int) -> None:
+        """Start a new attempt that continues at `next_offset`."""
+        self.attempt = attempt
+        self.held.clear()
+
+    def add(
+        self, attempt: int, chunk: request_lib.Chunk
+    ) -> list[request_lib.Chunk]:
+        """Take a chunk and return those that are now in order."""
+        if attempt != self.attempt or self.complete:
+            return []
+        if chunk.offset < self.next_offset:
+            return []
+        if len(self.held) >= MAX_HELD:
+            self.overflow = True
+            return []
+        self.held[chunk.offset] = chunk
+        return self.release()
+
+    def release(self) -> list[request_lib.Chunk]:
+        """Return the held chunks that follow without a gap."""
+        ready = []
+        while self.next_offset in self.held and not self.complete:
+            chunk = self.held.pop(self.next_offset)
+            ready.append(chunk)
+            self.next_offset += chunk.tokens
+            if chunk.final:
+                self.complete = True
+            elif chunk.tokens <= 0:
+                break
+        return ready
--- /dev/null
+++ b/src/_coltsfootroad/fakes/httpendpoint.py
@@ -0,0 +1,301 @@
+"""Stand-in endpoints over HTTP, for the demo, tests and benchmarks."""
+
+import asyncio
+import json
+
+import attrs
+from tornado import curl_httpclient
+import tornado.httpclient
+import tornado.iostream
+import tornado.web
+
+from _coltsfootroad.core import config as config_lib
+from _coltsfootroad.core import registry
+from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.fakes import engine as engine_lib
+from _coltsfootroad.shell import endpointclient
+from _coltsfootroad.shell import web
+
+MAX_BODY_BYTES = 32 * 1024 * 1024
+ANNOUNCE_EVERY_S = 0.5
+POST_TIMEOUT_S = 2.0
+
+
+@attrs.define(eq=False)
+class FakeEndpoint:
+    """One stand-in endpoint: announces itself, serves, reports, leaves.
+
+    `runs` counts, per request id or key, how often work was begun here.
+    """
+
+    name: str
+    service: str
+    address: str
+    entries: list[str]
+    kind: request_lib.ServiceKind = request_lib.ServiceKind.ENGINE
+    speed: engine_lib.EngineSpeed = engine_lib.EngineSpeed()
+    availability_zone: str = ""
+    token: str = ""
+    incarnation: int = 1
+    state: registry.EndpointState = registry.EndpointState.SERVING
+    seq: int = 0
+    plain_s: float = 0.0
+    runs: dict[str, int] = attrs.Factory(dict)
+    orders: list[dict] = attrs.Factory(list)
+    highest_fence: int = 0
+    queues: dict = attrs.Factory(dict)
+    model: engine_lib.EngineModel = attrs.field(init=False)
+    loop: asyncio.AbstractEventLoop = attrs.field(init=False)
+    timer: asyncio.TimerHandle | None = None
+    server: object = None
+    task: asyncio.Task | None = None
+    client: object = None
+
+    def __attrs_post_init__(self):
+        self.model = engine_lib.EngineModel(self.name, self.speed)
+        self.model.incarnation = self.incarnation
+        self.loop = asyncio.get_event_loop()
+
+    async def start(self) -> None:
+        """Listen and begin to announce."""
+        parts = {"endpoint": self}
+        app = tornado.web.Application(
+            [
+                (endpointclient.GENERATE_PATH, GenerateHandler, parts),
+                (endpointclient.CANCEL_PATH, CancelHandler, parts),
+                (endpointclient.PRIORITY_PATH, PriorityHandler, parts),
+                (endpointclient.ORDER_PATH, OrderHandler, parts),
+                (r"/.*", PlainHandler, parts),
+            ]
+        )
+        self.server = web.listen(app, self.address, MAX_BODY_BYTES)
+        self.client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
+        self.task = self.loop.create_task(self.announce_forever())
+
+    async def stop(self) -> None:
+        """Stop serving at once, as a kill would."""
+        self.task.cancel()
+        self.server.stop()
+        await self.server.close_all_connections()
+
+    async def leave(self) -> None:
+        """Say that this endpoint leaves."""
+        self.state = registry.EndpointState.LEAVING
+        await self.announce()
+
+    async def announce_forever(self) -> None:
+        """Announce and report while this endpoint lives."""
+        while True:
+            await self.announce()
+            await asyncio.sleep(ANNOUNCE_EVERY_S)
+
+    async def announce(self) -> None:
+        """Announce, and report load and cache events."""
+        self.seq += 1
+        announcement = registry.Announcement(
+            endpoint=self.name,
+            incarnation=self.incarnation,
+            seq=self.seq,
+            service=self.service,
+            address=self.address,
+            kind=self.kind,
+            availability_zone=self.availability_zone,
+            state=self.state,
+            kv_tokens=self.speed.kv_tokens,
+            max_running=self.speed.max_running,
+        )
+        await self.tell_all("announce", announcement)
+        if self.kind is request_lib.ServiceKind.ENGINE:
+            await self.report()
+
+    async def report(self) -> None:
+        """Report load and cache events."""
+        self.run_model()
+        self.seq += 1
+        await self.tell_all("load", self.model.report(self.seq, self.now()))
+        events, self.model.cache_events = self.model.cache_events, []
+        for event in events:
+            await self.tell_all("cache", event)
+
+    async def tell_all(self, path: str, message: object) -> None:
+        """Post a message to every known entry; losses do no harm."""
+        document = config_lib.CONVERTER.unstructure(message)
+        for entry in self.entries:
+            request = tornado.httpclient.HTTPRequest(
+                f"http://{entry}/v1/endpoints/{path}",
+                method="POST",
+                body=json.dumps(document),
+                headers={"Authorization": f"Bearer {self.token}"},
+                connect_timeout=POST_TIMEOUT_S,
+                request_timeout=POST_TIMEOUT_S,
+            )
+            try:
+                await self.client.fetch(request)
+            except tornado.httpclient.HTTPError:
+                continue
+
+    # --- engine ----------------------------------------------------------
+
+    def now(self) -> float:
+        """Return seconds on the loop's clock."""
+        return self.loop.time()
+
+    def submit(self, job: engine_lib.Job) -> asyncio.Queue:
+        """Start a job; its chunks come over the queue."""
+        queue: asyncio.Queue = asyncio.Queue()
+        self.queues[job.key] = queue
+        self.count_run(job.key[0])
+        self.hand_out(self.model.submit(job, self.now()))
+        self.plan()
+        return queue
+
+    def count_run(self, name: str) -> None:
+        """Count that work began."""
+        self.runs[name] = self.runs.get(name, 0) + 1
+
+    def cancel(self, key) -> None:
+        """Cancel a job and end its stream."""
+        self.hand_out(self.model.cancel(key, self.now()))
+        queue = self.queues.pop(key, None)
+        if queue is not None:
+            queue.put_nowait(None)
+        self.plan()
+
+    def run_model(self) -> None:
+        """Bring the model up to now."""
+        self.timer = None
+        self.hand_out(self.model.advance(self.now()))
+        self.plan()
+
+    def plan(self) -> None:
+        """Set the timer to the model's next event."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        at = self.model.next_event()
+        if at is not None:
+            self.timer = self.loop.call_at(at, self.run_model)
+
+    def hand_out(self, outputs: list[engine_lib.Output]) -> None:
+        """Put chunks where their streams wait."""
+        for output in outputs:
+            queue = self.queues.get(output.job.key)
+            if queue is not None:
+                queue.put_nowait(output.chunk)
+
+
+class FakeHandler(web.Handler):
+    """Base of the stand-in's handlers."""
+
+    def initialize(self, endpoint):
+        """Keep the stand-in."""
+        self.endpoint = endpoint
+
+    def key(self, document: dict):
+        """Return the key of the attempt that a message is about."""
+        return (document["request_id"], document["attempt"])
+
+
+class GenerateHandler(FakeHandler):
+    """Streams an answer."""
+
+    async def post(self):
+        """Run one part of an attempt."""
+        document = json.loads(self.request.body)
+        now = self.endpoint.now()
+        job = engine_lib.Job(
+            key=self.key(document),
+            owner=document["owner"],
+            mark=document["mark"],
+            priority=document["priority"],
+            prompt_tokens=document["prompt_tokens"],
+            output_tokens=document["max_tokens"],
+            kv_tokens=document["kv_tokens"],
+            deadline_at=now + document["deadline_s"],
+            resume_offset=document["resume_offset"],
+            prefix_hashes=tuple(document["prefix_hashes"]),
+        )
+        queue = self.endpoint.submit(job)
+        self.set_header("Content-Type", "text/event-stream")
+        try:
+            await self.flush()
+            while True:
+                chunk = await queue.get()
+                if chunk is None:
+                    return
+                await self.write_chunk(chunk)
+                if chunk.final:
+                    return
+        except tornado.iostream.StreamClosedError:
+            return
+        finally:
+            self.endpoint.queues.pop(job.key, None)
+
+    async def write_chunk(self, chunk: request_lib.Chunk) -> None:
+        """Write one chunk as an event."""
+        fields = {
+            "offset": chunk.offset,
+            "tokens": chunk.tokens,
+            "text": chunk.data.decode(),
+            "final": chunk.final,
+        }
+        self.write(b"data: " + json.dumps(fields).encode() + b"\n\n")
+        await self.flush()
+
+
+class CancelHandler(FakeHandler):
+    """Cancels an attempt."""
+
+    def post(self):
+        """Free what the attempt holds; confirm also what is unknown."""
+        self.endpoint.cancel(self.key(json.loads(self.request.body)))
+        self.send_value({"held": False})
+
+
+class PriorityHandler(FakeHandler):
+    """Changes a priority."""
+
+    def post(self):
+        """Move a waiting attempt."""
+        document = json.loads(self.request.body)
+        self.endpoint.model.reprioritise(
+            self.key(document), document["priority"], self.endpoint.now()
+        )
+        self.send_value({})
+
+
+class OrderHandler(FakeHandler):
+    """Takes orders, refusing old fencing numbers."""
+
+    def post(self):
+        """Keep an order."""
+        document = json.loads(self.request.body)
+        if document["fence"] < self.endpoint.highest_fence:
+            self.set_status(409)
+            self.finish({"highest_fence": self.endpoint.highest_fence})
+            return
+        self.endpoint.highest_fence = document["fence"]
+        self.endpoint.orders.append(document)
+        self.send_value({"ready": True})
+
+
+class PlainHandler(FakeHandler):
+    """Answers any call of a plain service."""
+
+    async def answer(self):
+        """Count the call and echo it."""
+        key = self.request.headers.get("Idempotency-Key", self.request.path)
+        self.endpoint.count_run(key)
+        if self.endpoint.plain_s:
+            await asyncio.sleep(self.endpoint.plain_s)
+        self.send_value(
+            {
+                "endpoint": self.endpoint.name,
+                "method": self.request.method,
+                "path": self.request.path,
+                "runs": self.endpoint.runs[key],
+                "echo": self.request.body.decode(errors="replace"),
+            }
+        )
+
+    get = post = put = delete = patch = answer
--- /dev/null
+++ b/src/_coltsfootroad/fakes/serve.py
@@ -0,0 +1,82 @@
+"""Serves stand-in endpoints as a process: `python -m` with a JSON file."""
+
+import asyncio
+import json
+import sys
+
+import attrs
+
+from _coltsfootroad.commands import common
+from _coltsfootroad.core import config as config_lib
+from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.fakes import engine as engine_lib
+from _coltsfootroad.fakes import httpendpoint
+
+
+@attrs.frozen(kw_only=True)
+class EndpointSettings:
+    """One stand-in endpoint."""
+
+    name: str
+    service: str
+    address: str
+    kind: request_lib.ServiceKind = request_lib.ServiceKind.ENGINE
+    incarnation: int = 1
+    plain_s: float = 0.0
+    speed: engine_lib.EngineSpeed = engine_lib.EngineSpeed()
+    availability_zone: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class ServeSettings:
+    """All stand-in endpoints of a process, and the entries they tell."""
+
+    entries: tuple[str, ...]
+    endpoints: tuple[EndpointSettings, ...]
+    run_log: str = ""
+
+
+def build(settings: ServeSettings) -> list[httpendpoint.FakeEndpoint]:
+    """Return the endpoints of the settings."""
+    return [
+        httpendpoint.FakeEndpoint(
+            name=item.name,
+            service=item.service,
+            address=item.address,
+            entries=list(settings.entries),
+            kind=item.kind,
+            incarnation=item.incarnation,
+            plain_s=item.plain_s,
+            speed=item.speed,
+            availability_zone=item.availability_zone,
+        )
+        for item in settings.endpoints
+    ]
+
+
+async def serve(settings: ServeSettings) -> int:
+    """Serve until told to stop."""
+    endpoints = build(settings)
+    for endpoint in endpoints:
+        await endpoint.start()
+
+    def dump() -> bytes:
+        return json.dumps({e.name: e.runs for e in endpoints}).encode()
+
+    await common.wait_for_stop([], dump)
+    if settings.run_log:
+        with open(settings.run_log, "wb") as file:
+            file.write(dump())
+    return common.EXIT_OK
+
+
+def main() -> int:
+    """Read the settings file named on the command line and serve."""
+    with open(sys.argv[1], encoding="utf-8") as file:
+        document = json.load(file)
+    settings = config_lib.CONVERTER.structure(document, ServeSettings)
+    return asyncio.run(serve(settings))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/_coltsfootroad/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Replay of recorded traces in virtual time."""
--- /dev/null
+++ b/src/_coltsfootroad/shell/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, files and timers round the core."""
--- /dev/null
+++ b/src/_coltsfootroad/shell/callers.py
@@ -0,0 +1,407 @@
+"""HTTP handlers of an entry: callers, address questions, endpoints."""
+
+import json
+
+import tornado.iostream
+import tornado.web
+
+from _coltsfootroad.core import actions
+from _coltsfootroad.core import claiming
+from _coltsfootroad.core import config as config_lib
+from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import errors
+from _coltsfootroad.core import prefixes
+from _coltsfootroad.core import registry
+from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.shell import endpointclient
+from _coltsfootroad.shell import parsing
+from _coltsfootroad.shell import web
+
+SSE_TYPE = "text/event-stream"
+
+
+class EntryHandler(web.Handler):
+    """Base of the handlers that work on an entry."""
+
+    def initialize(self, server):
+        """Keep the entry."""
+        self.server = server
+        self.core = server.core
+        self.request_id = ""
+
+    def now(self) -> float:
+        """Return seconds on the loop's clock."""
+        return self.server.loop.time()
+
+    def on_connection_close(self):
+        """Tell the core that nobody waits any more."""
+        if self.request_id:
+            self.server.caller_left(self.request_id)
+
+    def find_caller(self) -> parsing.Caller | None:
+        """Return who asks, by API key; None after having refused."""
+        hashed = web.hash_key(self.bearer())
+        for name, workspace in self.core.config.workspaces.items():
+            for known in workspace.key_sha256:
+                if web.same_secret(known, hashed):
+                    return parsing.Caller(
+                        workspace=name, settings=workspace, now=self.now()
+                    )
+        code = errors.ErrorCode.UNAUTHORIZED
+        message = "the Authorization header holds no valid API key"
+        if not self.core.freshness.is_current(self.now()):
+            code = errors.ErrorCode.ENTRY_FENCED
+            message = "this entry has no current configuration"
+        self.refuse(errors.Failure(code, message, retry_after_s=1.0))
+        return None
+
+    def refuse(self, failure: errors.Failure) -> None:
+        """Answer with a failure, and with other entries where they help."""
+        more = {}
+        if failure.code in (
+            errors.ErrorCode.ENTRY_FENCED,
+            errors.ErrorCode.ENTRY_DRAINING,
+        ):
+            found = self.core.addresses_for(
+                self.request.remote_ip, "", self.now()
+            )
+            more["addresses"] = list(found.addresses)
+        self.fail(failure, **more)
+
+    def find_service(
+        self, name: str, kind: request_lib.ServiceKind
+    ) -> config_lib.Service | None:
+        """Return a service's settings; None after having refused."""
+        service = self.core.config.services.get(name)
+        if service is None or service.kind is not kind:
+            self.fail(
+                errors.Failure(
+                    errors.ErrorCode.UNKNOWN_SERVICE,
+                    f"{kind.value} service {name!r} is not configured",
+                )
+            )
+            return None
+        if len(self.request.body) > service.max_body_bytes:
+            self.fail(
+                errors.Failure(
+                    errors.ErrorCode.TOO_LARGE,
+                    f"the body has {len(self.request.body)} bytes, service"
+                    f" {name!r} takes {service.max_body_bytes}",
+                )
+            )
+            return None
+        return service
+
+    def read_terms(self) -> parsing.Terms | None:
+        """Return the terms in the headers; None after having refused."""
+        terms = parsing.read_terms(self.request.headers)
+        if terms.is_error():
+            self.fail(terms.error)
+            return None
+        return terms.ok
+
+
+class AddressHandler(EntryHandler):
+    """Tells callers which entries to use."""
+
+    def get(self):
+        """Answer with addresses, best first, and how long they hold."""
+        found = self.core.addresses_for(
+            self.request.remote_ip,
+            self.get_query_argument("availability_zone", ""),
+            self.now(),
+        )
+        self.send_value(
+            {
+                "addresses": list(found.addresses),
+                "valid_for_s": found.valid_for_s,
+            }
+        )
+
+
+class CompletionHandler(EntryHandler):
+    """Serves prompts, streamed or whole."""
+
+    def initialize(self, server, chat):
+        """Keep the entry and the form of the answer."""
+        super().initialize(server)
+        self.chat = chat
+
+    async def post(self):
+        """Admit a prompt and answer it."""
+        request = self.read_request()
+        if request is None:
+            return
+        self.request_id = request.request_id
+        channel = self.server.submit(request)
+        try:
+            if request.payload.stream:
+                await self.answer_stream(channel)
+            else:
+                await self.answer_whole(channel)
+        except tornado.iostream.StreamClosedError:
+            # The caller left; on_connection_close has told the core.
+            pass
+        finally:
+            self.server.caller_left(self.request_id)
+
+    def read_request(self) -> request_lib.Request | None:
+        """Return the request; None after having refused."""
+        caller = self.find_caller()
+        if caller is None:
+            return None
+        body = parsing.parse_body(self.request.body)
+        if body.is_error():
+            self.fail(body.error)
+            return None
+        service = self.find_service(
+            body.ok["model"], request_lib.ServiceKind.ENGINE
+        )
+        terms = self.read_terms() if service is not None else None
+        if terms is None:
+            return None
+        request = parsing.engine_request(
+            body.ok,
+            self.request.body,
+            self.chat,
+            terms,
+            caller,
+            service,
+            self.server.settings.bytes_per_token,
+        )
+        if request.is_error():
+            self.fail(request.error)
+            return None
+        return request.ok
+
+    async def answer_whole(self, channel) -> None:
+        """Wait for the end and answer once."""
+        texts = []
+        tokens = 0
+        while True:
+            event = await channel.events.get()
+            match event:
+                case actions.Emit():
+                    texts.append(event.chunk.data)
+                    tokens += event.chunk.tokens
+                case actions.Fail():
+                    self.refuse(event.failure)
+                    return
+                case actions.Finish():
+                    text = stored_text(event.answer) or b"".join(texts)
+                    self.send_value(self.whole_answer(text, tokens))
+                    return
+
+    async def answer_stream(self, channel) -> None:
+        """Answer with server-sent events, each as it comes."""
+        started = False
+        while True:
+            event = await channel.events.get()
+            if isinstance(event, actions.Fail) and not started:
+                self.refuse(event.failure)
+                return
+            if not started:
+                started = True
+                self.set_header("Content-Type", SSE_TYPE)
+                self.set_header("Cache-Control", "no-store")
+            match event:
+                case actions.Emit():
+                    self.write_event(self.piece(event.chunk.data))
+                    await self.flush()
+                case actions.Fail():
+                    # The status is sent already: a stream without its end
+                    # mark is not whole, and this says why.
+                    self.write(b"data: ")
+                    self.write(web.failure_body(event.failure) + b"\n\n")
+                    return
+                case actions.Finish():
+                    text = stored_text(event.answer)
+                    if text:
+                        self.write_event(self.piece(text))
+                    self.write(b"data: [DONE]\n\n")
+                    return
+
+    def write_event(self, value: dict) -> None:
+        """Write one server-sent event."""
+        self.write(b"data: " + json.dumps(value).encode() + b"\n\n")
+
+    def piece(self, text: bytes) -> dict:
+        """Return a piece of the answer in the form of the protocol."""
+        shown = text.decode(errors="replace")
+        choice = {"index": 0, "finish_reason": None}
+        if self.chat:
+            choice["delta"] = {"content": shown}
+            kind = "chat.completion.chunk"
+        else:
+            choice["text"] = shown
+            kind = "text_completion"
+        return {"id": self.request_id, "object": kind, "choices": [choice]}
+
+    def whole_answer(self, text: bytes, tokens: int) -> dict:
+        """Return a whole answer in the form of the protocol."""
+        shown = text.decode(errors="replace")
+        choice = {"index": 0, "finish_reason": "stop"}
+        if self.chat:
+            choice["message"] = {"role": "assistant", "content": shown}
+            kind = "chat.completion"
+        else:
+            choice["text"] = shown
+            kind = "text_completion"
+        return {
+            "id": self.request_id,
+            "object": kind,
+            "choices": [choice],
+            "usage": {"completion_tokens": tokens},
+        }
+
+
+def stored_text(answer: request_lib.Answer | None) -> bytes:
+    """Return the text of an answer that was stored for resends."""
+    if answer is None:
+        return b""
+    if answer.content_type != claiming.STREAM_CONTENT_TYPE:
+        raise errors.BrokenInvariantError(
+            f"an engine's answer is stored as {answer.content_type!r}"
+        )
+    return answer.body
+
+
+class ServiceHandler(EntryHandler):
+    """Forwards plain HTTP calls to a service."""
+
+    async def forward(self, name: str, path: str):
+        """Admit a call and answer with what the service answered."""
+        caller = self.find_caller()
+        if caller is None:
+            return
+        service = self.find_service(name, request_lib.ServiceKind.PLAIN)
+        terms = self.read_terms() if service is not None else None
+        if terms is None:
+            return
+        request = parsing.plain_request(
+            name, self.plain_call(path), terms, caller, service
+        )
+        self.request_id = request.request_id
+        channel = self.server.submit(request)
+        try:
+            event = await channel.events.get()
+            if isinstance(event, actions.Fail):
+                self.refuse(event.failure)
+            else:
+                self.show(event.answer)
+        finally:
+            self.server.caller_left(self.request_id)
+
+    def plain_call(self, path: str) -> endpointclient.PlainCall:
+        """Return the call to forward."""
+        query = f"?{self.request.query}" if self.request.query else ""
+        headers = {
+            name: value
+            for name, value in self.request.headers.items()
+            if name.lower() not in parsing.HOP_HEADERS
+        }
+        return endpointclient.PlainCall(
+            method=self.request.method,
+            path=(path or "/") + query,
+            headers=headers,
+            body=self.request.body,
+        )
+
+    def show(self, answer: request_lib.Answer) -> None:
+        """Answer as the service did."""
+        known = answer.status in tornado.web.httputil.responses
+        self.set_status(answer.status, None if known else "Unknown")
+        self.set_header("Content-Type", answer.content_type)
+        self.finish(answer.body if answer.status != 204 else None)
+
+    get = post = put = delete = patch = head = options = forward
+
+
+class EndpointHandler(EntryHandler):
+    """Takes what endpoints say of themselves."""
+
+    def initialize(self, server, kind):
+        """Keep the entry and the kind of message."""
+        super().initialize(server)
+        self.kind = kind
+
+    def prepare(self):
+        """Refuse endpoints without the token, where one is set."""
+        wanted = self.server.settings.endpoint_token
+        if wanted and not web.same_secret(self.bearer(), wanted):
+            self.fail(
+                errors.Failure(
+                    errors.ErrorCode.UNAUTHORIZED,
+                    "the Authorization header holds no endpoint token",
+                )
+            )
+
+    def post(self):
+        """Take one message."""
+        document = self.read_json()
+        if document is None:
+            document = {}
+        if self.kind is endpoints.LoadReport:
+            document["measured_at"] = self.now()
+        try:
+            message = config_lib.CONVERTER.structure(document, self.kind)
+        except Exception as error:  # noqa: BLE001
+            # cattrs raises groups of whatever the hooks raise.
+            text = config_lib.explain(error).replace("config", "body", 1)
+            self.fail(errors.Failure(errors.ErrorCode.BAD_REQUEST, text))
+            return
+        self.take(message)
+        members = self.core.freshness.members
+        self.send_value(
+            {
+                "lease_s": self.core.config.fleet.endpoint_lease_s,
+                "entries": [m.address for m in members],
+            }
+        )
+
+    def take(self, message) -> None:
+        """Give a message to the core."""
+        method = {
+            registry.Announcement: self.core.on_announcement,
+            endpoints.LoadReport: self.core.on_load,
+            prefixes.CacheEvent: self.core.on_cache_event,
+        }[self.kind]
+        self.server.run(method, message, self.now())
+
+
+class HealthHandler(EntryHandler):
+    """Says whether the entry admits requests."""
+
+    def get(self):
+        """Answer 200 while requests are admitted, else 503."""
+        current = self.core.freshness.is_current(self.now())
+        ready = current and not self.core.draining
+        self.set_status(200 if ready else 503)
+        self.finish({"ready": ready, "version": self.core.freshness.version})
+
+
+def routes(server) -> list[tuple]:
+    """Return the routes of callers and endpoints."""
+    parts = {"server": server}
+    return [
+        (r"/v1/addresses", AddressHandler, parts),
+        (r"/v1/completions", CompletionHandler, parts | {"chat": False}),
+        (r"/v1/chat/completions", CompletionHandler, parts | {"chat": True}),
+        (r"/services/([^/]+)(/.*)?", ServiceHandler, parts),
+        (
+            r"/v1/endpoints/announce",
+            EndpointHandler,
+            parts | {"kind": registry.Announcement},
+        ),
+        (
+            r"/v1/endpoints/load",
+            EndpointHandler,
+            parts | {"kind": endpoints.LoadReport},
+        ),
+        (
+            r"/v1/endpoints/cache",
+            EndpointHandler,
+            parts | {"kind": prefixes.CacheEvent},
+        ),
+        (r"/health", HealthHandler, parts),
+    ]
--- /dev/null
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -0,0 +1,252 @@
+"""Runs a replica on the loop: gRPC, timers, operators' HTTP."""
+
+import asyncio
+import random
+import time
+
+from expression import Ok
+
+from _coltsfootroad.control import messages
+from _coltsfootroad.control import node as node_lib
+from _coltsfootroad.control import replicas
+from _coltsfootroad.core import errors
+from _coltsfootroad.shell import disk as disk_lib
+from _coltsfootroad.shell import dumps
+from _coltsfootroad.shell import links
+from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import metrics as metrics_lib
+from _coltsfootroad.shell import operators
+from _coltsfootroad.shell import settings as settings_lib
+from _coltsfootroad.shell import web
+
+LOG = logs.logger("control")
+MAX_OPERATOR_BODY = 8 * 1024 * 1024
+MIN_WAKE_S = 0.005
+
+
+class ControlServer:
+    """One replica with its sockets and timers."""
+
+    def __init__(
+        self,
+        settings: settings_lib.ControlSettings,
+        folder: disk_lib.DataFolder,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.settings = settings
+        self.folder = folder
+        self.metrics = metrics
+        self.loop = asyncio.get_running_loop()
+        self.peer_links: dict[str, links.PeerLink] = {}
+        self.learned_addresses: dict[str, str] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.process_planned = False
+        self.grpc_server = None
+        self.http_server = None
+        self.broken: asyncio.Future = self.loop.create_future()
+        self.node = node_lib.ControlNode(
+            replica=replicas.Replica(
+                name=settings.replica,
+                disk=folder.disk,
+                address=settings.listen,
+            ),
+            storage=folder,
+            send=self.send,
+            wall=time.time,
+            rng=random.Random(),
+            started_at=self.loop.time(),
+        )
+        self.add_metrics()
+
+    # --- life ------------------------------------------------------------
+
+    async def start(self, listen_admin: bool = True) -> None:
+        """Open the sockets and start the timers."""
+        self.grpc_server = links.make_server(self.on_call, self.on_peer)
+        port = self.grpc_server.add_insecure_port(self.settings.listen)
+        if not port:
+            raise disk_lib.DiskError(
+                f"address {self.settings.listen} is in use"
+            )
+        await self.grpc_server.start()
+        if listen_admin:
+            self.listen_admin()
+        self.wake()
+        LOG.info(
+            "replica {} listens on {}, admin on {}",
+            self.node.replica.identity,
+            self.settings.listen,
+            self.settings.admin_listen,
+        )
+
+    def listen_admin(self) -> None:
+        """Open the operators' listener."""
+        routes = operators.routes(self) + web.admin_routes(
+            self.settings.admin_token, self.dump, self.metrics
+        )
+        app = operators.application(routes)
+        self.http_server = web.listen(
+            app, self.settings.admin_listen, MAX_OPERATOR_BODY
+        )
+
+    async def stop(self) -> None:
+        """Close everything; whatever was acknowledged is on the disk."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.http_server is not None:
+            self.http_server.stop()
+        if self.grpc_server is not None:
+            await self.grpc_server.stop(grace=0.5)
+        for link in self.peer_links.values():
+            await link.close()
+        self.folder.close()
+        LOG.info("replica {} stopped", self.node.replica.identity)
+
+    def bootstrap(self) -> bool:
+        """Become the only voter of a new system."""
+        return self.node.bootstrap(self.loop.time())
+
+    def guard(self, function, *arguments) -> None:
+        """Run a step; a broken invariant ends the process."""
+        try:
+            function(*arguments)
+        except errors.BrokenInvariantError as error:
+            LOG.critical("stopping on a broken invariant: {}", error)
+            if not self.broken.done():
+                self.broken.set_exception(error)
+
+    # --- time ------------------------------------------------------------
+
+    def wake(self) -> None:
+        """Tick and plan the next tick."""
+        self.guard(self.node.tick, self.loop.time())
+        at = max(self.node.next_wake(), self.loop.time() + MIN_WAKE_S)
+        self.timer = self.loop.call_at(at, self.wake)
+
+    def plan_process(self) -> None:
+        """Process once after this turn of the loop: one sync for many."""
+        if not self.process_planned:
+            self.process_planned = True
+            self.loop.call_soon(self.process)
+
+    def process(self) -> None:
+        """Carry out what the calls of this turn led to."""
+        self.process_planned = False
+        self.guard(self.node.process, self.loop.time())
+
+    # --- messages --------------------------------------------------------
+
+    def send(self, identity: str, message) -> None:
+        """Send a message to another replica."""
+        replica = self.node.raft.replica_set.everyone().get(identity)
+        learned = self.learned_addresses.get(identity, "")
+        address = replica.address if replica else learned
+        if not address:
+            return
+        if address not in self.peer_links:
+            self.peer_links[address] = links.PeerLink(
+                address, self.node.replica.identity, self.settings.listen
+            )
+        self.peer_links[address].send(message)
+
+    def on_peer(self, sender: str, address: str, data: bytes) -> None:
+        """Take a message of another replica."""
+        self.learned_addresses[sender] = address
+        decoded = links.PEERS.decode(data)
+        if decoded.is_error():
+            LOG.warning("peer message dropped: {}", decoded.error.message)
+            return
+        self.guard(self.node.on_peer, decoded.ok, self.loop.time())
+
+    async def on_call(self, data: bytes) -> bytes:
+        """Answer an encoded call."""
+        decoded = links.CALLS.decode(data)
+        if decoded.is_error():
+            answer = messages.Refused(failure=decoded.error)
+        else:
+            answer = await self.call(decoded.ok)
+        return links.CALLS.encode(answer)
+
+    async def call(self, message: object) -> object:
+        """Answer a call."""
+        future = self.loop.create_future()
+
+        def reply(answer: object) -> None:
+            if not future.done():
+                future.set_result(answer)
+
+        self.guard(self.node.call, message, self.loop.time(), reply)
+        self.plan_process()
+        return await future
+
+    # --- facts -----------------------------------------------------------
+
+    def dump(self) -> bytes:
+        """Return the state of the process for people."""
+        raft = self.node.raft
+        return dumps.to_json(
+            {
+                "settings": self.settings,
+                "info": self.node.info(),
+                "replica_set": raft.replica_set,
+                "progress": raft.progress,
+                "log_entries": len(raft.log.entries),
+                "snapshot_index": raft.log.snapshot.index,
+                "config": self.node.state.configs.document,
+                "claims": len(self.node.state.claims.claims),
+                "leases": self.node.state.leases,
+                "hub": self.hub_dump(),
+                "syncs": self.node.syncs,
+            }
+        )
+
+    def hub_dump(self) -> dict | None:
+        """Return the soft state, if this replica leads."""
+        hub = self.node.hub
+        if hub is None:
+            return None
+        return {
+            "members": hub.members,
+            "registry": hub.registry,
+            "shares": hub.shares,
+            "groups": hub.groups,
+        }
+
+    def add_metrics(self) -> None:
+        """Register the metrics of this replica."""
+        node = self.node
+        raft = node.raft
+        gauge, counter = self.metrics.gauge, self.metrics.counter
+        gauge("colts_control_term", "Raft term", lambda: raft.term)
+        gauge("colts_control_is_leader", "1 if leading", lambda: raft.is_leader)
+        gauge("colts_control_commit", "Commit index", lambda: raft.commit)
+        gauge(
+            "colts_control_config_version",
+            "Configuration version applied here",
+            lambda: node.state.configs.version,
+        )
+        gauge(
+            "colts_control_claims",
+            "Idempotency keys kept",
+            lambda: len(node.state.claims.claims),
+        )
+        gauge(
+            "colts_control_disk_full",
+            "1 while a full disk stops this replica",
+            lambda: node.is_blocked,
+        )
+        counter("colts_control_syncs", "Syncs to disk", lambda: node.syncs)
+
+
+class LocalLink(links.ControlLink):
+    """Calls a replica in the same process, for `colts-standalone`."""
+
+    def __init__(self, server: ControlServer):
+        self.server = server
+
+    async def call(self, message, timeout_s):
+        """Return the replica's answer."""
+        answer = await asyncio.wait_for(self.server.call(message), timeout_s)
+        if isinstance(answer, messages.NotLeader):
+            return links.unreachable("the replica does not lead yet")
+        return Ok(answer)
--- /dev/null
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -0,0 +1,479 @@
+"""Runs the entry core on the loop: carries out its actions and timers."""
+
+import asyncio
+import random
+
+import attrs
+
+from _coltsfootroad.control import messages
+from _coltsfootroad.core import actions
+from _coltsfootroad.core import addresses
+from _coltsfootroad.core import entry as entry_lib
+from _coltsfootroad.core import errors
+from _coltsfootroad.core import registry
+from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.shell import callers
+from _coltsfootroad.shell import dumps
+from _coltsfootroad.shell import endpointclient
+from _coltsfootroad.shell import links
+from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import metrics as metrics_lib
+from _coltsfootroad.shell import operators
+from _coltsfootroad.shell import settings as settings_lib
+from _coltsfootroad.shell import web
+
+LOG = logs.logger("entry")
+SYNC_TIMEOUT_S = 2.0
+CLAIM_TIMEOUT_S = 3.0
+SETTLE_RETRY_S = 0.5
+MIN_WAKE_S = 0.001
+MAX_BODY_BYTES = 32 * 1024 * 1024
+
+
+@attrs.define
+class Channel:
+    """The way from the core back to one caller."""
+
+    events: asyncio.Queue = attrs.Factory(asyncio.Queue)
+    sent_text: list[bytes] = attrs.Factory(list)
+    started_at: float = 0.0
+    first_token_at: float | None = None
+
+
+class EntryServer:
+    """One entry with its sockets and timers."""
+
+    def __init__(
+        self,
+        settings: settings_lib.EntrySettings,
+        incarnation: int,
+        control: links.ControlLink,
+        client: endpointclient.EndpointClient,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.settings = settings
+        self.control = control
+        self.client = client
+        self.metrics = metrics
+        self.loop = asyncio.get_running_loop()
+        self.core = entry_lib.EntryCore(
+            settings.entry, incarnation, random.Random()
+        )
+        self.channels: dict[str, Channel] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.unsettled = 0
+        self.timer: asyncio.TimerHandle | None = None
+        self.http_server = None
+        self.admin_server = None
+        self.broken: asyncio.Future = self.loop.create_future()
+        self.ttft = metrics.histogram(
+            "colts_entry_ttft_seconds", "Time to first token"
+        )
+        self.add_metrics()
+
+    # --- life ------------------------------------------------------------
+
+    @property
+    def member(self) -> addresses.Member:
+        """Return what the control state is told of this entry."""
+        return addresses.Member(
+            entry=self.settings.entry,
+            incarnation=self.core.incarnation,
+            address=self.settings.advertise or self.settings.listen,
+            availability_zone=self.settings.availability_zone,
+        )
+
+    async def start(self, listen_admin: bool = True) -> None:
+        """Open the sockets and start heartbeats and timers."""
+        app = operators.application(callers.routes(self))
+        self.http_server = web.listen(app, self.settings.listen, MAX_BODY_BYTES)
+        if listen_admin:
+            routes = web.admin_routes(
+                self.settings.admin_token, self.dump, self.metrics
+            )
+            self.admin_server = web.listen(
+                operators.application(routes),
+                self.settings.admin_listen,
+                MAX_BODY_BYTES,
+            )
+        self.spawn(self.sync_forever())
+        self.wake()
+        LOG.info(
+            "entry {} listens on {}", self.core.owner, self.settings.listen
+        )
+
+    async def drain(self) -> None:
+        """Leave without cutting off a request, then stop."""
+        self.run(self.core.begin_drain, self.loop.time())
+        LOG.info("entry {} is leaving", self.core.owner)
+        end = self.loop.time() + self.settings.shutdown_grace_s
+        while self.loop.time() < end and not self.is_drained():
+            await asyncio.sleep(0.05)
+        await self.stop()
+
+    def is_drained(self) -> bool:
+        """Return whether nothing is left to do."""
+        busy = self.channels or self.unsettled
+        return self.core.is_drained(self.loop.time()) and not busy
+
+    async def stop(self) -> None:
+        """Close everything now."""
+        for server in (self.http_server, self.admin_server):
+            if server is not None:
+                server.stop()
+        if self.timer is not None:
+            self.timer.cancel()
+        for task in list(self.tasks):
+            task.cancel()
+        await self.control.close()
+        LOG.info("entry {} stopped", self.core.owner)
+
+    def spawn(self, coroutine) -> None:
+        """Run a coroutine beside the others; its faults end the process."""
+        task = self.loop.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.task_done)
+
+    def task_done(self, task: asyncio.Task) -> None:
+        """Forget a task; a fault in one is a broken invariant."""
+        self.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        LOG.critical("stopping on a fault: {!r}", task.exception())
+        if not self.broken.done():
+            self.broken.set_exception(task.exception())
+
+    # --- core ------------------------------------------------------------
+
+    def run(self, method, *arguments) -> None:
+        """Call the core and carry out what it wants."""
+        try:
+            wanted = method(*arguments)
+        except errors.BrokenInvariantError as error:
+            LOG.critical("stopping on a broken invariant: {}", error)
+            if not self.broken.done():
+                self.broken.set_exception(error)
+            return
+        for action in wanted:
+            self.carry_out(action)
+        self.plan_wake()
+
+    def wake(self) -> None:
+        """Run the core's timers."""
+        self.timer = None
+        self.run(self.core.tick, self.loop.time())
+
+    def plan_wake(self) -> None:
+        """Set the timer to when the core wants it."""
+        now = self.loop.time()
+        at = max(self.core.next_wake(now), now + MIN_WAKE_S)
+        if self.timer is not None:
+            if self.timer.when() <= at:
+                return
+            self.timer.cancel()
+        self.timer = self.loop.call_at(at, self.wake)
+
+    def carry_out(self, action: actions.Action) -> None:
+        """Start what an action asks for."""
+        match action:
+            case actions.Dispatch():
+                self.dispatch(action)
+            case actions.Emit() | actions.Finish() | actions.Fail():
+                self.to_caller(action)
+            case actions.Cancel():
+                self.spawn(self.cancel(action))
+            case actions.TakeClaim():
+                self.spawn(self.take_claim(action.request))
+            case actions.SettleClaim():
+                self.unsettled += 1
+                self.spawn(self.settle_claim(action))
+            case actions.Reprioritise():
+                self.spawn(self.reprioritise(action))
+            case actions.ReserveGroup():
+                self.spawn(self.reserve_group(action))
+            case actions.ReleaseGroup():
+                release = messages.GroupRelease(group=action.group)
+                self.spawn(self.control.call(release, CLAIM_TIMEOUT_S))
+
+    def submit(self, request: request_lib.Request) -> Channel:
+        """Give a request to the core; its events come over the channel."""
+        channel = Channel(started_at=self.loop.time())
+        self.channels[request.request_id] = channel
+        self.run(self.core.submit, request, self.loop.time())
+        return channel
+
+    def to_caller(self, action) -> None:
+        """Hand an event to the caller that waits for it."""
+        channel = self.channels.get(action.request_id)
+        if channel is None:
+            return
+        if isinstance(action, actions.Emit):
+            channel.sent_text.append(action.chunk.data)
+            if channel.first_token_at is None:
+                channel.first_token_at = self.loop.time()
+                self.ttft.record(channel.first_token_at - channel.started_at)
+        channel.events.put_nowait(action)
+
+    def caller_left(self, request_id: str) -> None:
+        """Note that a caller has its answer or has gone."""
+        if self.channels.pop(request_id, None) is not None:
+            self.run(self.core.on_caller_gone, request_id, self.loop.time())
+
+    # --- endpoints -------------------------------------------------------
+
+    def address_of(self, endpoint: str) -> str | None:
+        """Return where an endpoint takes requests."""
+        view = self.core.view(endpoint)
+        return view.announcement.address if view is not None else None
+
+    def dispatch(self, dispatch: actions.Dispatch) -> None:
+        """Start all parts of an attempt."""
+        plain = request_lib.ServiceKind.PLAIN
+        for part in dispatch.parts:
+            if dispatch.request.kind is plain:
+                self.spawn(self.call_plain(dispatch))
+            else:
+                self.spawn(self.generate(dispatch, part))
+
+    def attempt_failed(
+        self,
+        dispatch: actions.Dispatch,
+        part: actions.Part,
+        fault: entry_lib.Fault,
+    ) -> None:
+        """Tell the core that an attempt failed."""
+        LOG.debug(
+            "attempt {} of {} at {} failed: {}",
+            dispatch.attempt,
+            dispatch.request.request_id,
+            part.endpoint,
+            fault.value,
+        )
+        self.run(
+            self.core.on_attempt_failed,
+            part.endpoint,
+            dispatch.request.request_id,
+            dispatch.attempt,
+            fault,
+            self.loop.time(),
+        )
+
+    async def generate(
+        self, dispatch: actions.Dispatch, part: actions.Part
+    ) -> None:
+        """Run one part of an attempt at an engine."""
+        address = self.address_of(part.endpoint)
+        left_s = dispatch.deadline_at - self.loop.time()
+        if address is None or left_s <= 0:
+            self.attempt_failed(dispatch, part, entry_lib.Fault.NOT_SENT)
+            return
+
+        def on_chunk(chunk: request_lib.Chunk) -> None:
+            self.run(
+                self.core.on_chunk,
+                part.endpoint,
+                dispatch.request.request_id,
+                dispatch.attempt,
+                chunk,
+                self.loop.time(),
+            )
+
+        fault = await self.client.generate(
+            address,
+            dispatch,
+            part,
+            self.core.owner,
+            self.resume_text(dispatch),
+            left_s,
+            on_chunk,
+        )
+        if fault is not None:
+            self.attempt_failed(dispatch, part, fault)
+
+    def resume_text(self, dispatch: actions.Dispatch) -> str:
+        """Return what the caller has of the answer already."""
+        channel = self.channels.get(dispatch.request.request_id)
+        if channel is None or not dispatch.resume_offset:
+            return ""
+        return b"".join(channel.sent_text).decode(errors="replace")
+
+    async def call_plain(self, dispatch: actions.Dispatch) -> None:
+        """Make one call of a plain service."""
+        part = dispatch.parts[0]
+        address = self.address_of(part.endpoint)
+        left_s = dispatch.deadline_at - self.loop.time()
+        if address is None or left_s <= 0:
+            self.attempt_failed(dispatch, part, entry_lib.Fault.NOT_SENT)
+            return
+        outcome = await self.client.call(address, dispatch, left_s)
+        if outcome.is_error():
+            self.attempt_failed(dispatch, part, outcome.error)
+            return
+        self.run(
+            self.core.on_answer,
+            part.endpoint,
+            dispatch.request.request_id,
+            dispatch.attempt,
+            outcome.ok,
+            self.loop.time(),
+        )
+
+    async def cancel(self, action: actions.Cancel) -> None:
+        """Cancel an attempt; the core repeats it until it is confirmed."""
+        address = self.address_of(action.endpoint)
+        view = self.core.view(action.endpoint)
+        if address is None or view is None:
+            return
+        plain = view.announcement.kind is request_lib.ServiceKind.PLAIN
+        if not plain and not await self.client.cancel(address, action):
+            return
+        self.run(
+            self.core.on_cancel_confirmed,
+            action.endpoint,
+            action.request_id,
+            action.attempt,
+            self.loop.time(),
+        )
+
+    async def reprioritise(self, action: actions.Reprioritise) -> None:
+        """Change a priority at an engine."""
+        address = self.address_of(action.endpoint)
+        if address is not None:
+            await self.client.reprioritise(address, action)
+
+    def announce(self, announcement: registry.Announcement) -> None:
+        """Take an announcement from an endpoint."""
+        self.run(self.core.on_announcement, announcement, self.loop.time())
+
+    # --- control ---------------------------------------------------------
+
+    async def sync_forever(self) -> None:
+        """Send heartbeats for as long as the process lives."""
+        while True:
+            await self.sync_once()
+            await asyncio.sleep(self.settings.sync_interval_s)
+
+    async def sync_once(self) -> None:
+        """Send one heartbeat and take its answer."""
+        asked_at = self.loop.time()
+        request = self.core.sync_request(self.member, asked_at)
+        answer = await self.control.call(request, SYNC_TIMEOUT_S)
+        if answer.is_error():
+            LOG.warning("heartbeat failed: {}", answer.error.message)
+            return
+        if not isinstance(answer.ok, messages.SyncReply):
+            LOG.warning("heartbeat refused: {}", answer.ok)
+            return
+        version = self.core.freshness.version
+        self.run(
+            self.core.on_sync, request, answer.ok, asked_at, self.loop.time()
+        )
+        if self.core.freshness.version != version:
+            LOG.info("configuration {} in force", self.core.freshness.version)
+
+    async def take_claim(self, request: request_lib.Request) -> None:
+        """Ask for a claim; the core asks again when nothing comes."""
+        message = messages.TakeClaim(
+            workspace=request.workspace,
+            key=request.idempotency_key,
+            key_time=request.key_time,
+            body_hash=request.body_hash,
+            token=request.request_id,
+            lease_s=request.deadline_at - self.loop.time(),
+        )
+        answer = await self.control.call(message, CLAIM_TIMEOUT_S)
+        if answer.is_ok() and isinstance(answer.ok, messages.ClaimAnswer):
+            self.run(
+                self.core.on_claim,
+                request.request_id,
+                answer.ok,
+                self.loop.time(),
+            )
+
+    async def settle_claim(self, action: actions.SettleClaim) -> None:
+        """Tell how a claim ended, again and again until it is heard."""
+        request = action.request
+        message = messages.SettleClaim(
+            workspace=request.workspace,
+            key=request.idempotency_key,
+            token=request.request_id,
+            ran=action.ran,
+            answer=action.answer,
+        )
+        try:
+            while True:
+                answer = await self.control.call(message, CLAIM_TIMEOUT_S)
+                if answer.is_ok() and isinstance(answer.ok, messages.Done):
+                    return
+                await asyncio.sleep(SETTLE_RETRY_S)
+        finally:
+            self.unsettled -= 1
+
+    async def reserve_group(self, action: actions.ReserveGroup) -> None:
+        """Ask for a group of engines; the core asks again by its timer."""
+        message = messages.GroupReserve(
+            group=action.group,
+            service=action.service,
+            engines=action.engines,
+            lease_s=action.lease_s,
+        )
+        answer = await self.control.call(message, CLAIM_TIMEOUT_S)
+        if answer.is_ok() and isinstance(answer.ok, messages.GroupAnswer):
+            self.run(self.core.on_group, answer.ok, self.loop.time())
+
+    # --- facts -----------------------------------------------------------
+
+    def dump(self) -> bytes:
+        """Return the state of the process for people."""
+        return dumps.to_json(
+            {
+                "settings": self.settings,
+                "owner": self.core.owner,
+                "freshness": self.core.freshness,
+                "counters": self.core.counters,
+                "draining": self.core.draining,
+                "flights": self.core.flights.flights,
+                "limits": self.core.limits,
+                "pools": self.core.pools,
+                "queues": self.core.dispatcher.queues,
+                "bands": self.core.dispatcher.bands_by_service,
+                "releases": len(self.core.releaser.pending),
+                "unsettled": self.unsettled,
+            }
+        )
+
+    def add_metrics(self) -> None:
+        """Register the metrics of this entry."""
+        core = self.core
+        for field in attrs.fields(entry_lib.Counters):
+            self.metrics.counter(
+                f"colts_entry_{field.name}",
+                f"Requests or events: {field.name.replace('_', ' ')}",
+                counter_reader(core.counters, field.name),
+            )
+        gauge = self.metrics.gauge
+        gauge(
+            "colts_entry_in_flight",
+            "Requests admitted and not ended",
+            lambda: len(core.flights.flights),
+        )
+        gauge(
+            "colts_entry_config_version",
+            "Configuration version in force",
+            lambda: core.freshness.version,
+        )
+        gauge(
+            "colts_entry_fenced",
+            "1 while the entry cannot prove that it is current",
+            lambda: not core.freshness.is_current(self.loop.time()),
+        )
+        gauge(
+            "colts_entry_releasing",
+            "Cancels that no engine has confirmed yet",
+            lambda: len(core.releaser.pending),
+        )
+
+
+def counter_reader(counters: entry_lib.Counters, name: str):
+    """Return a function that reads one counter."""
+    return lambda: getattr(counters, name)
--- /dev/null
+++ b/src/_coltsfootroad/shell/links.py
@@ -0,0 +1,250 @@
+"""Calls between our processes over gRPC, with its own cleverness off."""
+
+import abc
+import asyncio
+
+from expression import Error
+from expression import Ok
+from expression import Result
+import grpc
+import grpc.aio
+
+from _coltsfootroad.control import codec
+from _coltsfootroad.control import fences
+from _coltsfootroad.control import messages
+from _coltsfootroad.control import peers
+from _coltsfootroad.core import errors
+from _coltsfootroad.shell import logs
+
+LOG = logs.logger("link")
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+SERVICE = "coltsfootroad.Control"
+CALL = f"/{SERVICE}/Call"
+PEER = f"/{SERVICE}/Peer"
+OPTIONS = [
+    ("grpc.enable_retries", 0),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.service_config_disable_resolution", 1),
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 4_000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+]
+# A replica with an empty log knows nobody; the stream says who writes.
+SENDER_KEY = "colts-sender"
+SENDER_ADDRESS_KEY = "colts-sender-address"
+MAX_QUEUED = 512
+RECONNECT_S = 0.3
+
+CALLS = codec.Codec.of(
+    messages.PatchConfig,
+    messages.PatchAnswer,
+    messages.TakeClaim,
+    messages.ClaimAnswer,
+    messages.SettleClaim,
+    messages.Done,
+    messages.ConfigUpdate,
+    messages.GroupReserve,
+    messages.GroupAnswer,
+    messages.GroupRelease,
+    messages.SyncRequest,
+    messages.SyncReply,
+    messages.NotLeader,
+    messages.ReadConfig,
+    messages.ReadStatus,
+    messages.Status,
+    messages.ReplicaHello,
+    messages.ReplicaInfo,
+    messages.ChangeReplicas,
+    messages.Refused,
+    messages.TakeSnapshot,
+    messages.SnapshotCopy,
+    fences.TakeLease,
+    fences.DropLease,
+    fences.LeaseAnswer,
+)
+PEERS = codec.Codec.of(
+    peers.VoteRequest,
+    peers.VoteReply,
+    peers.Append,
+    peers.AppendReply,
+    peers.SnapshotChunk,
+    peers.SnapshotReply,
+)
+
+
+def target(address: str) -> str:
+    """Return a gRPC target that needs no name lookup."""
+    return f"ipv4:{address}"
+
+
+class ControlLink(abc.ABC):
+    """The way from an entry or operator to the leader."""
+
+    @abc.abstractmethod
+    async def call(
+        self, message: object, timeout_s: float
+    ) -> Result[object, errors.Failure]:
+        """Return the leader's answer; an error proves nothing."""
+
+    async def close(self) -> None:  # noqa: B027
+        """Close what is open, if anything is."""
+
+
+def unreachable(reason: str) -> Result[object, errors.Failure]:
+    """Return the failure of a call without an answer."""
+    return Error(
+        errors.Failure(
+            errors.ErrorCode.UNAVAILABLE, reason, errors.Ran.UNKNOWN, 1.0
+        )
+    )
+
+
+class GrpcControlLink(ControlLink):
+    """Finds the leader among the replicas and calls it."""
+
+    def __init__(self, addresses: tuple[str, ...]):
+        self.addresses = list(addresses)
+        self.channels: dict[str, grpc.aio.Channel] = {}
+        self.place = 0
+        self.leader = ""
+
+    def channel(self, address: str) -> grpc.aio.Channel:
+        """Return the channel to a replica."""
+        if address not in self.channels:
+            self.channels[address] = grpc.aio.insecure_channel(
+                target(address), options=OPTIONS
+            )
+        return self.channels[address]
+
+    def next_address(self) -> str:
+        """Return the replica to ask: the leader, else one after another."""
+        if self.leader:
+            return self.leader
+        self.place += 1
+        return self.addresses[self.place % len(self.addresses)]
+
+    async def call(self, message, timeout_s):
+        """Call until a leader answers or the time is over."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        reason = "no replica answered in time"
+        while loop.time() < end:
+            address = self.next_address()
+            left_s = end - loop.time()
+            answer = await self.call_one(address, message, left_s)
+            if isinstance(answer, str):
+                reason = f"replica {address}: {answer}"
+                self.leader = ""
+            elif isinstance(answer, messages.NotLeader):
+                reason = f"replica {address} does not lead"
+                self.leader = self.usable_hint(answer.hint, address)
+            else:
+                self.leader = address
+                return Ok(answer)
+            if not self.leader:
+                await asyncio.sleep(min(0.05, max(0.0, end - loop.time())))
+        return unreachable(reason)
+
+    def usable_hint(self, hint: str, asked: str) -> str:
+        """Return a hint that leads elsewhere."""
+        return hint if hint != asked else ""
+
+    async def call_one(self, address, message, left_s):
+        """Return one replica's answer, or text saying why there is none."""
+        method = self.channel(address).unary_unary(CALL)
+        share = max(0.05, min(left_s, max(0.5, left_s / 2)))
+        try:
+            data = await method(CALLS.encode(message), timeout=share)
+        except grpc.aio.AioRpcError as error:
+            return error.code().name.lower()
+        decoded = CALLS.decode(data)
+        return decoded.ok if decoded.is_ok() else decoded.error.message
+
+    async def close(self):
+        """Close all channels."""
+        for channel in self.channels.values():
+            await channel.close()
+
+
+class PeerLink:
+    """Sends messages to one replica over an open stream; may lose them."""
+
+    def __init__(self, address: str, sender: str, sender_address: str):
+        self.address = address
+        self.metadata = (
+            (SENDER_KEY, sender),
+            (SENDER_ADDRESS_KEY, sender_address),
+        )
+        self.queue: asyncio.Queue = asyncio.Queue(MAX_QUEUED)
+        self.channel = grpc.aio.insecure_channel(
+            target(address), options=OPTIONS
+        )
+        self.task = asyncio.ensure_future(self.run())
+
+    def send(self, message: peers.PeerMessage) -> None:
+        """Queue a message; the oldest goes when the other side is slow."""
+        if self.queue.full():
+            self.queue.get_nowait()
+        self.queue.put_nowait(message)
+
+    async def run(self) -> None:
+        """Keep a stream open and write what is queued."""
+        while True:
+            try:
+                await self.write_stream()
+            except grpc.aio.AioRpcError as error:
+                LOG.debug(
+                    "peer stream to {} ended: {}", self.address, error.code()
+                )
+            except grpc.aio.UsageError:
+                LOG.debug("peer stream to {} broke", self.address)
+            while not self.queue.empty():
+                self.queue.get_nowait()
+            await asyncio.sleep(RECONNECT_S)
+
+    async def write_stream(self) -> None:
+        """Write to one stream until it breaks."""
+        stream = self.channel.stream_unary(PEER)(metadata=self.metadata)
+        while True:
+            message = await self.queue.get()
+            await stream.write(PEERS.encode(message))
+
+    async def close(self) -> None:
+        """Stop sending."""
+        self.task.cancel()
+        await self.channel.close()
+
+
+def make_server(on_call, on_peer) -> grpc.aio.Server:
+    """Return a server of both methods.
+
+    `on_call` takes and returns bytes and is awaited; `on_peer` takes the
+    identity and address of the sender and the bytes of one message.
+    """
+
+    async def call(request: bytes, _) -> bytes:
+        return await on_call(request)
+
+    async def peer(requests, context) -> bytes:
+        metadata = dict(context.invocation_metadata() or ())
+        sender = metadata.get(SENDER_KEY, "")
+        address = metadata.get(SENDER_ADDRESS_KEY, "")
+        async for request in requests:
+            on_peer(sender, address, request)
+        return b""
+
+    server = grpc.aio.server(options=OPTIONS)
+    handlers = {
+        "Call": grpc.unary_unary_rpc_method_handler(call),
+        "Peer": grpc.stream_unary_rpc_method_handler(peer),
+    }
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler(SERVICE, handlers),)
+    )
+    return server
--- /dev/null
+++ b/src/_coltsfootroad/version.py
@@ -0,0 +1,3 @@
+"""Version of the package, as `--version` shows it."""
+
+VERSION = "0.1.0"
