Fuzz the request path and the replicated state against oracles

Cause: nothing was proved under failure.

Ruled out: the election code; no run showed two leaders in a term.

--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Machines and oracles that the steps share."""
--- /dev/null
+++ b/features/support/controlmachine.py
@@ -0,0 +1,601 @@
+"""Stateful fuzzing of the replicated control state against an oracle."""
+
+import heapq
+import json
+import random
+
+import attrs
+from expression import Error
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from _coltsfootroad.control import fences
+from _coltsfootroad.control import messages
+from _coltsfootroad.control import node as node_lib
+from _coltsfootroad.control import replicas
+from _coltsfootroad.control import storage
+from _coltsfootroad.core import errors
+
+NAMES = ("a", "b", "c", "d")
+FIRST_VOTERS = 3
+DRIFT = 0.05
+UNIX_START = 1_800_000_000.0
+SETTLE_S = 40.0
+CALL_TIMEOUT_S = 6.0
+LEASE_S = 2.0
+MAX_CALLS = 2_000
+MAX_CALLS_PER_S = 200
+KEY_TIME = UNIX_START
+
+
+class CrashedError(Exception):
+    """The process was killed in the middle of a step."""
+
+
+class FaultyDisk(storage.MemoryStorage):
+    """A disk on which a crash can come between write and sync."""
+
+    def __init__(self):
+        super().__init__()
+        self.crash_next = False
+        self.full = False
+
+    def store(self, batch):
+        """Keep a batch, unless the disk is full or the process dies."""
+        if self.full:
+            return Error(
+                errors.Failure(errors.ErrorCode.UNAVAILABLE, "disk is full")
+            )
+        if self.crash_next:
+            # Written, not synced: a crash loses it.
+            self.crash_next = False
+            raise CrashedError
+        return super().store(batch)
+
+
+@attrs.define(eq=False)
+class WatchedNode(node_lib.ControlNode):
+    """A replica whose applied entries are compared with all others'."""
+
+    all_applied: dict[int, tuple] = attrs.Factory(dict)
+
+    def apply(self, entry):
+        """Check the entry, then apply it."""
+        seen = (entry.term, entry.kind, entry.data)
+        known = self.all_applied.setdefault(entry.index, seen)
+        assert known == seen, f"entry {entry.index} differs"
+        super().apply(entry)
+
+
+@attrs.define(eq=False)
+class SimReplica:
+    """One replica's process and disk."""
+
+    name: str
+    disk_name: str
+    disk: FaultyDisk
+    rate: float
+    node: node_lib.ControlNode | None = None
+    frozen_until: float = 0.0
+    starts: int = 0
+    ticking: float | None = None
+
+
+@attrs.define
+class Operation:
+    """One call of a client, with its place in time."""
+
+    command: object
+    called_at: float
+    answered_at: float | None = None
+    answer: object = None
+
+
+@attrs.define(eq=False)
+class Cluster:
+    """Replicas in virtual time, joined by a faulty network."""
+
+    rng: random.Random
+    now: float = 0.0
+    queue: list = attrs.Factory(list)
+    number: int = 0
+    replicas: dict[str, SimReplica] = attrs.Factory(dict)
+    cuts: set = attrs.Factory(set)
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_s: float = 0.0
+    operations: list[Operation] = attrs.Factory(list)
+    applied: dict[int, tuple] = attrs.Factory(dict)
+    leaders: dict[int, str] = attrs.Factory(dict)
+    leases: list = attrs.Factory(list)
+
+    # --- time ------------------------------------------------------------
+
+    def at(self, when, call, *arguments):
+        """Plan a call; replicas that answer each other for ever show."""
+        self.number += 1
+        busiest = MAX_CALLS + MAX_CALLS_PER_S * self.now
+        assert self.number < busiest, "storm of messages"
+        heapq.heappush(self.queue, (when, self.number, call, arguments))
+
+    def run_until(self, end):
+        """Run all calls up to a time."""
+        while self.queue and self.queue[0][0] <= end:
+            when, _, call, arguments = heapq.heappop(self.queue)
+            self.now = max(self.now, when)
+            call(*arguments)
+        self.now = max(self.now, end)
+
+    def clock(self, replica):
+        """Return a replica's own clock, which drifts."""
+        return self.now * replica.rate
+
+    # --- processes -------------------------------------------------------
+
+    def add(self, name, bootstrap=False):
+        """Add a replica with an empty disk."""
+        old = self.replicas.get(name)
+        starts = old.starts + 1 if old else 0
+        rate = 1.0 + self.rng.uniform(-DRIFT, DRIFT)
+        replica = SimReplica(
+            name, f"disk{starts}", FaultyDisk(), rate, starts=starts
+        )
+        self.replicas[name] = replica
+        self.start(replica)
+        if bootstrap:
+            replica.node.bootstrap(self.clock(replica))
+
+    def identity(self, replica):
+        """Return how the set of replicas names a replica."""
+        return replicas.Replica(
+            name=replica.name, disk=replica.disk_name, address=replica.name
+        )
+
+    def start(self, replica):
+        """Start a replica's process from its disk."""
+        replica.disk.crash_next = False
+        replica.node = WatchedNode(
+            replica=self.identity(replica),
+            storage=replica.disk,
+            send=self.sender(replica),
+            wall=lambda: UNIX_START + self.now,
+            rng=random.Random(self.rng.random()),
+            started_at=self.clock(replica),
+            all_applied=self.applied,
+        )
+        replica.ticking = None
+        self.plan_tick(replica)
+
+    def crash(self, replica):
+        """Kill a replica's process."""
+        replica.node = None
+
+    def guard(self, replica, call, *arguments):
+        """Run a step of a replica; it may die on the way."""
+        if replica.node is None:
+            return
+        try:
+            call(*arguments)
+        except CrashedError:
+            self.crash(replica)
+            return
+        self.check(replica)
+        self.plan_tick(replica)
+
+    def check(self, replica):
+        """Check what must hold of one replica."""
+        raft = replica.node.raft
+        if raft.is_leader:
+            known = self.leaders.setdefault(raft.term, raft.identity)
+            assert known == raft.identity, f"two leaders in {raft.term}"
+
+    def plan_tick(self, replica):
+        """Plan the next tick of a replica."""
+        node = replica.node
+        if node is None:
+            return
+        at = max(node.next_wake() / replica.rate, self.now + 0.01)
+        if replica.ticking is not None and replica.ticking <= at:
+            return
+        replica.ticking = at
+        self.at(at, self.tick, replica, node, at)
+
+    def tick(self, replica, node, at):
+        """Run a replica's timers."""
+        if replica.node is not node or replica.ticking != at:
+            return
+        replica.ticking = None
+        if self.now < replica.frozen_until:
+            replica.ticking = replica.frozen_until
+            self.at(
+                replica.frozen_until,
+                self.tick,
+                replica,
+                node,
+                replica.frozen_until,
+            )
+            return
+        self.guard(replica, node.tick, self.clock(replica))
+
+    # --- network ---------------------------------------------------------
+
+    def sender(self, replica):
+        """Return the send function of a replica."""
+
+        def send(identity, message):
+            target = self.replicas[identity.partition("#")[0]]
+            self.deliver(replica, target, message)
+
+        return send
+
+    def deliver(self, source, target, message):
+        """Deliver a message late, twice or never."""
+        cut = (source.name, target.name) in self.cuts
+        if cut or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.duplication else 1
+        for _ in range(copies):
+            delay = 0.001 + self.rng.uniform(0, self.delay_s)
+            self.at(self.now + delay, self.arrive, target, message)
+
+    def arrive(self, target, message):
+        """Give a message to whatever process runs there now."""
+        if self.now < target.frozen_until:
+            self.at(target.frozen_until, self.arrive, target, message)
+        elif target.node is not None:
+            self.guard(target, target.node.on_peer, message, self.clock(target))
+
+    # --- clients ---------------------------------------------------------
+
+    def call(self, name, command):
+        """Call one replica; remember the operation."""
+        operation = Operation(command, self.now)
+        self.operations.append(operation)
+        self.try_call(name, operation)
+        return operation
+
+    def try_call(self, name, operation):
+        """Send an operation to one replica once."""
+        replica = self.replicas[name]
+        node = replica.node
+        if node is None or self.now < replica.frozen_until:
+            return
+
+        def reply(answer):
+            refusal = (messages.NotLeader, messages.Refused)
+            if operation.answer is None and not isinstance(answer, refusal):
+                operation.answer = answer
+                operation.answered_at = self.now
+                self.note_lease(operation)
+
+        def step():
+            node.call(operation.command, self.clock(replica), reply)
+            node.process(self.clock(replica))
+
+        self.guard(replica, step)
+
+    def note_lease(self, operation):
+        """Check that a granted lease was not held by somebody else."""
+        command = operation.command
+        if not isinstance(command, fences.TakeLease):
+            return
+        if not operation.answer.granted:
+            return
+        until = operation.called_at + LEASE_S
+        for holder, start, end, fence in self.leases:
+            if holder == command.holder:
+                continue
+            overlap = start < until and operation.called_at < end
+            assert not overlap, "lease held twice"
+            assert fence != operation.answer.fence, "fence given twice"
+        # The holder counts from when it asked.
+        self.leases.append(
+            (
+                command.holder,
+                operation.answered_at,
+                until,
+                operation.answer.fence,
+            )
+        )
+
+    def leader(self):
+        """Return a replica that leads and is up, if there is one."""
+        leading = [
+            r
+            for r in self.replicas.values()
+            if r.node is not None
+            and r.node.raft.is_leader
+            and self.now >= r.frozen_until
+        ]
+        return max(leading, key=lambda r: r.node.raft.term, default=None)
+
+
+class ControlMachine(stateful.RuleBasedStateMachine):
+    """Drives a small cluster through commands and faults."""
+
+    @stateful.initialize(seed=st.integers(0, 2**16))
+    def build(self, seed):
+        """Build three voters and let them settle."""
+        self.cluster = Cluster(random.Random(seed))
+        self.number = 0
+        self.cluster.add("a", bootstrap=True)
+        self.cluster.run_until(0.5)
+        for name in NAMES[1:FIRST_VOTERS]:
+            self.cluster.add(name)
+            self.join(name)
+        assert len(self.voters()) == FIRST_VOTERS
+
+    def voters(self):
+        """Return the voters that the leader knows."""
+        leader = self.cluster.leader()
+        found = leader.node.raft.replica_set if leader else None
+        return {r.name: r.identity for r in found.voters} if found else {}
+
+    def change(self, action, name, replaces=""):
+        """Ask the leader to change the set of replicas."""
+        leader = self.cluster.leader()
+        if leader is None:
+            return
+        change = messages.ChangeReplicas(
+            action=action,
+            replica=self.cluster.identity(self.cluster.replicas[name]),
+            replaces=replaces,
+        )
+        self.cluster.call(leader.name, change)
+
+    def join(self, name, replaces=""):
+        """Let a replica learn and then vote."""
+        self.change(messages.ReplicaAction.LEARN, name)
+        self.cluster.run_until(self.cluster.now + 1.0)
+        self.change(messages.ReplicaAction.PROMOTE, name, replaces)
+        self.cluster.run_until(self.cluster.now + 1.0)
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES[:FIRST_VOTERS]),
+        version=st.integers(-1, 0),
+        repeat=st.booleans(),
+    )
+    def patch(self, name, version, repeat):
+        """Let an operator patch, maybe with a stale or repeated number."""
+        replica = self.cluster.replicas[name]
+        if replica.node is None:
+            return
+        if not repeat or not self.number:
+            self.number += 1
+        base = max(0, replica.node.state.configs.version + version)
+        document = {"fleet": {"address_validity_s": self.number + 1}}
+        self.cluster.call(
+            name,
+            messages.PatchConfig(
+                patch_id=f"p{self.number}/{base}",
+                base_version=base,
+                patch=json.dumps(document).encode(),
+            ),
+        )
+
+    @stateful.rule(name=st.sampled_from(NAMES[:FIRST_VOTERS]))
+    def read(self, name):
+        """Read the configuration."""
+        self.cluster.call(name, messages.ReadConfig())
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES[:FIRST_VOTERS]),
+        key=st.sampled_from(("k1", "k2")),
+        token=st.sampled_from(("t1", "t2")),
+    )
+    def claim(self, name, key, token):
+        """Take a claim."""
+        self.cluster.call(
+            name,
+            messages.TakeClaim(
+                workspace="w",
+                key=key,
+                key_time=KEY_TIME,
+                body_hash="h",
+                token=token,
+                lease_s=1.0,
+            ),
+        )
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES[:FIRST_VOTERS]),
+        holder=st.sampled_from(("x", "y")),
+    )
+    def lease(self, name, holder):
+        """Take the lease that only one may hold."""
+        self.cluster.call(
+            name,
+            fences.TakeLease(name="orders", holder=holder, lease_s=LEASE_S),
+        )
+
+    @stateful.rule(seconds=st.sampled_from((0.05, 0.3, 1.0, 3.0)))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.cluster.run_until(self.cluster.now + seconds)
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def crash(self, name):
+        """Kill a replica."""
+        if name in self.cluster.replicas:
+            self.cluster.crash(self.cluster.replicas[name])
+
+    @stateful.rule(name=st.sampled_from(NAMES[:FIRST_VOTERS]))
+    def crash_before_sync(self, name):
+        """Kill a replica between its next write and sync."""
+        self.cluster.replicas[name].disk.crash_next = True
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def start(self, name):
+        """Start a replica that was killed."""
+        replica = self.cluster.replicas.get(name)
+        if replica is not None and replica.node is None:
+            self.cluster.start(replica)
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES[:FIRST_VOTERS]),
+        seconds=st.sampled_from((0.5, 2.5, 5.0)),
+    )
+    def freeze(self, name, seconds):
+        """Freeze a replica."""
+        replica = self.cluster.replicas[name]
+        replica.frozen_until = max(
+            replica.frozen_until, self.cluster.now + seconds
+        )
+
+    @stateful.rule(
+        source=st.sampled_from(NAMES),
+        far=st.sampled_from(NAMES),
+        both=st.booleans(),
+    )
+    def cut(self, source, far, both):
+        """Cut two replicas, one way or both."""
+        self.cluster.cuts.add((source, far))
+        if both:
+            self.cluster.cuts.add((far, source))
+
+    @stateful.rule()
+    def heal(self):
+        """End all cuts."""
+        self.cluster.cuts.clear()
+
+    @stateful.rule(
+        loss=st.sampled_from((0.0, 0.2)),
+        duplication=st.sampled_from((0.0, 0.3)),
+        delay=st.sampled_from((0.0, 0.5)),
+    )
+    def network(self, loss, duplication, delay):
+        """Change how the network loses, repeats, delays and reorders."""
+        self.cluster.loss = loss
+        self.cluster.duplication = duplication
+        self.cluster.delay_s = delay
+
+    @stateful.rule(
+        name=st.sampled_from(NAMES[:FIRST_VOTERS]), full=st.booleans()
+    )
+    def fill_disk(self, name, full):
+        """Fill a disk, or make room again."""
+        self.cluster.replicas[name].disk.full = full
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def lose_disk(self, name):
+        """Lose a disk and repair, where a quorum is up to do it."""
+        cluster = self.cluster
+        known = self.voters()
+        if name not in known or cluster.leader().name == name:
+            return
+        lost = known[name]
+        left = [n for n in known if n != name and self.is_up(n, known)]
+        if len(left) * 2 <= len(known):
+            # A minority would be left: the repair is a restore by hand.
+            return
+        cluster.crash(cluster.replicas[name])
+        cluster.add(name)
+        self.join(name, replaces=lost)
+
+    def is_up(self, name, known):
+        """Return whether a voter runs on the disk that it votes with."""
+        replica = self.cluster.replicas[name]
+        identity = self.cluster.identity(replica).identity
+        return replica.node is not None and identity == known[name]
+
+    @stateful.rule(name=st.sampled_from(NAMES[:FIRST_VOTERS]))
+    def snapshot(self, name):
+        """Let a replica save a snapshot now."""
+        node = self.cluster.replicas[name].node
+        if node is None or node.is_blocked or not node.raft.applied:
+            return
+        limit, node_lib.SNAPSHOT_EVERY = node_lib.SNAPSHOT_EVERY, 1
+        try:
+            node.maybe_snapshot()
+        finally:
+            node_lib.SNAPSHOT_EVERY = limit
+
+    def teardown(self):
+        """Heal everything; all replicas must agree and serve again."""
+        if not hasattr(self, "cluster"):
+            return
+        cluster = self.cluster
+        cluster.cuts.clear()
+        cluster.loss = cluster.duplication = cluster.delay_s = 0.0
+        for replica in cluster.replicas.values():
+            replica.disk.full = False
+            replica.disk.crash_next = False
+            if replica.node is None:
+                cluster.start(replica)
+        cluster.run_until(cluster.now + SETTLE_S)
+        leader = cluster.leader()
+        assert leader is not None, "no leader after healing"
+        last = cluster.call(leader.name, messages.ReadConfig())
+        assert last.answer is not None, "no answer after healing"
+        cluster.run_until(cluster.now + CALL_TIMEOUT_S)
+        self.check_agreement(leader)
+        check_history(cluster.operations)
+
+    def check_agreement(self, leader):
+        """Check that all voters have applied the same state."""
+        wanted = leader.node.state.configs.document
+        known = self.voters()
+        for name in known:
+            if self.is_up(name, known):
+                node = self.cluster.replicas[name].node
+                found = node.state.configs.document
+                assert found == wanted, f"{name} differs"
+
+
+def check_history(operations: list[Operation]) -> None:
+    """Check that patches and reads are linearizable, and claims unique."""
+    check_versions(operations)
+    check_claims(operations)
+
+
+def check_versions(operations: list[Operation]) -> None:
+    """Check that versions grow in real time and each has one winner.
+
+    An answered patch or read fixes a version at some moment between call
+    and answer; what is called after an answer must see no older one.
+    """
+    answered = [o for o in operations if o.answer is not None]
+    winners: dict[int, bytes] = {}
+    seen = []
+    for operation in sorted(answered, key=lambda o: o.answered_at):
+        version = version_of(operation)
+        if version is None:
+            continue
+        seen.append((operation.answered_at, version))
+        command = operation.command
+        if isinstance(command, messages.PatchConfig):
+            if operation.answer.failure is None:
+                won = winners.setdefault(version, command.patch_id)
+                assert won == command.patch_id, "two patches won"
+        else:
+            check_read(operation, version, seen)
+
+
+def check_read(operation: Operation, version: int, seen: list) -> None:
+    """Check that a read saw all that was answered before it was called."""
+    before = [v for at, v in seen if at < operation.called_at]
+    assert version >= max(before, default=0), "stale read"
+
+
+def version_of(operation: Operation) -> int | None:
+    """Return the version that an answer shows to exist."""
+    if isinstance(operation.answer, messages.PatchAnswer):
+        if operation.answer.failure is not None:
+            return None
+        return operation.answer.version
+    if isinstance(operation.answer, messages.ConfigUpdate):
+        return operation.answer.version
+    return None
+
+
+def check_claims(operations: list[Operation]) -> None:
+    """Check that each key was granted to one token only."""
+    owners: dict[str, str] = {}
+    for operation in operations:
+        answer = operation.answer
+        if not isinstance(answer, messages.ClaimAnswer):
+            continue
+        if answer.status is messages.ClaimStatus.GRANTED:
+            command = operation.command
+            owner = owners.setdefault(command.key, command.token)
+            assert owner == command.token, f"{command.key} granted twice"
--- /dev/null
+++ b/features/support/requestmachine.py
@@ -0,0 +1,417 @@
+"""Stateful fuzzing of the request path against a simple oracle."""
+
+import json
+import random
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from _coltsfootroad.core import dispatcher
+from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import errors
+from _coltsfootroad.core import placement
+from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.fakes import engine as engine_lib
+from _coltsfootroad.replay import world as world_lib
+
+ENGINES = ("engine-0", "engine-1", "engine-2")
+PLAIN = ("billing-0", "billing-1")
+ENTRIES = ("entry-0", "entry-1")
+KV_TOKENS = 20_000
+CONCURRENCY = 6
+TOKENS_PER_S = 60_000
+BOUND_S = 3.0
+LEAVE_S = 4.0
+SLACK_S = 0.2
+MAX_DEADLINE_S = 12.0
+SETTLE_S = 45.0
+CONFIG = {
+    "services": {
+        "assistant": {"kind": "engine"},
+        "billing": {"kind": "plain"},
+    },
+    "workspaces": {
+        "shop": {
+            "services": ["assistant", "billing"],
+            "concurrency": CONCURRENCY,
+            "tokens_per_s": TOKENS_PER_S,
+        }
+    },
+    "fleet": {
+        "staleness_bound_s": BOUND_S,
+        "address_validity_s": 1,
+        "endpoint_lease_s": 3,
+    },
+}
+
+
+@attrs.define
+class Oracle:
+    """What must hold, judged from outside."""
+
+    world: world_lib.World
+    accepted: list[tuple[float, int]] = attrs.Factory(list)
+    versions: dict[str, int] = attrs.Factory(dict)
+    left_at: dict[str, float] = attrs.Factory(dict)
+    frozen: set[str] = attrs.Factory(set)
+    uninformed: set[str] = attrs.Factory(set)
+    checked_dispatches: int = 0
+
+    def check(self) -> None:
+        """Check all that must hold at any moment."""
+        for record in self.world.records.values():
+            self.check_record(record)
+        for entry in self.world.entries.values():
+            if entry.alive and self.world.now >= entry.frozen_until:
+                dispatcher.check_invariants(entry.core)
+                self.check_version(entry)
+        self.check_shares()
+        self.check_leaving()
+
+    def check_record(self, record) -> None:
+        """Check one request: one end, whole, true, at most once."""
+        request = record.request
+        runs = self.world.runs
+        assert record.ends <= 1, f"{request.request_id} ended twice"
+        if request.idempotency_key:
+            assert runs.get(request.idempotency_key, 0) <= 1, "ran twice"
+        if request.non_idempotent:
+            assert runs.get(request.request_id, 0) <= 1, "ran twice"
+        failure = record.failure
+        if failure is not None and failure.ran is errors.Ran.NO:
+            assert not runs.get(request.request_id), f"it ran: {failure}"
+        if record.finished:
+            self.check_whole(record)
+
+    def check_whole(self, record) -> None:
+        """Check that an answer is whole and the caller's own."""
+        request = record.request
+        if request.kind is request_lib.ServiceKind.PLAIN:
+            wanted = f"done {request.body_hash}".encode()
+            assert record.answer.body == wanted, record.answer
+            return
+        data = b"".join(record.data)
+        assert data == engine_lib.whole_text(request.output_tokens), data
+
+    def check_version(self, entry) -> None:
+        """Check that versions never revert and are young in force."""
+        fresh = entry.core.freshness
+        now = self.world.now
+        last = self.versions.get(entry.name, -1)
+        if fresh.is_current(now):
+            assert fresh.version >= last, "configuration reverted"
+            self.versions[entry.name] = fresh.version
+            due = [v for at, v in self.accepted if at <= now - BOUND_S]
+            assert fresh.version >= max(due, default=0), "stale in force"
+
+    def check_shares(self) -> None:
+        """Check that leased shares never exceed the fleet's limit."""
+        tokens = concurrency = 0.0
+        now = self.world.now
+        for entry in self.world.entries.values():
+            meter = entry.core.limits.meters.get("shop")
+            if not entry.alive or meter is None or meter.share is None:
+                continue
+            if now < meter.lease_until:
+                tokens += meter.share.tokens_per_s
+                concurrency += meter.share.concurrency
+        assert tokens <= TOKENS_PER_S * 1.0001, f"shares sum to {tokens}"
+        assert concurrency <= CONCURRENCY, f"shares sum to {concurrency}"
+
+    def check_leaving(self) -> None:
+        """Check that leaving endpoints get no new work after seconds."""
+        dispatches = self.world.dispatches
+        for at, entry, endpoint in dispatches[self.checked_dispatches :]:
+            left = self.left_at.get(endpoint)
+            late = left is not None and at > left + LEAVE_S
+            assert not late or entry in self.uninformed, f"{endpoint} got work"
+        self.checked_dispatches = len(dispatches)
+
+    def check_settled(self) -> None:
+        """Check, once all is healed, that everything ended and is free."""
+        for record in self.world.records.values():
+            self.check_bounded(record)
+        assert not self.world.flights(), self.world.flights()
+        held = {
+            name: e.model.jobs
+            for name, e in self.world.endpoints.items()
+            if e.alive and e.model.jobs
+        }
+        assert not held and not self.world.kv_held(), held
+        assert not self.world.hub.groups.holds, "groups still hold engines"
+        for entry in self.world.entries.values():
+            assert not entry.core.releaser.pending, "cancels never ended"
+            for pool in entry.core.pools.values():
+                for view in pool.views.values():
+                    assert not view.work, f"memory of {view.name} leaked"
+            for meter in entry.core.limits.meters.values():
+                assert not meter.in_flight and not meter.waiting, meter
+
+    def check_bounded(self, record) -> None:
+        """Check that a request ended within its bound."""
+        if record.cut_off:
+            return
+        assert record.ends == 1, f"{record.request.request_id} never ended"
+        late = record.ended_at - record.request.deadline_at
+        assert late <= SLACK_S or record.entry in self.frozen, "too late"
+
+
+class RequestMachine(stateful.RuleBasedStateMachine):
+    """Drives a small fleet through requests and faults."""
+
+    @stateful.initialize(seed=st.integers(0, 2**16))
+    def build(self, seed):
+        """Build the fleet and let it settle."""
+        self.world = world_lib.World(random.Random(seed), report_every_s=0.5)
+        self.oracle = Oracle(self.world)
+        self.number = 0
+        self.patch_at = 0
+        self.patch(CONFIG)
+        for name in ENTRIES:
+            self.world.add_entry(name)
+        speed = engine_lib.EngineSpeed(
+            kv_tokens=KV_TOKENS, chunk_tokens=2_000, token_s=0.02
+        )
+        for name in ENGINES:
+            self.world.add_engine(name, "assistant", speed)
+        for name in PLAIN:
+            self.world.add_plain(name, "billing")
+        # Past the time in which a new leader only keeps old shares.
+        self.world.run_until(7.0)
+        self.world.after_event = self.oracle.check
+
+    def patch(self, document):
+        """Patch the configuration; remember when it was accepted."""
+        store = self.world.state.configs
+        self.patch_at += 1
+        answer = self.world.patch(
+            f"p{self.patch_at}", store.version, json.dumps(document).encode()
+        )
+        assert answer.failure is None, answer
+        self.oracle.accepted.append((self.world.now, answer.version))
+
+    def submit(self, entry, **fields):
+        """Submit a request."""
+        self.number += 1
+        now = self.world.now
+        request = request_lib.Request(
+            request_id=f"r{self.number}",
+            workspace="shop",
+            arrived_at=now,
+            **fields,
+        )
+        self.world.submit(request, entry)
+
+    @stateful.rule(
+        entry=st.sampled_from(ENTRIES),
+        prompt=st.sampled_from((200, 3_000, 15_000, 30_000)),
+        output=st.integers(1, 8),
+        seconds=st.sampled_from((2.0, 6.0, MAX_DEADLINE_S)),
+        blocks=st.sampled_from((0, 4)),
+    )
+    def ask(self, entry, prompt, output, seconds, blocks):
+        """Ask an engine."""
+        self.submit(
+            entry,
+            service="assistant",
+            prompt_tokens=prompt,
+            output_tokens=output,
+            deadline_at=self.world.now + seconds,
+            prefix_hashes=tuple(f"b{n}" for n in range(blocks)),
+        )
+
+    @stateful.rule(
+        entry=st.sampled_from(ENTRIES),
+        key=st.sampled_from(("", "k1", "k2", "k3")),
+        body=st.sampled_from(("x", "x", "x", "y")),
+        seconds=st.sampled_from((1.0, 5.0)),
+    )
+    def charge(self, entry, key, body, seconds):
+        """Make a call that must not run twice."""
+        self.submit(
+            entry,
+            service="billing",
+            kind=request_lib.ServiceKind.PLAIN,
+            prompt_tokens=1,
+            output_tokens=0,
+            deadline_at=self.world.now + seconds,
+            non_idempotent=True,
+            idempotency_key=key,
+            key_time=world_lib.UNIX_START,
+            body_hash=f"{key}{body}",
+        )
+
+    @stateful.rule(number=st.integers(1, 40), name=st.sampled_from(ENTRIES))
+    def hang_up(self, number, name):
+        """Let a caller go away."""
+        entry = self.world.entries[name]
+        record = self.world.records.get(f"r{number}")
+        if record is not None and record.entry == name:
+            request_id = record.request.request_id
+            self.world.run_core(entry, entry.core.on_caller_gone, request_id)
+
+    @stateful.rule(seconds=st.sampled_from((0.01, 0.06, 0.3, 1.0, 4.0)))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.world.run_until(self.world.now + seconds)
+
+    @stateful.rule(name=st.sampled_from(ENGINES + PLAIN))
+    def kill_endpoint(self, name):
+        """Kill an endpoint."""
+        self.world.kill_endpoint(name)
+
+    @stateful.rule(name=st.sampled_from(ENGINES + PLAIN))
+    def start_endpoint(self, name):
+        """Start an endpoint that was killed."""
+        if not self.world.endpoints[name].alive:
+            self.world.start_endpoint(name)
+            self.oracle.left_at.pop(name, None)
+
+    @stateful.rule(name=st.sampled_from(ENGINES[:1] + PLAIN[:1]))
+    def leave(self, name):
+        """Let an endpoint say that it leaves."""
+        if self.world.endpoints[name].alive:
+            self.world.leave_endpoint(name)
+            self.oracle.left_at.setdefault(name, self.world.now)
+
+    @stateful.rule(
+        name=st.sampled_from(ENGINES), factor=st.sampled_from((1.0, 8.0))
+    )
+    def slow(self, name, factor):
+        """Make an engine slow, or fast again."""
+        self.world.slow_endpoint(name, factor)
+
+    @stateful.rule(name=st.sampled_from(ENTRIES))
+    def kill_entry(self, name):
+        """Kill an entry."""
+        self.world.kill_entry(name)
+
+    @stateful.rule(name=st.sampled_from(ENTRIES))
+    def start_entry(self, name):
+        """Start an entry that was killed."""
+        self.world.start_entry(name)
+
+    @stateful.rule(
+        name=st.sampled_from(ENTRIES), seconds=st.sampled_from((0.5, 6.0))
+    )
+    def freeze(self, name, seconds):
+        """Freeze an entry."""
+        self.oracle.frozen.add(name)
+        self.oracle.uninformed.add(name)
+        self.world.freeze_entry(name, seconds)
+
+    @stateful.rule(name=st.sampled_from(ENTRIES))
+    def drain(self, name):
+        """Shut an entry down."""
+        if self.world.entries[name].alive:
+            self.world.drain_entry(name)
+
+    @stateful.rule(
+        source=st.sampled_from(ENTRIES),
+        far=st.sampled_from(("control", *ENGINES)),
+        both=st.booleans(),
+    )
+    def cut(self, source, far, both):
+        """Cut an entry off from the control state or an engine."""
+        if far != "control":
+            # What the endpoint says from now on may not reach the entry.
+            self.oracle.uninformed.add(source)
+        self.world.cut(source, far, both)
+
+    @stateful.rule()
+    def heal(self):
+        """End all cuts."""
+        self.world.heal()
+
+    @stateful.rule(
+        loss=st.sampled_from((0.0, 0.3)),
+        duplication=st.sampled_from((0.0, 0.5)),
+        delay=st.sampled_from((0.0, 0.4)),
+    )
+    def network(self, loss, duplication, delay):
+        """Change how the network loses, repeats and delays."""
+        if loss or delay:
+            self.oracle.uninformed.update(ENTRIES)
+        self.world.loss = loss
+        self.world.duplication = duplication
+        self.world.extra_delay_s = delay
+
+    @stateful.rule()
+    def stop_control(self):
+        """Stop the control state."""
+        self.world.stop_control()
+
+    @stateful.rule()
+    def start_control(self):
+        """Start the control state."""
+        self.world.start_control()
+
+    @stateful.rule(size=st.integers(1, 9_999))
+    def change(self, size):
+        """Let an operator change the configuration."""
+        if self.world.control_up:
+            self.patch({"services": {"assistant": {"max_queue": size}}})
+
+    @stateful.rule(
+        engine=st.sampled_from(ENGINES),
+        entry=st.sampled_from(ENTRIES),
+        tokens=st.sampled_from((0, 10**9)),
+        kv_used=st.sampled_from((0, KV_TOKENS * 2)),
+    )
+    def lie(self, engine, entry, tokens, kv_used):
+        """Let an engine report nonsense once."""
+        endpoint = self.world.endpoints[engine]
+        if not endpoint.alive:
+            return
+        endpoint.seq += 1
+        report = endpoints.LoadReport(
+            endpoint=engine,
+            incarnation=endpoint.incarnation,
+            seq=endpoint.seq,
+            measured_at=self.world.now,
+            prefill_tokens=(0, tokens, 0, 0),
+            kv_used=kv_used,
+        )
+        victim = self.world.entries[entry]
+        if victim.alive:
+            self.world.run_core(victim, victim.core.on_load, report)
+
+    def teardown(self):
+        """Heal everything, wait, and check that nothing is left over."""
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        world.heal()
+        world.loss = world.duplication = world.extra_delay_s = 0.0
+        world.start_control()
+        for name in ENTRIES:
+            world.start_entry(name)
+        for name in ENGINES:
+            world.slow_endpoint(name, 1.0)
+        for name in ENGINES + PLAIN:
+            world.start_endpoint(name)
+        world.run_until(world.now + SETTLE_S + placement.GROUP_LEASE_S)
+        self.oracle.check_settled()
+
+
+def settings(examples: int, steps: int) -> hypothesis.settings:
+    """Return settings that give the same run every time."""
+    return hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        print_blob=False,
+        phases=(hypothesis.Phase.generate,),
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+def run(machine: type, examples: int, steps: int = 30) -> None:
+    """Run a machine; raises on the first thing that does not hold."""
+    stateful.run_state_machine_as_test(
+        machine, settings=settings(examples, steps)
+    )
--- a/src/_coltsfootroad/control/peers.py
+++ b/src/_coltsfootroad/control/peers.py
@@ -47,6 +47,7 @@
     term: int
     sender: str
     success: bool
+    prev_index: int
     match: int
     sent_at: float
 
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -52,6 +52,7 @@
 
     next_index: int
     match: int = 0
+    probe: int = -1
     acked_at: float = float("-inf")
     sent_at: float = float("-inf")
     snapshot: log_lib.SnapshotMeta | None = None
@@ -220,7 +221,10 @@
             return
         for identity in self.others():
             progress = self.progress[identity]
-            if progress.next_index <= self.log.last_index:
+            # A replica that needs a snapshot is behind all the time; its
+            # pieces go out on its answers and on heartbeats.
+            first = self.log.snapshot.index + 1
+            if first <= progress.next_index <= self.log.last_index:
                 self.send_append(identity, now)
 
     def synced(self, index: int, now: float) -> None:
@@ -435,6 +439,7 @@
         if prev_term is None:
             self.send_snapshot(identity, progress, now)
             return
+        progress.probe = prev
         entries = self.log.slice(progress.next_index, MAX_APPEND_BYTES)
         progress.next_index += len(entries)
         self.send(
@@ -509,6 +514,7 @@
                 term=self.term,
                 sender=self.identity,
                 success=success,
+                prev_index=message.prev_index,
                 match=match,
                 sent_at=message.sent_at,
             ),
@@ -523,17 +529,26 @@
             return
         progress.acked_at = max(progress.acked_at, message.sent_at)
         if message.success:
-            progress.match = max(progress.match, message.match)
-            progress.next_index = max(progress.next_index, progress.match + 1)
-            progress.snapshot = None
-            self.advance_commit(now)
-        else:
-            progress.next_index = max(progress.match, message.match) + 1
-            self.send_append(message.sender, now)
+            self.note_match(message.sender, progress, message.match, now)
             return
-        if progress.next_index <= self.log.last_index:
+        # Only the answer to the latest probe is acted upon, once: repeated
+        # ones would each cause another message, to be repeated again.
+        if message.prev_index == progress.probe:
+            wanted = max(progress.match, message.match) + 1
+            progress.next_index = wanted
             self.send_append(message.sender, now)
 
+    def note_match(
+        self, sender: str, progress: Progress, match: int, now: float
+    ) -> None:
+        """Note up to where a replica is the same, and send what follows."""
+        progress.match = max(progress.match, match)
+        progress.next_index = max(progress.next_index, progress.match + 1)
+        progress.snapshot = None
+        self.advance_commit(now)
+        if progress.next_index <= self.log.last_index and self.is_leader:
+            self.send_append(sender, now)
+
     def advance_commit(self, now: float) -> None:
         """Commit what a quorum has synced, of the own term only."""
         matches = {i: float(p.match) for i, p in self.progress.items()}
@@ -653,15 +668,15 @@
             return
         progress.acked_at = max(progress.acked_at, message.sent_at)
         if message.done:
-            progress.match = max(progress.match, message.index)
-            progress.next_index = max(progress.next_index, progress.match + 1)
-            progress.snapshot = None
-            self.advance_commit(now)
-        elif progress.snapshot is None:
+            if message.index > progress.match:
+                self.note_match(message.sender, progress, message.index, now)
+            return
+        sending = progress.snapshot
+        if sending is None or message.index != sending.index:
             return
-        elif message.index == progress.snapshot.index:
+        if message.received > progress.snapshot_offset:
             progress.snapshot_offset = message.received
-        self.send_append(message.sender, now)
+            self.send_append(message.sender, now)
 
     def compacted(self, meta: log_lib.SnapshotMeta) -> None:
         """Drop what a stored snapshot covers."""
--- a/src/_coltsfootroad/core/entry.py
+++ b/src/_coltsfootroad/core/entry.py
@@ -721,7 +721,9 @@
         if not self.freshness.is_current(now):
             self.fail_waiting(now)
         for flight in self.flights.due(now):
-            self.on_timer(flight, now)
+            # An earlier one of them may have ended it on the way.
+            if flight.state is not flights_lib.FlightState.DONE:
+                self.on_timer(flight, now)
         self.dispatcher.renew_groups(now)
         self.pump_all(now)
         return self.flush()
--- a/src/_coltsfootroad/replay/world.py
+++ b/src/_coltsfootroad/replay/world.py
@@ -84,8 +84,8 @@
 class World:
     """The fleet and its clock.
 
-    `runs` counts, per idempotency key, how often the work was begun at an
-    endpoint: what at-most-once is judged by.
+    `runs` counts, per request and per idempotency key, how often the work
+    was begun at an endpoint: what at-most-once is judged by.
     """
 
     rng: random.Random
@@ -256,13 +256,16 @@
     def when_awake(self, entry: SimEntry, call: Callable, *arguments):
         """Call now, or when a frozen process goes on."""
         if self.now < entry.frozen_until:
-            self.at(entry.frozen_until, call, *arguments)
+            self.at(
+                entry.frozen_until, self.when_awake, entry, call, *arguments
+            )
         else:
             call(*arguments)
 
     def run_core(self, entry: SimEntry, method, *arguments) -> None:
         """Call a core and carry out its actions."""
-        if not entry.alive or self.now < entry.frozen_until:
+        gone = not entry.alive or method.__self__ is not entry.core
+        if gone or self.now < entry.frozen_until:
             return
         core = entry.core
         for action in method(*arguments, self.now):
@@ -424,13 +427,16 @@
         if entry.core is not core or not entry.alive:
             self.records[request.request_id].cut_off = True
             return
+        if self.now < entry.frozen_until:
+            self.at(entry.frozen_until, self.arrive, entry, core, request)
+            return
         shift = self.now - request.arrived_at
         request = attrs.evolve(
             request,
             arrived_at=self.now,
             deadline_at=request.deadline_at + shift,
         )
-        self.when_awake(entry, self.run_core, entry, core.submit, request)
+        self.run_core(entry, core.submit, request)
 
     def to_caller(self, entry: SimEntry, action) -> None:
         """Record what a caller is told."""
@@ -592,8 +598,9 @@
 
     def count_run(self, request: request_lib.Request) -> None:
         """Count that work began at an endpoint."""
-        name = request.idempotency_key or request.request_id
-        self.runs[name] = self.runs.get(name, 0) + 1
+        for name in (request.request_id, request.idempotency_key):
+            if name:
+                self.runs[name] = self.runs.get(name, 0) + 1
 
     def run_plain(self, entry, endpoint, action) -> None:
         """Run a call of a plain service."""
