Route by dispatch notes: short requests no longer wait behind ledgers

Counted per request: 15% of short ones met another short one and 3% a long prompt, because entries learn of each other's dispatches only by load reports about a second old.

Change: entries stream a note of each dispatch to each other within 5 ms; marks in load reports settle what they contain already. Ties between idle engines are broken at random (the shared order made all entries choose the same one). Long prompts look past clean engines without room: they waited up to 50 s for the first two of the order while 13 were clean. Bands are wider (ratio 16), so that contracts do not share one with ledgers.

--- a/src/_coltsfootroad/core/actions.py
+++ b/src/_coltsfootroad/core/actions.py
@@ -47,6 +47,22 @@
         return self.parts[0].endpoint
 
 
+@attrs.frozen(kw_only=True)
+class DispatchNote:
+    """What other entries are told of a dispatch, at once.
+
+    Load reports come a second late; two entries would send to the same idle
+    engine meanwhile. `mark` settles whether a report contains it already.
+    """
+
+    owner: str
+    endpoint: str
+    mark: int
+    band: int
+    prompt_tokens: int
+    kv_tokens: int
+
+
 @attrs.frozen(kw_only=True)
 class Cancel:
     """Tell an endpoint to drop an attempt; repeated until confirmed."""
@@ -130,6 +146,7 @@
 
 Action = (
     Dispatch
+    | DispatchNote
     | Cancel
     | Reprioritise
     | TakeClaim
--- a/src/_coltsfootroad/core/addresses.py
+++ b/src/_coltsfootroad/core/addresses.py
@@ -22,6 +22,7 @@
         leaving: Whether it is draining.
         load: Requests in flight at its last heartbeat.
         config_version: Version in force at its last heartbeat.
+        short_loads: Engines that its short prompts keep busy, per service.
     """
 
     entry: str
@@ -32,6 +33,7 @@
     leaving: bool = False
     load: int = 0
     config_version: int = -1
+    short_loads: dict[str, float] = attrs.Factory(dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/core/dispatcher.py
+++ b/src/_coltsfootroad/core/dispatcher.py
@@ -225,6 +225,17 @@
         view = pool.views[part.endpoint]
         work = view.add_work(key, band, part.prompt_tokens, part.kv_tokens, now)
         pool.classify(view)
+        if self.policy(pool.service).shares_notes:
+            self.core.out.append(
+                actions.DispatchNote(
+                    owner=self.core.owner,
+                    endpoint=part.endpoint,
+                    mark=work.mark,
+                    band=band,
+                    prompt_tokens=part.prompt_tokens,
+                    kv_tokens=part.kv_tokens,
+                )
+            )
         return attrs.evolve(part, mark=work.mark)
 
     def engine_priority(self, flight: flights.Flight) -> int:
--- a/src/_coltsfootroad/core/endpoints.py
+++ b/src/_coltsfootroad/core/endpoints.py
@@ -1,5 +1,6 @@
 """What an entry believes of each endpoint: backlog, memory, own work."""
 
+import collections
 import enum
 
 import attrs
@@ -14,6 +15,10 @@
 # more urgent one; the engines' chunk size is not stated, this is a guess
 # that only has to rank engines.
 STALL_TOKENS = 4_096
+# Dispatches of others that are remembered per entry, and how long one is
+# believed that no report confirms: its entry may have died before sending.
+MAX_FOREIGN = 256
+FOREIGN_BELIEF_S = 4.0
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +63,17 @@
     held: tuple[HeldWork, ...] = ()
 
 
+@attrs.frozen
+class ForeignWork:
+    """A dispatch of another entry that no report may contain yet."""
+
+    mark: int
+    band: int
+    prompt_tokens: int
+    kv_tokens: int
+    noted_at: float
+
+
 class WorkState(enum.Enum):
     """Where a piece of own work stands."""
 
@@ -97,6 +113,7 @@
     backlog: list[float] = attrs.Factory(lambda: [0.0] * lengths.BAND_COUNT)
     backlog_at: float = 0.0
     work: dict[WorkKey, OwnWork] = attrs.Factory(dict)
+    foreign: dict[str, collections.deque] = attrs.Factory(dict)
     last_mark: int = 0
     report_seq: int = -1
     reported_at: float = float("-inf")
@@ -166,6 +183,33 @@
         """Return the waiting prompt tokens of all bands."""
         return sum(self.backlog)
 
+    def add_foreign(self, owner: str, work: ForeignWork, now: float) -> None:
+        """Count a dispatch of another entry into the backlog."""
+        self.advance(now)
+        queue = self.foreign.setdefault(
+            owner, collections.deque(maxlen=MAX_FOREIGN)
+        )
+        if queue and work.mark <= queue[-1].mark:
+            return
+        queue.append(work)
+        self.backlog[work.band] += work.prompt_tokens
+        self.kv_unreported += work.kv_tokens
+
+    def settle_foreign(self, report: LoadReport, now: float) -> None:
+        """Drop what a report contains; add the rest to its backlog."""
+        for owner, queue in list(self.foreign.items()):
+            seen = report.marks.get(owner, 0)
+            oldest = now - FOREIGN_BELIEF_S
+            while queue and (
+                queue[0].mark <= seen or queue[0].noted_at < oldest
+            ):
+                queue.popleft()
+            if not queue:
+                del self.foreign[owner]
+            for work in queue:
+                self.backlog[work.band] += work.prompt_tokens
+                self.kv_unreported += work.kv_tokens
+
     def add_work(
         self,
         key: WorkKey,
@@ -241,5 +285,6 @@
                 self.kv_unreported += work.kv_tokens
                 if work.first_token_at is None:
                     self.backlog[work.band] += work.prompt_tokens
+        self.settle_foreign(report, now)
         self.advance(now)
         return True
--- a/src/_coltsfootroad/core/entry.py
+++ b/src/_coltsfootroad/core/entry.py
@@ -33,6 +33,7 @@
 STREAM_IDLE_S = 20.0
 # How often the queue is tried again, and each waiting request is checked.
 PUMP_EVERY_S = 0.05
+LOAD_DIGITS = 4
 CHECK_WAITING_S = 0.5
 # How long a request waits for a first endpoint of its service.
 NO_ENDPOINT_PATIENCE_S = 5.0
@@ -269,6 +270,10 @@
                 leaving=self.draining,
                 load=len(self.flights.flights),
                 config_version=self.freshness.version,
+                short_loads={
+                    name: round(pool.own_short_load(now), LOAD_DIGITS)
+                    for name, pool in self.pools.items()
+                },
             ),
             config_version=self.freshness.version,
             epoch=self.registry_epoch,
@@ -337,8 +342,12 @@
             for flight in self.flights.flights.values()
             for name in flight.group_engines
         }
-        for pool in self.pools.values():
-            pool.entry_count = max(1, len(self.freshness.members))
+        others = [m for m in self.freshness.members if m.entry != self.entry]
+        for service, pool in self.pools.items():
+            pool.entry_count = len(others) + 1
+            pool.others_short_load = sum(
+                m.short_loads.get(service, 0.0) for m in others
+            )
             for name, view in pool.views.items():
                 held = holds.get(name, 0)
                 view.kv_group_held = 0 if name in own else held
@@ -466,6 +475,23 @@
             self.pools[service].prefixes.apply(event, now)
         return self.flush()
 
+    def on_note(
+        self, note: actions.DispatchNote, now: float
+    ) -> list[actions.Action]:
+        """Count another entry's dispatch before a report shows it."""
+        view = self.view(note.endpoint)
+        if view is not None and note.owner != self.owner:
+            work = endpoints.ForeignWork(
+                note.mark,
+                note.band,
+                note.prompt_tokens,
+                note.kv_tokens,
+                now,
+            )
+            view.add_foreign(note.owner, work, now)
+            self.pools[self.endpoint_service[note.endpoint]].classify(view)
+        return self.flush()
+
     # --- attempts --------------------------------------------------------
 
     def on_chunk(
--- a/src/_coltsfootroad/core/lengths.py
+++ b/src/_coltsfootroad/core/lengths.py
@@ -9,7 +9,7 @@
 BAND_COUNT = 4
 # Ratio between neighbouring borders: inside a band no prompt is blocked
 # by one more than this many times its length.
-BORDER_RATIO = 8
+BORDER_RATIO = 16
 SHORT_QUANTILE = 0.8
 MIN_SHORT_BORDER = 2_048
 MAX_SHORT_BORDER = 16_384
--- a/src/_coltsfootroad/core/placement.py
+++ b/src/_coltsfootroad/core/placement.py
@@ -64,6 +64,7 @@
         if v.name not in avoid and not v.kv_group_held
     ]
     views.sort(key=lambda v: engine_order(v, band, pool))
+    views = spare_clean_ones(views, pool, now)
     for count in range(2, min(MAX_GROUP, len(views)) + 1):
         per_engine = math.ceil(request.cost_tokens / count)
         roomy = [
@@ -76,6 +77,16 @@
     return None
 
 
+def spare_clean_ones(
+    views: list[endpoints.EndpointView],
+    pool: pool_lib.ServicePool,
+    now: float,
+) -> list[endpoints.EndpointView]:
+    """Put the clean engines that short prompts need at the end."""
+    kept = set(list(pool.clean.names)[-max(1, pool.short_headroom(now)) :])
+    return sorted(views, key=lambda v: v.name in kept)
+
+
 def engine_order(
     view: endpoints.EndpointView, band: int, pool: pool_lib.ServicePool
 ) -> tuple:
--- a/src/_coltsfootroad/core/policies.py
+++ b/src/_coltsfootroad/core/policies.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Callable
+import math
 
 import attrs
 
@@ -18,6 +19,11 @@
 MAX_AHEAD_S = 4.0
 # Clean engines that a long prompt may choose from.
 LONG_CLEAN_CHOICES = 2
+# Clean engines looked at for room.
+MAX_SCANNED = 32
+# Price, in reading times of its own, of a long prompt on a clean engine that
+# short ones need.
+DIRTYING_PRICE = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +46,7 @@
 
     name = ""
     uses_priorities = False
+    shares_notes = False
 
     @abc.abstractmethod
     def choose(
@@ -160,6 +167,7 @@
     """Common part of our policies: predicted first token, bounded choices."""
 
     uses_priorities = True
+    shares_notes = True
     sample_size = SAMPLE
     max_ahead_s = MAX_AHEAD_S
 
@@ -173,6 +181,8 @@
             for view in candidates
             if fits(view, request, free=True)
         ]
+        if not options:
+            options = self.anywhere(request, band, pool, now)
         if not options:
             return None
         best = min(options, key=lambda option: option[0])
@@ -181,6 +191,10 @@
             return None
         return choice
 
+    def anywhere(self, request, band, pool, now):
+        """Return options outside a sample in which nothing had room."""
+        return []
+
     def candidates(self, request, band, pool, now):
         """Return the endpoints that are compared."""
         return pool.sample(self.sample_size, now)
@@ -216,14 +230,25 @@
 
     name = "ttft_all_lengths"
 
+    def anywhere(self, request, band, pool, now):
+        """Return options outside a sample in which nothing had room."""
+        names = pool.clean.first(MAX_SCANNED) + pool.dirty.first(MAX_SCANNED)
+        return [
+            self.option(view, request, band, pool, now)
+            for view in pool.usable(names, now)
+            if fits(view, request, free=True)
+        ]
+
 
 class ShortSlowdown(LengthAware):
     """Keeps enough engines free of long prompts for the short ones.
 
     A long prompt joins engines that read long prompts already, and takes a
-    clean one only while more stay clean than the short load needs. The
-    clean ones are offered in an order that all entries share, so that
-    different entries dirty the same engines.
+    clean one freely while more stay clean than the short load needs. Past
+    that a clean engine costs it a multiple of its own reading time, the
+    price of the waits that it causes; the last ones, which the short load
+    keeps busy by itself, it never gets. Clean engines are offered in an
+    order that all entries share, so that they dirty the same ones.
     """
 
     name = "short_slowdown"
@@ -233,13 +258,30 @@
         if band == 0:
             return pool.sample(self.sample_size, now)
         names = pool.dirty.sample(self.sample_size, pool.rng)
-        spare = len(pool.clean) - pool.short_headroom(now)
-        if spare > 0 or not names:
-            offered = pool.clean.sample(self.sample_size, pool.rng)
-            offered.sort(key=lambda n: pool_lib.fleet_rank(pool.service, n))
-            names += offered[: max(1, min(spare, LONG_CLEAN_CHOICES))]
+        spare = len(pool.clean) - math.ceil(pool.short_load(now))
+        if spare > 0 or not len(pool.dirty):
+            names += self.first_that_fit(request, max(1, spare), pool)
         return pool.usable(names, now)
 
+    def first_that_fit(self, request, spare, pool):
+        """Return the first spare clean engines that have room now.
+
+        A clean engine may still generate for long prompts and have no room:
+        with the first two of the order alone, prompts waited for those
+        while a dozen others were idle.
+        """
+        offered = pool.clean.first(min(spare, MAX_SCANNED))
+        roomy = [n for n in offered if fits(pool.views[n], request, free=True)]
+        return roomy[:LONG_CLEAN_CHOICES]
+
+    def option(self, view, request, band, pool, now):
+        """Add the price of taking an engine that short prompts need."""
+        cost, waiting_s, choice = super().option(view, request, band, pool, now)
+        scarce = len(pool.clean) <= pool.short_headroom(now)
+        if band > 0 and scarce and view.name in pool.clean:
+            cost += DIRTYING_PRICE * view.speed.prefill_s(choice.prompt_tokens)
+        return cost, waiting_s, choice
+
 
 class Oracle(ShortSlowdown):
     """Full information on the present, none on the future: the bound."""
--- a/src/_coltsfootroad/core/pool.py
+++ b/src/_coltsfootroad/core/pool.py
@@ -4,6 +4,7 @@
 import random
 
 import attrs
+import sortedcontainers
 
 from _coltsfootroad.core import endpoints
 from _coltsfootroad.core import hashing
@@ -18,39 +19,49 @@
 
 
 @attrs.define
-class NameSet:
-    """A set of names with random choice in constant time."""
+class RankedNames:
+    """Names in an order that all entries share, sampled cheaply."""
 
-    names: list[str] = attrs.Factory(list)
-    places: dict[str, int] = attrs.Factory(dict)
+    service: str
+    names: sortedcontainers.SortedKeyList = attrs.field(init=False)
+    known: set[str] = attrs.Factory(set)
+
+    def __attrs_post_init__(self):
+        self.names = sortedcontainers.SortedKeyList(
+            key=lambda name: fleet_rank(self.service, name)
+        )
 
     def __len__(self) -> int:
         return len(self.names)
 
     def __contains__(self, name: str) -> bool:
-        return name in self.places
+        return name in self.known
 
     def add(self, name: str) -> None:
         """Add a name; adding it again changes nothing."""
-        if name not in self.places:
-            self.places[name] = len(self.names)
-            self.names.append(name)
+        if name not in self.known:
+            self.known.add(name)
+            self.names.add(name)
 
     def discard(self, name: str) -> None:
         """Remove a name if it is there."""
-        place = self.places.pop(name, None)
-        if place is None:
-            return
-        last = self.names.pop()
-        if last != name:
-            self.names[place] = last
-            self.places[last] = place
+        if name in self.known:
+            self.known.discard(name)
+            self.names.remove(name)
+
+    def first(self, count: int) -> list[str]:
+        """Return the names that come first in the order."""
+        return list(self.names[:count])
 
     def sample(self, count: int, rng: random.Random) -> list[str]:
-        """Return up to `count` different names."""
-        if len(self.names) <= count:
-            return list(self.names)
-        return rng.sample(self.names, count)
+        """Return up to `count` different names.
+
+        The order is random also when all are returned: in the shared order,
+        entries would break ties between idle engines all the same way.
+        """
+        places = range(len(self.names))
+        chosen = rng.sample(places, min(count, len(places)))
+        return [self.names[place] for place in chosen]
 
 
 @attrs.define
@@ -65,20 +76,25 @@
     entry: str
     rng: random.Random
     views: dict[str, endpoints.EndpointView] = attrs.Factory(dict)
-    clean: NameSet = attrs.Factory(NameSet)
-    dirty: NameSet = attrs.Factory(NameSet)
+    clean: RankedNames = attrs.field(init=False)
+    dirty: RankedNames = attrs.field(init=False)
     leaving: set[str] = attrs.Factory(set)
     outliers: outliers_lib.OutlierDetector = attrs.Factory(
         outliers_lib.OutlierDetector
     )
     prefixes: prefixes_lib.PrefixIndex = attrs.Factory(prefixes_lib.PrefixIndex)
     entry_count: int = 1
+    others_short_load: float = 0.0
     short_seconds: float = 0.0
     short_at: float = 0.0
     turn: int = 0
     largest_kv: int = 0
     emptied_at: float = 0.0
 
+    def __attrs_post_init__(self):
+        self.clean = RankedNames(self.service)
+        self.dirty = RankedNames(self.service)
+
     def update(self, announcement: registry.Announcement, now: float) -> None:
         """Add an endpoint or take its new announcement."""
         name = announcement.endpoint
@@ -163,12 +179,11 @@
 
     def any_usable(self, now: float) -> list[endpoints.EndpointView]:
         """Return usable endpoints when a sample held only ejected ones."""
-        names = self.clean.names + self.dirty.names
-        return self.usable(names, now)
+        return self.usable([*self.clean.names, *self.dirty.names], now)
 
     def all_names(self) -> list[str]:
         """Return all endpoints that take new work, in a stable order."""
-        return sorted(self.clean.names + self.dirty.names)
+        return sorted([*self.clean.names, *self.dirty.names])
 
     def note_short(self, seconds: float, now: float) -> None:
         """Count the engine time of a short prompt."""
@@ -181,19 +196,28 @@
         self.short_seconds *= math.exp(-elapsed / LOAD_WINDOW_S)
         self.short_at = max(self.short_at, now)
 
+    def own_short_load(self, now: float) -> float:
+        """Return how many engines this entry's short prompts keep busy."""
+        self.decay_short(now)
+        return self.short_seconds / LOAD_WINDOW_S
+
     def short_headroom(self, now: float) -> int:
         """Return how many engines should stay free of long prompts.
 
         Square-root staffing over the fleet's short load: the load itself
         and two deviations. It is zero when no short prompts come, so that
-        no engine idles for a class that is absent.
+        no engine idles for a class that is absent. The other entries' loads
+        come with the heartbeats, so all entries find about the same number.
         """
-        self.decay_short(now)
-        load = self.entry_count * self.short_seconds / LOAD_WINDOW_S
+        load = self.short_load(now)
         if load < MIN_SHORT_LOAD:
             return 0
         return math.ceil(load + 2 * math.sqrt(load))
 
+    def short_load(self, now: float) -> float:
+        """Return how many engines all entries' short prompts keep busy."""
+        return self.own_short_load(now) + self.others_short_load
+
 
 MIN_SHORT_LOAD = 1e-3
 
--- a/src/_coltsfootroad/fakes/fleet.py
+++ b/src/_coltsfootroad/fakes/fleet.py
@@ -90,6 +90,7 @@
     programs: dict[str, Program] = attrs.Factory(dict)
     listen: dict[str, str] = attrs.Factory(dict)
     admin: dict[str, str] = attrs.Factory(dict)
+    peer: dict[str, str] = attrs.Factory(dict)
     client: tornado.httpclient.HTTPClient = attrs.Factory(
         tornado.httpclient.HTTPClient
     )
@@ -117,10 +118,11 @@
         """Give every process its addresses."""
         names = [f"control-{n}" for n in range(self.replicas)]
         names += [f"entry-{n}" for n in range(self.entry_count)]
-        ports = free_ports(2 * len(names) + self.engines + self.plain)
+        ports = free_ports(3 * len(names) + self.engines + self.plain)
         for name in names:
             self.listen[name] = f"{HOST}:{ports.pop()}"
             self.admin[name] = f"{HOST}:{ports.pop()}"
+            self.peer[name] = f"{HOST}:{ports.pop()}"
         for number in range(self.engines):
             self.listen[f"engine-{number}"] = f"{HOST}:{ports.pop()}"
         for number in range(self.plain):
@@ -159,6 +161,7 @@
             "listen": self.listen[name],
             "admin_listen": self.admin[name],
             "admin_token": TOKEN,
+            "peer_listen": self.peer[name],
             "control": [
                 self.listen[f"control-{n}"] for n in range(self.replicas)
             ],
--- /dev/null
+++ b/src/_coltsfootroad/replay/measure.py
@@ -0,0 +1,137 @@
+"""What a replay measures."""
+
+import attrs
+import numpy
+
+from _coltsfootroad.core import errors
+from _coltsfootroad.core import lengths
+from _coltsfootroad.replay import world as world_lib
+
+CLASSES = (*(name for name, _ in lengths.REPORT_CLASSES), lengths.LONGEST_CLASS)
+# Requests above this length are the long ones that the slowdown is about.
+LONG_TOKENS = lengths.REPORT_CLASSES[1][1]
+DIGITS = 4
+
+
+@attrs.frozen(kw_only=True)
+class Report:
+    """The measures of one policy on one trace.
+
+    Attributes:
+        policy: Name of the policy.
+        requests: Requests in the trace.
+        finished: Requests with a whole answer.
+        refused_not_run: Requests refused and provably not run.
+        failed: Requests that ended in any other way.
+        ttft_p50_s: Median first-token time per length class, seconds.
+        ttft_p95_s: The same at the 95th percentile.
+        short_slowdown_p95: First-token time of short requests over that of
+            the same requests without the long ones, 95th percentile.
+        ends: How each request ended, for stated outcomes.
+        rans: What was said of each failed request.
+    """
+
+    policy: str
+    requests: int
+    finished: int
+    refused_not_run: int
+    failed: int
+    ttft_p50_s: dict[str, float]
+    ttft_p95_s: dict[str, float]
+    short_slowdown_p95: float | None = None
+    retries: int = 0
+    runs_over_one: int = 0
+    kv_left: int = 0
+    ends: dict[str, str] = attrs.Factory(dict)
+    rans: dict[str, str] = attrs.Factory(dict)
+
+    def shown(self) -> dict:
+        """Return what the command prints."""
+        document = attrs.asdict(self)
+        del document["ends"]
+        del document["rans"]
+        return document
+
+
+def percentile(values: list[float], percent: float) -> float:
+    """Return a percentile of some values."""
+    return round(float(numpy.percentile(values, percent)), DIGITS)
+
+
+def ttfts(world: world_lib.World) -> dict[str, float]:
+    """Return the first-token time of each request that has one."""
+    return {
+        name: record.first_token_s
+        for name, record in world.records.items()
+        if record.first_token_s is not None
+    }
+
+
+def by_class(world: world_lib.World, percent: float) -> dict[str, float]:
+    """Return a percentile of first-token times per length class."""
+    found: dict[str, list[float]] = {}
+    for name, seconds in ttfts(world).items():
+        tokens = world.records[name].request.prompt_tokens
+        found.setdefault(lengths.report_class(tokens), []).append(seconds)
+    return {
+        name: percentile(found[name], percent)
+        for name in CLASSES
+        if name in found
+    }
+
+
+def slowdown(world: world_lib.World, alone: world_lib.World) -> float | None:
+    """Return the 95th percentile of the slowdown of short requests."""
+    base = ttfts(alone)
+    short = lengths.REPORT_CLASSES[0][1]
+    ratios = [
+        seconds / base[name]
+        for name, seconds in ttfts(world).items()
+        if name in base and world.records[name].request.prompt_tokens <= short
+    ]
+    return percentile(ratios, 95) if ratios else None
+
+
+def end_of(record: world_lib.Record) -> str:
+    """Return how a request ended, in one word."""
+    if record.finished:
+        return "finished"
+    if record.failure is not None:
+        return record.failure.code.value
+    return "cut_off" if record.cut_off else "never"
+
+
+def is_refused(record: world_lib.Record) -> bool:
+    """Return whether a request was refused and did not run."""
+    failure = record.failure
+    return failure is not None and failure.ran is errors.Ran.NO
+
+
+def make_report(
+    policy: str, world: world_lib.World, alone: world_lib.World | None
+) -> Report:
+    """Return the measures of a finished replay."""
+    records = world.records.values()
+    finished = sum(1 for r in records if r.finished)
+    refused = sum(1 for r in records if is_refused(r))
+    keyed = [r.request for r in records if r.request.non_idempotent]
+    names = {r.idempotency_key or r.request_id for r in keyed}
+    return Report(
+        policy=policy,
+        requests=len(world.records),
+        finished=finished,
+        refused_not_run=refused,
+        failed=len(world.records) - finished - refused,
+        ttft_p50_s=by_class(world, 50),
+        ttft_p95_s=by_class(world, 95),
+        short_slowdown_p95=slowdown(world, alone) if alone else None,
+        retries=sum(e.core.counters.retries for e in world.entries.values()),
+        runs_over_one=sum(1 for n in names if world.runs.get(n, 0) > 1),
+        kv_left=world.kv_held(),
+        ends={name: end_of(r) for name, r in world.records.items()},
+        rans={
+            name: r.failure.ran.value
+            for name, r in world.records.items()
+            if r.failure is not None
+        },
+    )
--- /dev/null
+++ b/src/_coltsfootroad/replay/player.py
@@ -0,0 +1,286 @@
+"""Plays a trace through the real decision code in virtual time."""
+
+import json
+import random
+
+import attrs
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import policies
+from _coltsfootroad.core import registry
+from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.fakes import engine as engine_lib
+from _coltsfootroad.replay import measure
+from _coltsfootroad.replay import trace as trace_lib
+from _coltsfootroad.replay import world as world_lib
+
+# Past the time in which a new leader only keeps old shares.
+WARM_UP_S = 8.0
+# Time after the last arrival for everything to end and be freed.
+COOL_DOWN_S = 30.0
+SEED = 7
+BLOCK_LENGTH = 1_024
+POLICIES = (
+    *(policy.name for policy in policies.BASELINES),
+    *(policy.name for policy in policies.OURS),
+    policies.Oracle.name,
+)
+BY_NAME = {p.name: p for p in (*policies.BASELINES, *policies.OURS)}
+
+
+def policy_factory(name: str, world: world_lib.World):
+    """Return what makes the policy of a service's settings."""
+
+    def refresh(view: endpoints.EndpointView) -> None:
+        endpoint = world.endpoints[view.name]
+        model = endpoint.model
+        view.backlog = [float(t) for t in model.waiting_tokens(world.now)]
+        view.backlog_at = world.now
+        view.kv_used = model.kv_used
+        view.kv_unreported = 0
+        view.speed.prefill_rate = model.speed.prefill_rate / model.slow_factor
+        view.expired = not endpoint.alive
+        serving = registry.EndpointState.SERVING
+        if endpoint.state is not serving:
+            view.expired = True
+
+    def make(settings) -> policies.Policy:
+        if settings.kind is request_lib.ServiceKind.PLAIN:
+            return policies.PlainService()
+        if name == policies.Oracle.name:
+            return policies.Oracle(refresh)
+        return BY_NAME[name]()
+
+    return make
+
+
+@attrs.define(eq=False)
+class Player:
+    """One replay of one trace under one policy."""
+
+    trace: trace_lib.Trace
+    policy: str
+    world: world_lib.World = attrs.field(init=False)
+    patches: int = 0
+
+    def __attrs_post_init__(self):
+        fleet = self.trace.fleet
+        self.world = world_lib.World(
+            random.Random(SEED),
+            one_way_s=fleet.one_way_s,
+            client_one_way_s=fleet.client_one_way_s,
+            report_every_s=fleet.report_every_s,
+        )
+        self.world.make_policy = policy_factory(self.policy, self.world)
+
+    def play(self) -> world_lib.World:
+        """Play the whole trace and return the world after it."""
+        self.build()
+        start = WARM_UP_S
+        for line in self.trace.requests:
+            self.world.at(start + line.at, self.submit, line)
+        for line in self.trace.faults:
+            self.world.at(start + line.at, self.fault, line)
+        self.world.run_until(start + self.end() + COOL_DOWN_S)
+        return self.world
+
+    def end(self) -> float:
+        """Return when the last bound of the trace has passed."""
+        ends = [line.at + line.deadline_s for line in self.trace.requests]
+        ends += [line.at + line.for_s for line in self.trace.faults]
+        return max(ends, default=0.0)
+
+    def build(self) -> None:
+        """Build the fleet of the trace."""
+        fleet = self.trace.fleet
+        self.patch(fleet.config or default_config(self.trace))
+        for number in range(fleet.entries):
+            self.world.add_entry(f"entry-{number}")
+        for line in fleet.engines:
+            for _ in range(line.count):
+                self.add_endpoint(line)
+        self.world.run_until(WARM_UP_S)
+
+    def add_endpoint(self, line: trace_lib.EngineLine) -> None:
+        """Add one endpoint."""
+        known = [
+            e
+            for e in self.world.endpoints.values()
+            if e.service == line.service
+        ]
+        name = f"{line.service}-{len(known)}"
+        if line.kind is request_lib.ServiceKind.PLAIN:
+            self.world.add_plain(name, line.service)
+            return
+        speed = engine_lib.EngineSpeed(
+            prefill_rate=line.prefill_rate,
+            token_s=line.token_s,
+            chunk_tokens=line.chunk_tokens,
+            kv_tokens=line.kv_tokens,
+        )
+        self.world.add_engine(name, line.service, speed)
+
+    def patch(self, document: dict) -> None:
+        """Patch the configuration."""
+        self.patches += 1
+        self.world.patch(
+            f"trace-{self.patches}",
+            self.world.state.configs.version,
+            json.dumps(document).encode(),
+        )
+
+    def submit(self, line: trace_lib.RequestLine) -> None:
+        """Send one request of the trace."""
+        services = self.world.state.configs.config.services
+        kind = services[line.service].kind
+        blocks = tuple(
+            f"{line.shared_prefix}/{n}" for n in range(line.prefix_blocks)
+        )
+        whole = max(1, line.prompt_tokens // BLOCK_LENGTH)
+        own = tuple(f"{line.id}/{n}" for n in range(whole - len(blocks)))
+        request = request_lib.Request(
+            request_id=line.id,
+            workspace=line.workspace,
+            service=line.service,
+            prompt_tokens=line.prompt_tokens,
+            output_tokens=line.output_tokens,
+            arrived_at=self.world.now,
+            deadline_at=self.world.now + line.deadline_s,
+            kind=kind,
+            non_idempotent=line.non_idempotent,
+            idempotency_key=line.key,
+            key_time=world_lib.UNIX_START,
+            body_hash=line.key,
+            prefix_hashes=blocks + own if blocks else (),
+        )
+        self.world.submit(request, line.entry)
+
+    # --- faults ----------------------------------------------------------
+
+    def fault(self, line: trace_lib.FaultLine) -> None:
+        """Carry out one fault, and plan its end."""
+        begin, end = FAULTS[line.fault]
+        begin(self, line)
+        if line.for_s and end is not None:
+            self.world.at(self.world.now + line.for_s, end, self, line)
+
+
+def default_config(trace: trace_lib.Trace) -> dict:
+    """Return a configuration without limits for all that a trace names."""
+    services = {
+        line.service: {"kind": line.kind.value} for line in trace.fleet.engines
+    }
+    workspaces = {line.workspace for line in trace.requests} | {"shop"}
+    return {
+        "services": services,
+        "workspaces": {
+            name: {"services": sorted(services)} for name in sorted(workspaces)
+        },
+    }
+
+
+FAULTS = {
+    "kill_endpoint": (
+        lambda p, x: p.world.kill_endpoint(x.target),
+        lambda p, x: p.world.start_endpoint(x.target),
+    ),
+    "slow_endpoint": (
+        lambda p, x: p.world.slow_endpoint(x.target, x.value),
+        lambda p, x: p.world.slow_endpoint(x.target, 1.0),
+    ),
+    "leave_endpoint": (
+        lambda p, x: p.world.leave_endpoint(x.target),
+        None,
+    ),
+    "kill_entry": (
+        lambda p, x: p.world.kill_entry(x.target),
+        lambda p, x: p.world.start_entry(x.target),
+    ),
+    "freeze_entry": (
+        lambda p, x: p.world.freeze_entry(x.target, x.for_s),
+        None,
+    ),
+    "drain_entry": (lambda p, x: p.world.drain_entry(x.target), None),
+    "isolate_entry": (
+        lambda p, x: p.world.cut("control", x.target),
+        lambda p, _: p.world.heal(),
+    ),
+    "stop_control": (
+        lambda p, _: p.world.stop_control(),
+        lambda p, _: p.world.start_control(),
+    ),
+    "patch": (lambda p, x: p.patch(x.patch), None),
+}
+
+
+def check_trace(trace: trace_lib.Trace) -> Result[None, str]:
+    """Return which line of a trace cannot be played."""
+    names = {line.service for line in trace.fleet.engines}
+    for line in trace.requests:
+        if line.service not in names:
+            return Error(f"request {line.id!r}: no service {line.service!r}")
+    for line in trace.faults:
+        if line.fault not in FAULTS:
+            known = ", ".join(FAULTS)
+            return Error(f"fault {line.fault!r} is not one of {known}")
+    return Ok(None)
+
+
+def replay(trace: trace_lib.Trace, policy: str) -> measure.Report:
+    """Return the measures of a policy on a trace."""
+    world = Player(trace, policy).play()
+    alone = None
+    long = any(r.prompt_tokens > measure.LONG_TOKENS for r in trace.requests)
+    if long:
+        short = trace.without_longer_than(measure.LONG_TOKENS)
+        alone = Player(short, policy).play()
+    return measure.make_report(policy, world, alone)
+
+
+def unmet(trace: trace_lib.Trace, reports: list[measure.Report]) -> list[str]:
+    """Return a sentence for each stated outcome that did not come out."""
+    found = []
+    for line in trace.outcomes:
+        for report in reports:
+            if line.policies and report.policy not in line.policies:
+                continue
+            fault = check_outcome(line, report)
+            if fault:
+                found.append(f"{report.policy}: {fault}")
+    return found
+
+
+def check_outcome(line: trace_lib.OutcomeLine, report: measure.Report) -> str:
+    """Return what is wrong with one outcome, empty if nothing is."""
+    if line.request:
+        return check_request(line, report)
+    value = read_measure(report, line.measure)
+    if value is None:
+        return f"{line.measure} was not measured"
+    if line.at_least is not None and value < line.at_least:
+        return f"{line.measure} is {value}, stated at least {line.at_least}"
+    if line.at_most is not None and value > line.at_most:
+        return f"{line.measure} is {value}, stated at most {line.at_most}"
+    return ""
+
+
+def check_request(line: trace_lib.OutcomeLine, report: measure.Report) -> str:
+    """Return what is wrong with how one request ended."""
+    end = report.ends.get(line.request, "never")
+    if line.end and end not in line.end.split("|"):
+        return f"{line.request} ended {end}, stated {line.end}"
+    ran = report.rans.get(line.request, "")
+    if line.ran and ran != line.ran:
+        return f"{line.request} says ran {ran!r}, stated {line.ran!r}"
+    return ""
+
+
+def read_measure(report: measure.Report, path: str) -> float | None:
+    """Return a measure by its path, such as `ttft_p95_s.1k`."""
+    value: object = attrs.asdict(report)
+    for word in path.split("."):
+        value = value.get(word) if isinstance(value, dict) else None
+    return value if isinstance(value, (int, float)) else None
--- a/src/_coltsfootroad/replay/world.py
+++ b/src/_coltsfootroad/replay/world.py
@@ -26,6 +26,8 @@
 SYNC_EVERY_S = 0.5
 ANNOUNCE_EVERY_S = 1.0
 SETTLE_RETRY_S = 0.5
+# How long entries collect notes of their dispatches for one message.
+NOTE_EVERY_S = 0.005
 # Endpoints announce themselves to this many entries.
 ANNOUNCE_TO = 2
 PLAIN_SERVICE_S = 0.05
@@ -324,6 +326,8 @@
                 self.dispatch(entry, action)
             case actions.Emit() | actions.Finish() | actions.Fail():
                 self.to_caller(entry, action)
+            case actions.DispatchNote():
+                self.share_note(entry, action)
             case actions.Cancel():
                 self.cancel(entry, action)
             case actions.Reprioritise():
@@ -349,6 +353,19 @@
                 message = messages.GroupRelease(group=action.group)
                 self.ask_control(entry, message, lambda _: None)
 
+    def share_note(self, entry: SimEntry, note) -> None:
+        """Tell the other entries of a dispatch, batched a little."""
+        for other in self.entries.values():
+            if other is not entry and other.alive:
+                self.at(
+                    self.now + self.rng.uniform(0, NOTE_EVERY_S),
+                    self.to_entry,
+                    entry.name,
+                    other,
+                    other.core.on_note,
+                    note,
+                )
+
     def take_claim(
         self, entry: SimEntry, core, request: request_lib.Request
     ) -> None:
--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -10,7 +10,6 @@
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import entry as entry_lib
 from _coltsfootroad.core import errors
-from _coltsfootroad.core import registry
 from _coltsfootroad.core import request as request_lib
 from _coltsfootroad.shell import callers
 from _coltsfootroad.shell import dumps
@@ -18,6 +17,7 @@
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import metrics as metrics_lib
+from _coltsfootroad.shell import notes as notes_lib
 from _coltsfootroad.shell import operators
 from _coltsfootroad.shell import settings as settings_lib
 from _coltsfootroad.shell import web
@@ -63,6 +63,9 @@
         self.tasks: set[asyncio.Task] = set()
         self.unsettled = 0
         self.timer: asyncio.TimerHandle | None = None
+        self.notes = notes_lib.NoteExchange(
+            settings.peer_listen, self.core.owner, self.take_note
+        )
         self.http_server = None
         self.admin_server = None
         self.broken: asyncio.Future = self.loop.create_future()
@@ -80,6 +83,7 @@
             entry=self.settings.entry,
             incarnation=self.core.incarnation,
             address=self.settings.advertise or self.settings.listen,
+            peer_address=self.settings.peer_listen,
             availability_zone=self.settings.availability_zone,
         )
 
@@ -96,6 +100,7 @@
                 self.settings.admin_listen,
                 MAX_BODY_BYTES,
             )
+        await self.notes.start()
         self.spawn(self.sync_forever())
         self.wake()
         LOG.info(
@@ -125,6 +130,7 @@
             self.timer.cancel()
         for task in list(self.tasks):
             task.cancel()
+        await self.notes.stop()
         await self.control.close()
         LOG.info("entry {} stopped", self.core.owner)
 
@@ -178,6 +184,8 @@
         match action:
             case actions.Dispatch():
                 self.dispatch(action)
+            case actions.DispatchNote():
+                self.notes.share(action)
             case actions.Emit() | actions.Finish() | actions.Fail():
                 self.to_caller(action)
             case actions.Cancel():
@@ -341,9 +349,9 @@
         if address is not None:
             await self.client.reprioritise(address, action)
 
-    def announce(self, announcement: registry.Announcement) -> None:
-        """Take an announcement from an endpoint."""
-        self.run(self.core.on_announcement, announcement, self.loop.time())
+    def take_note(self, note: actions.DispatchNote) -> None:
+        """Take another entry's note of a dispatch."""
+        self.run(self.core.on_note, note, self.loop.time())
 
     # --- control ---------------------------------------------------------
 
@@ -368,6 +376,7 @@
         self.run(
             self.core.on_sync, request, answer.ok, asked_at, self.loop.time()
         )
+        self.notes.follow(self.core.freshness.members)
         if self.core.freshness.version != version:
             LOG.info("configuration {} in force", self.core.freshness.version)
 
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 
+import attrs
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -13,6 +14,7 @@
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import peers
+from _coltsfootroad.core import actions
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import logs
 
@@ -41,6 +43,14 @@
 MAX_QUEUED = 512
 RECONNECT_S = 0.3
 
+
+@attrs.frozen(kw_only=True)
+class NoteBatch:
+    """Dispatches that an entry tells other entries of."""
+
+    notes: tuple[actions.DispatchNote, ...]
+
+
 CALLS = codec.Codec.of(
     messages.PatchConfig,
     messages.PatchAnswer,
@@ -68,6 +78,7 @@
     fences.DropLease,
     fences.LeaseAnswer,
 )
+NOTES = codec.Codec.of(NoteBatch)
 PEERS = codec.Codec.of(
     peers.VoteRequest,
     peers.VoteReply,
@@ -173,10 +184,17 @@
 
 
 class PeerLink:
-    """Sends messages to one replica over an open stream; may lose them."""
-
-    def __init__(self, address: str, sender: str, sender_address: str):
+    """Sends messages to one process over an open stream; may lose them."""
+
+    def __init__(
+        self,
+        address: str,
+        sender: str,
+        sender_address: str,
+        encoder: codec.Codec = PEERS,
+    ):
         self.address = address
+        self.encoder = encoder
         self.metadata = (
             (SENDER_KEY, sender),
             (SENDER_ADDRESS_KEY, sender_address),
@@ -187,7 +205,7 @@
         )
         self.task = asyncio.ensure_future(self.run())
 
-    def send(self, message: peers.PeerMessage) -> None:
+    def send(self, message: object) -> None:
         """Queue a message; the oldest goes when the other side is slow."""
         if self.queue.full():
             self.queue.get_nowait()
@@ -213,7 +231,7 @@
         stream = self.channel.stream_unary(PEER)(metadata=self.metadata)
         while True:
             message = await self.queue.get()
-            await stream.write(PEERS.encode(message))
+            await stream.write(self.encoder.encode(message))
 
     async def close(self) -> None:
         """Stop sending."""
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -52,6 +52,8 @@
         availability_zone: Zone of the VM.
         listen: `ip:port` for callers and endpoints.
         advertise: `ip:port` told to callers; `listen` if empty.
+        peer_listen: `ip:port` for other entries; without one, they learn of
+            this entry's dispatches only by load reports.
         admin_listen: `ip:port` of dump and metrics.
         admin_token: Secret of the admin listener.
         endpoint_token: Secret that endpoints present, none if empty.
@@ -67,6 +69,7 @@
     availability_zone: str = ""
     listen: str = attrs.field(**LISTEN)
     advertise: str = ""
+    peer_listen: str = ""
     admin_listen: str = attrs.field(**LISTEN)
     admin_token: str = attrs.field(validator=check_token)
     endpoint_token: str = ""
