Drain each dispatch from its own beginning; tables for the small modules

Traced per request: short prompts met others at engines that looked idle. A load report measured a second ago was taken, dispatches that it did not contain were added, and then all of it was drained by that second: a dispatch of this moment vanished.

Change: the report is drained to now first, each later dispatch from when it was sent. Heartbeats carry only members that changed and shares that are wanted (a workspace that was idle asks at once). Messages of failed checks name the bad value instead of the type alone.

Ruled out: note order, note delay (5 ms), learned speeds (within 2%).

--- /dev/null
+++ b/features/core/fairqueue.feature
@@ -0,0 +1,15 @@
+Feature: The queue is fair by tokens and lets longer bands through
+
+  Scenario: A workspace of long prompts gets no more tokens than another
+    Given "big" queues 10 prompts of 1000 tokens and "small" 100 of 100
+    When 2000 tokens are dispatched
+    Then "big" and "small" have got about the same
+
+  Scenario: A weight of three gets three times the tokens
+    Given "big" queues 50 prompts of 100 tokens and "small" 50 of 100
+    When 2000 tokens are dispatched with weights 3 and 1
+    Then "big" has got about 3 times what "small" has
+
+  Scenario: Long prompts go on while short ones keep coming
+    Given 1 long prompt of 4000 tokens and 40 short ones of 1000 wait
+    Then the long prompt is dispatched after 16 short ones
--- /dev/null
+++ b/features/shell/disk.feature
@@ -0,0 +1,26 @@
+Feature: The data folder keeps what was synced and refuses damage
+
+  Scenario Outline: <damage> of a log of 5 batches
+    Given a data folder with 5 synced batches
+    When the log suffers <damage>
+    Then opening it again <outcome>
+
+    Examples:
+      | damage              | outcome                             |
+      | nothing             | finds 5 batches                     |
+      | a torn tail         | finds 4 batches                     |
+      | garbage at the end  | finds 5 batches                     |
+      | a bit in the middle | fails with "is damaged at byte"     |
+      | a lost identity     | fails with "is missing but"         |
+      | a newer format      | fails with "has format 9"           |
+      | a lost snapshot     | fails with "which is missing"       |
+
+  Scenario: Two processes cannot use one folder
+    Given a data folder with 1 synced batches
+    Then opening it a second time fails with "is in use"
+
+  Scenario: A full disk refuses a batch and keeps the others
+    Given a data folder with 2 synced batches
+    When the disk is full for one batch
+    Then the batch is refused with "is full"
+    And opening it again finds 2 batches
--- a/src/_coltsfootroad/control/hub.py
+++ b/src/_coltsfootroad/control/hub.py
@@ -21,6 +21,7 @@
 
     member: addresses.Member
     until: float
+    mark: int
 
 
 @attrs.define
@@ -48,6 +49,7 @@
     loads: dict[str, KnownLoad] = attrs.Factory(dict)
     marks: dict[str, int] = attrs.Factory(dict)
     gone: dict[str, int] = attrs.Factory(dict)
+    lost_members: dict[str, int] = attrs.Factory(dict)
     last_mark: int = 0
     shares: shares_lib.ShareTable = attrs.field(init=False)
     groups: groups_lib.GroupLedger = attrs.Factory(groups_lib.GroupLedger)
@@ -71,7 +73,12 @@
             epoch=self.epoch,
             registry_mark=self.last_mark,
             config=configs.update_since(request.config_version),
-            members=self.live_members(),
+            members=tuple(
+                live.member
+                for live in self.members.values()
+                if live.mark > mark
+            ),
+            lost_members=names_since(self.lost_members, mark),
             shares=self.shares.on_sync(
                 request.member.entry,
                 request,
@@ -80,7 +87,7 @@
                 now,
             ),
             announcements=self.changed_since(mark),
-            gone=tuple(n for n, m in self.gone.items() if m > mark),
+            gone=names_since(self.gone, mark),
             loads=self.loads_since(mark, now),
             group_holds=self.groups.held_tokens(now),
         )
@@ -90,11 +97,11 @@
         known = self.members.get(member.entry)
         if known is not None and known.member.incarnation > member.incarnation:
             return
-        self.members[member.entry] = LiveMember(member, now + MEMBER_LEASE_S)
-
-    def live_members(self) -> tuple[addresses.Member, ...]:
-        """Return the entries whose lease holds."""
-        return tuple(live.member for live in self.members.values())
+        changed = known is None or known.member != member
+        mark = self.next_mark() if changed else known.mark
+        until = now + MEMBER_LEASE_S
+        self.members[member.entry] = LiveMember(member, until, mark)
+        self.lost_members.pop(member.entry, None)
 
     def next_mark(self) -> int:
         """Return a mark above all earlier ones."""
@@ -154,14 +161,24 @@
         """Tell entries that an endpoint is gone."""
         self.marks.pop(name, None)
         self.loads.pop(name, None)
-        self.gone[name] = self.next_mark()
-        while len(self.gone) > MAX_CHANGES:
-            del self.gone[next(iter(self.gone))]
+        self.note_lost(self.gone, name)
+
+    def note_lost(self, lost: dict[str, int], name: str) -> None:
+        """Remember that a name is gone, within a bound."""
+        lost[name] = self.next_mark()
+        while len(lost) > MAX_CHANGES:
+            del lost[next(iter(lost))]
 
     def expire(self, now: float) -> None:
         """Drop entries and endpoints whose lease has ended."""
         for name, live in list(self.members.items()):
             if live.until <= now:
                 del self.members[name]
+                self.note_lost(self.lost_members, name)
         for name in self.registry.expire(now):
             self.note_gone(name)
+
+
+def names_since(marks: dict[str, int], mark: int) -> tuple[str, ...]:
+    """Return the names whose mark is later than `mark`."""
+    return tuple(name for name, changed in marks.items() if changed > mark)
--- a/src/_coltsfootroad/control/messages.py
+++ b/src/_coltsfootroad/control/messages.py
@@ -183,7 +183,8 @@
         epoch: Changes when the registry started anew.
         registry_mark: Position that the entry knows after this reply.
         config: Newer configuration, if there is one.
-        members: Live entries; none if unchanged is not tracked.
+        members: Live entries that changed since the entry's mark.
+        lost_members: Entries that are gone since the mark.
         shares: New shares of the limits.
         announcements: Endpoints changed since the entry's mark.
         gone: Endpoints whose lease ended or that left, since the mark.
@@ -195,6 +196,7 @@
     registry_mark: int
     config: ConfigUpdate | None = None
     members: tuple[addresses.Member, ...] = ()
+    lost_members: tuple[str, ...] = ()
     shares: tuple[limits.Share, ...] = ()
     announcements: tuple[registry.Announcement, ...] = ()
     gone: tuple[str, ...] = ()
--- a/src/_coltsfootroad/control/shares.py
+++ b/src/_coltsfootroad/control/shares.py
@@ -86,8 +86,14 @@
         self.take_demands(entry, request, now)
         holdings = {h.workspace: h for h in request.holdings}
         found = []
-        for name, workspace in config.workspaces.items():
+        wanted = {d.workspace for d in request.demands}
+        if self.is_learning(now):
+            wanted |= set(holdings)
+        for name in wanted & set(config.workspaces):
+            workspace = config.workspaces[name]
             holding = holdings.get(name)
+            if not workspace.is_limited:
+                continue
             if self.is_learning(now):
                 share = self.keep(entry, name, workspace, holding, now)
             else:
@@ -134,9 +140,6 @@
         now: float,
     ) -> limits.Share | None:
         """Renew exactly what an entry holds, while still learning."""
-        unlimited = workspace.tokens_per_s is None
-        if unlimited and workspace.concurrency is None:
-            return self.record(entry, name, workspace, math.inf, 0, now)
         if holding is None or holding.remaining_s <= 0:
             return None
         tokens = holding.tokens_per_s or 0.0
--- a/src/_coltsfootroad/core/config.py
+++ b/src/_coltsfootroad/core/config.py
@@ -7,6 +7,7 @@
 from attrs import validators
 import cattrs
 import cattrs.preconf.json
+from cattrs.v import format_exception
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -106,6 +107,11 @@
         default=None, validator=check_positive
     )
 
+    @property
+    def is_limited(self) -> bool:
+        """Return whether any fleet-wide limit is set."""
+        return self.tokens_per_s is not None or self.concurrency is not None
+
 
 @attrs.frozen(kw_only=True)
 class EndpointKind:
@@ -196,9 +202,16 @@
     return merged
 
 
-def explain(error: Exception) -> str:
+def describe(error: Exception, kind: type | None) -> str:
+    """Return what one fault says; hooks and validators name the value."""
+    if isinstance(error, (TypeError, ValueError)) and error.args:
+        return str(error.args[0])
+    return format_exception(error, kind)
+
+
+def explain(error: Exception, path: str = "config") -> str:
     """Return one sentence per fault, each with the path of its key."""
-    return "; ".join(cattrs.transform_error(error, path="config"))
+    return "; ".join(cattrs.transform_error(error, path, describe))
 
 
 def invalid(message: str) -> Result[Config, errors.Failure]:
--- a/src/_coltsfootroad/core/dispatcher.py
+++ b/src/_coltsfootroad/core/dispatcher.py
@@ -126,8 +126,7 @@
         """Send a queued request if its limits and an endpoint allow it."""
         core = self.core
         flight = core.flights.get(request.request_id)
-        meter = core.limits.meter(request.workspace)
-        if not flight.charged and not meter.may_start(now):
+        if not flight.charged and not self.limits_allow(request, now):
             return False
         pool = core.pool(request.service)
         if now >= request.deadline_at or not pool.serving_count():
@@ -149,6 +148,22 @@
         self.send(flight, (part,), choice.predicted_s, now)
         return True
 
+    def limits_allow(self, request: request_lib.Request, now: float) -> bool:
+        """Return whether the workspace's leased share has room.
+
+        A workspace that was idle here holds no share; the next heartbeat,
+        which then goes out at once, asks for one.
+        """
+        settings = self.core.config.workspaces.get(request.workspace)
+        if settings is not None and not settings.is_limited:
+            return True
+        meter = self.core.limits.meter(request.workspace)
+        if meter.may_start(now):
+            return True
+        if not meter.has_lease(now):
+            self.core.wants_sync = True
+        return False
+
     def choose(
         self, flight: flights.Flight, pool: pool_lib.ServicePool, now: float
     ) -> policies_lib.Choice | None:
--- a/src/_coltsfootroad/core/endpoints.py
+++ b/src/_coltsfootroad/core/endpoints.py
@@ -207,7 +207,7 @@
             if not queue:
                 del self.foreign[owner]
             for work in queue:
-                self.backlog[work.band] += work.prompt_tokens
+                self.add_unread(work, work.noted_at, now)
                 self.kv_unreported += work.kv_tokens
 
     def add_work(
@@ -280,11 +280,23 @@
         self.kv_used = report.kv_used
         self.kv_unreported = 0
         self.running = report.running
+        self.advance(now)
         for work in self.work.values():
             if work.mark > self.reported_mark:
                 self.kv_unreported += work.kv_tokens
                 if work.first_token_at is None:
-                    self.backlog[work.band] += work.prompt_tokens
+                    self.add_unread(work, work.sent_at, now)
         self.settle_foreign(report, now)
-        self.advance(now)
         return True
+
+    def add_unread(
+        self, work: "OwnWork | ForeignWork", since: float, now: float
+    ) -> None:
+        """Add what is left of a dispatch that a report does not contain.
+
+        It is drained from its own beginning. Drained from the report's time
+        like the rest, a dispatch of this moment vanished at once, and short
+        prompts met each other at engines that looked idle.
+        """
+        read = (now - since) * self.speed.prefill_rate
+        self.backlog[work.band] += max(0.0, work.prompt_tokens - read)
--- a/src/_coltsfootroad/core/entry.py
+++ b/src/_coltsfootroad/core/entry.py
@@ -87,6 +87,7 @@
     counters: Counters = attrs.Factory(Counters)
     pools: dict[str, pool_lib.ServicePool] = attrs.Factory(dict)
     endpoint_service: dict[str, str] = attrs.Factory(dict)
+    wants_sync: bool = False
     registry_epoch: str = ""
     registry_mark: int = 0
     announced: dict[str, registry.Announcement] = attrs.Factory(dict)
@@ -262,8 +263,9 @@
                 remaining_s=meter.lease_until - now,
             )
             for name, meter in self.limits.meters.items()
-            if meter.share is not None
+            if meter.is_active(now)
         )
+        self.wants_sync = False
         return messages.SyncRequest(
             member=attrs.evolve(
                 member,
@@ -299,7 +301,11 @@
         if not self.adopt_config(reply.config):
             return self.flush()
         self.freshness.confirm(asked_at)
-        self.freshness.members = reply.members
+        self.freshness.learn_members(
+            reply.members,
+            reply.lost_members,
+            anew=reply.epoch != self.registry_epoch,
+        )
         self.limits.apply(reply.shares, asked_at, now)
         if reply.epoch != self.registry_epoch:
             self.announce_all()
--- a/src/_coltsfootroad/core/freshness.py
+++ b/src/_coltsfootroad/core/freshness.py
@@ -20,7 +20,26 @@
     document: dict = attrs.Factory(dict)
     config: config_lib.Config = attrs.Factory(config_lib.Config)
     confirmed_at: float = float("-inf")
-    members: tuple[addresses.Member, ...] = ()
+    known_members: dict[str, addresses.Member] = attrs.Factory(dict)
+
+    @property
+    def members(self) -> tuple[addresses.Member, ...]:
+        """Return the live entries as last heard."""
+        return tuple(self.known_members.values())
+
+    def learn_members(
+        self,
+        changed: tuple[addresses.Member, ...],
+        lost: tuple[str, ...],
+        anew: bool,
+    ) -> None:
+        """Take changes of the live entries, or all of them `anew`."""
+        if anew:
+            self.known_members = {}
+        for name in lost:
+            self.known_members.pop(name, None)
+        for member in changed:
+            self.known_members[member.entry] = member
 
     def confirm(self, asked_at: float) -> None:
         """Note that the version was current at `asked_at`."""
--- a/src/_coltsfootroad/core/limits.py
+++ b/src/_coltsfootroad/core/limits.py
@@ -47,6 +47,11 @@
     rate_used: float = 0.0
     rate_at: float = 0.0
 
+    def is_active(self, now: float) -> bool:
+        """Return whether the share is held and still of use."""
+        busy = self.in_flight or self.waiting or self.rate_used >= 1
+        return self.share is not None and (busy or self.has_lease(now))
+
     def fill(self, now: float) -> None:
         """Add the tokens earned since the last call while the lease held."""
         share = self.share
@@ -59,9 +64,13 @@
                 self.tokens = min(cap, self.tokens + earned)
         self.filled_at = max(self.filled_at, now)
 
+    def has_lease(self, now: float) -> bool:
+        """Return whether a share is held now."""
+        return self.share is not None and now < self.lease_until
+
     def may_start(self, now: float) -> bool:
         """Return whether one more request fits into the share now."""
-        if self.share is None or now >= self.lease_until:
+        if not self.has_lease(now):
             return False
         self.fill(now)
         limit = self.share.concurrency
--- a/src/_coltsfootroad/replay/trace.py
+++ b/src/_coltsfootroad/replay/trace.py
@@ -4,7 +4,6 @@
 import pathlib
 
 import attrs
-import cattrs
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -158,7 +157,7 @@
         return Ok(config_lib.CONVERTER.structure(document, LINES[kind]))
     except Exception as error:  # noqa: BLE001
         # cattrs raises groups of whatever the hooks raise.
-        return Error("; ".join(cattrs.transform_error(error, path="$")))
+        return Error(config_lib.explain(error, "$"))
 
 
 def assemble(path: str, lines: list[object]) -> Result[Trace, str]:
--- a/src/_coltsfootroad/replay/world.py
+++ b/src/_coltsfootroad/replay/world.py
@@ -273,6 +273,8 @@
         core = entry.core
         for action in method(*arguments, self.now):
             self.carry_out(entry, action)
+        if core.wants_sync:
+            self.sync(entry, core)
         self.wake_entry(entry, core)
 
     def wake_entry(self, entry: SimEntry, core) -> None:
@@ -309,6 +311,11 @@
         if self.now < entry.frozen_until:
             self.at(entry.frozen_until, self.sync_often, entry, core)
             return
+        self.sync(entry, core)
+        self.at(self.now + SYNC_EVERY_S, self.sync_often, entry, core)
+
+    def sync(self, entry: SimEntry, core) -> None:
+        """Send one heartbeat."""
         asked_at = self.now
         request = core.sync_request(self.member(entry), self.now)
 
@@ -316,7 +323,6 @@
             self.run_core(entry, core.on_sync, request, answer, asked_at)
 
         self.ask_control(entry, request, reply)
-        self.at(self.now + SYNC_EVERY_S, self.sync_often, entry, core)
 
     def carry_out(self, entry: SimEntry, action: actions.Action) -> None:
         """Do what a core asks for."""
--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -1,6 +1,7 @@
 """Runs the entry core on the loop: carries out its actions and timers."""
 
 import asyncio
+import contextlib
 import random
 
 import attrs
@@ -62,6 +63,7 @@
         self.channels: dict[str, Channel] = {}
         self.tasks: set[asyncio.Task] = set()
         self.unsettled = 0
+        self.sync_now = asyncio.Event()
         self.timer: asyncio.TimerHandle | None = None
         self.notes = notes_lib.NoteExchange(
             settings.peer_listen, self.core.owner, self.take_note
@@ -162,6 +164,8 @@
             return
         for action in wanted:
             self.carry_out(action)
+        if self.core.wants_sync:
+            self.sync_now.set()
         self.plan_wake()
 
     def wake(self) -> None:
@@ -358,8 +362,12 @@
     async def sync_forever(self) -> None:
         """Send heartbeats for as long as the process lives."""
         while True:
+            self.sync_now.clear()
             await self.sync_once()
-            await asyncio.sleep(self.settings.sync_interval_s)
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(
+                    self.sync_now.wait(), self.settings.sync_interval_s
+                )
 
     async def sync_once(self) -> None:
         """Send one heartbeat and take its answer."""
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -4,7 +4,6 @@
 import pathlib
 
 import attrs
-import cattrs
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -162,8 +161,8 @@
         return Ok(config_lib.CONVERTER.structure(document, kind))
     except Exception as error:  # noqa: BLE001
         # cattrs raises groups of whatever the hooks and validators raise.
-        faults = cattrs.transform_error(error, path="$")
-        return Error(f"settings {path}: " + "; ".join(faults))
+        faults = config_lib.explain(error, "$")
+        return Error(f"settings {path}: {faults}")
 
 
 def split_address(address: str) -> tuple[str, int]:
