Let operators drain an entry; priorities weigh; KV export and import

Cause: the issue asks for a drain by colts-ctl, for the priorities that operators give workspaces, and for export and import on the engine interface; none of the three was there.

Change: POST /admin/drain and colts-ctl drain end an entry as SIGTERM does; a priority scales the fair queue's weight by 1.5 a step (a strict order would starve the last); the endpoint client can export and import a KV cache.

Conclusion: drain and priorities hold in tests; nothing in the core calls the export or import yet.

--- a/features/core/fairqueue.feature
+++ b/features/core/fairqueue.feature
@@ -13,3 +13,12 @@
   Scenario: Long prompts go on while short ones keep coming
     Given 1 long prompt of 4000 tokens and 40 short ones of 1000 wait
     Then the long prompt is dispatched after 16 short ones
+
+  Scenario Outline: A request of priority <priority> weighs <factor>
+    Then priority <priority> scales a weight by <factor>
+
+    Examples:
+      | priority | factor |
+      | 5        | 1.0    |
+      | 3        | 2.25   |
+      | 9        | 0.1975 |
--- a/features/steps/unit_steps.py
+++ b/features/steps/unit_steps.py
@@ -123,6 +123,11 @@
         assert is_long == (number == count), number
 
 
+@then("priority {priority:d} scales a weight by {factor:g}")
+def check_priority(context, priority, factor):
+    assert abs(fairqueue.priority_factor(priority) - factor) < 1e-3
+
+
 # --- config --------------------------------------------------------------------
 
 
--- a/features/steps/whole_path_steps.py
+++ b/features/steps/whole_path_steps.py
@@ -133,6 +133,28 @@
     context.fleet.wait_for(only_itself, "the drained entry to be left out")
 
 
+@when('an operator drains "{entry}"')
+def drain(context, entry):
+    outcome = context.fleet.ctl("drain", context.fleet.admin[entry])
+    context.exit_code = outcome.returncode
+
+
+@then('"{entry}" ends by itself with exit code {code:d}')
+def ends_by_itself(context, entry, code):
+    assert context.fleet.programs[entry].process.wait(30) == code
+
+
+@when('an operator runs "{words}"')
+def run_ctl(context, words):
+    context.outcome = context.fleet.ctl(*words.split())
+
+
+@then('the exit code is {code:d} and it says "{said}"')
+def check_said(context, code, said):
+    assert context.outcome.returncode == code, context.outcome
+    assert said in context.outcome.stderr, context.outcome.stderr
+
+
 @when("the leader is killed")
 def kill_leader(context):
     context.leader = context.fleet.leader()
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -32,6 +32,25 @@
     Then the long prompt is answered whole and the exit code is 0
     And "entry-0" names only itself within seconds
 
+  Scenario: An operator drains an entry
+    Given a running fleet of 1 replicas, 2 entries and 1 engines
+    When an operator drains "entry-1"
+    Then the exit code is 0
+    And "entry-1" ends by itself with exit code 0
+    And "entry-0" names only itself within seconds
+
+  Scenario Outline: An operator's <mistake> gets a clear answer
+    Given a running fleet of 1 replicas, 1 entries and 1 engines
+    When an operator runs "<words>"
+    Then the exit code is <code> and it says "<said>"
+
+    Examples:
+      | mistake          | words                        | code | said               |
+      | unknown command  | fly                          | 2    | unknown command    |
+      | missing base     | config patch -               | 2    | needs --base       |
+      | unknown replica  | replica remove x#y           | 1    | is not known       |
+      | dead address     | dump 127.0.0.1:9             | 4    | does not answer    |
+
   Scenario: A killed leader is replaced and the configuration kept
     Given a running fleet of 3 replicas, 2 entries and 1 engines
     When the leader is killed
--- a/src/_coltsfootroad/commands/common.py
+++ b/src/_coltsfootroad/commands/common.py
@@ -65,14 +65,16 @@
 
 
 async def wait_for_stop(
-    broken: list[asyncio.Future], dump: Callable[[], bytes]
+    broken: list[asyncio.Future],
+    dump: Callable[[], bytes],
+    asked: asyncio.Future | None = None,
 ) -> bool:
-    """Wait for SIGTERM or SIGINT; True, or False on a broken invariant.
+    """Wait for SIGTERM, SIGINT or `asked`; False on a broken invariant.
 
     SIGUSR1 writes a dump of the state to standard error.
     """
     loop = asyncio.get_running_loop()
-    stop = loop.create_future()
+    stop = asked if asked is not None else loop.create_future()
 
     def on_stop() -> None:
         if not stop.done():
--- a/src/_coltsfootroad/commands/ctl.py
+++ b/src/_coltsfootroad/commands/ctl.py
@@ -45,6 +45,7 @@
                              --replaces=IDENTITY swaps out a lost one
   replica remove IDENTITY    take a replica out
   snapshot FILE              write a backup of the whole state
+  drain ADMIN_ADDRESS        shut an entry down gracefully
   dump ADMIN_ADDRESS         a process's state"""
 
 
@@ -329,15 +330,24 @@
     return common.EXIT_OK
 
 
+def drain(client: Client, address: str) -> int:
+    """Shut an entry down gracefully."""
+    response = client.fetch(address, "/admin/drain", method="POST", body=b"")
+    if response is None:
+        raise Unreachable(f"{address} does not answer")
+    if response.code != 200:
+        return refused(response)
+    document = json.loads(response.body)
+    seconds = document["accepts_for_s"]
+    show(document, f"{address} leaves; it accepts for {seconds} s more")
+    return common.EXIT_OK
+
+
 def carry_out(client: Client, words: list[str]) -> int:
     """Run one command."""
     match words:
-        case ["config", "get"]:
-            return config_get(client)
-        case ["config", "patch", source]:
-            return config_patch(client, source)
-        case ["config", "watch", text]:
-            return config_watch(client, text)
+        case ["config", *rest]:
+            return config(client, rest)
         case ["status"]:
             return status(client)
         case ["endpoints"]:
@@ -350,10 +360,25 @@
             return snapshot(client, path)
         case ["dump", address]:
             return dump(client, address)
+        case ["drain", address]:
+            return drain(client, address)
     common.complain(f"unknown command {' '.join(words)!r}\n{USAGE}")
     return common.EXIT_USAGE
 
 
+def config(client: Client, words: list[str]) -> int:
+    """Run one command on the configuration."""
+    match words:
+        case ["get"]:
+            return config_get(client)
+        case ["patch", source]:
+            return config_patch(client, source)
+        case ["watch", text]:
+            return config_watch(client, text)
+    common.complain(f"unknown config command\n{USAGE}")
+    return common.EXIT_USAGE
+
+
 def replica(client: Client, words: list[str]) -> int:
     """Run one command on replicas."""
     match words:
--- a/src/_coltsfootroad/commands/entry.py
+++ b/src/_coltsfootroad/commands/entry.py
@@ -41,7 +41,9 @@
     async def serve() -> int:
         server = build(settings)
         await server.start()
-        if not await common.wait_for_stop([server.broken], server.dump):
+        if not await common.wait_for_stop(
+            [server.broken], server.dump, server.asked_to_stop
+        ):
             return common.EXIT_FAILED
         await server.drain()
         return common.EXIT_OK
--- a/src/_coltsfootroad/core/dispatcher.py
+++ b/src/_coltsfootroad/core/dispatcher.py
@@ -181,6 +181,7 @@
         request = flight.request
         workspace = self.core.config.workspaces.get(request.workspace)
         weight = workspace.weight if workspace else DEFAULT_WEIGHT
+        weight *= fairqueue.priority_factor(request.priority)
         self.queue(request.service).dispatched(request, weight)
         if flight.charged:
             return
--- a/src/_coltsfootroad/core/fairqueue.py
+++ b/src/_coltsfootroad/core/fairqueue.py
@@ -14,6 +14,17 @@
 LONG_SHARE = 0.25
 
 
+# Step between two priorities, as a factor on the weight. A factor and not an
+# order: strict priorities starve whoever comes last.
+PRIORITY_STEP = 1.5
+MIDDLE_PRIORITY = 5
+
+
+def priority_factor(priority: int) -> float:
+    """Return how a priority (0 most urgent, 9 least) scales a weight."""
+    return PRIORITY_STEP ** (MIDDLE_PRIORITY - priority)
+
+
 @attrs.define
 class Lane:
     """Requests of one workspace in one band, oldest first."""
--- a/src/_coltsfootroad/fakes/httpendpoint.py
+++ b/src/_coltsfootroad/fakes/httpendpoint.py
@@ -47,6 +47,7 @@
     orders: list[dict] = attrs.Factory(list)
     highest_fence: int = 0
     queues: dict = attrs.Factory(dict)
+    imported: dict = attrs.Factory(dict)
     model: engine_lib.EngineModel = attrs.field(init=False)
     loop: asyncio.AbstractEventLoop = attrs.field(init=False)
     timer: asyncio.TimerHandle | None = None
@@ -68,6 +69,8 @@
                 (endpointclient.CANCEL_PATH, CancelHandler, parts),
                 (endpointclient.PRIORITY_PATH, PriorityHandler, parts),
                 (endpointclient.ORDER_PATH, OrderHandler, parts),
+                (endpointclient.EXPORT_PATH, ExportHandler, parts),
+                (endpointclient.IMPORT_PATH, ImportHandler, parts),
                 (r"/.*", PlainHandler, parts),
             ]
         )
@@ -292,6 +295,30 @@
         self.send_value({"ready": True})
 
 
+class ExportHandler(FakeHandler):
+    """Exports the cache of an attempt."""
+
+    def post(self):
+        """Answer with a handle, if the attempt is here."""
+        key = self.key(json.loads(self.request.body))
+        if key not in self.endpoint.model.jobs:
+            self.set_status(404)
+            self.finish({"held": False})
+            return
+        self.send_value({"handle": f"{self.endpoint.name}/{key[0]}/{key[1]}"})
+
+
+class ImportHandler(FakeHandler):
+    """Imports a cache for an attempt."""
+
+    def post(self):
+        """Remember the handle."""
+        document = json.loads(self.request.body)
+        key = self.key(document)
+        self.endpoint.imported[key] = document["handle"]
+        self.send_value({"held": True})
+
+
 class PlainHandler(FakeHandler):
     """Answers any call of a plain service."""
 
--- a/src/_coltsfootroad/shell/endpointclient.py
+++ b/src/_coltsfootroad/shell/endpointclient.py
@@ -26,6 +26,8 @@
 CANCEL_PATH = "/v1/cancel"
 PRIORITY_PATH = "/v1/priority"
 ORDER_PATH = "/v1/orders"
+EXPORT_PATH = "/v1/kv/export"
+IMPORT_PATH = "/v1/kv/import"
 # The only curl outcomes before a first byte can have been written.
 NOT_SENT_CODES = (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST)
 
@@ -84,6 +86,18 @@
     ) -> None:
         """Change the priority of waiting work; failure does no harm."""
 
+    @abc.abstractmethod
+    async def export_kv(
+        self, address: str, key: tuple[str, int]
+    ) -> Result[str, str]:
+        """Return a handle to the KV cache of an attempt."""
+
+    @abc.abstractmethod
+    async def import_kv(
+        self, address: str, key: tuple[str, int], handle: str
+    ) -> bool:
+        """Return whether an engine has taken the cache behind a handle."""
+
     @abc.abstractmethod
     async def order(self, address: str, order: dict) -> Result[dict, str]:
         """Give an order; return the engine's answer."""
@@ -196,6 +210,23 @@
         }
         await self.post(address, PRIORITY_PATH, document)
 
+    async def export_kv(self, address, key):
+        """Export the cache of an attempt."""
+        document = {"request_id": key[0], "attempt": key[1]}
+        response = await self.post(address, EXPORT_PATH, document)
+        if response is None:
+            return Error("no answer or a refusal")
+        return Ok(json.loads(response.body)["handle"])
+
+    async def import_kv(self, address, key, handle):
+        """Import a cache for an attempt."""
+        document = {
+            "request_id": key[0],
+            "attempt": key[1],
+            "handle": handle,
+        }
+        return await self.post(address, IMPORT_PATH, document) is not None
+
     async def order(self, address, order):
         """Give an order."""
         response = await self.post(address, ORDER_PATH, order)
--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -71,6 +71,7 @@
         self.http_server = None
         self.admin_server = None
         self.broken: asyncio.Future = self.loop.create_future()
+        self.asked_to_stop: asyncio.Future = self.loop.create_future()
         self.ttft = metrics.histogram(
             "colts_entry_ttft_seconds", "Time to first token"
         )
@@ -97,6 +98,8 @@
             routes = web.admin_routes(
                 self.settings.admin_token, self.dump, self.metrics
             )
+            parts = {"token": self.settings.admin_token, "server": self}
+            routes.append((r"/admin/drain", DrainHandler, parts))
             self.admin_server = web.listen(
                 operators.application(routes),
                 self.settings.admin_listen,
@@ -491,6 +494,17 @@
         )
 
 
+class DrainHandler(web.AdminHandler):
+    """Shuts the entry down gracefully, as SIGTERM does."""
+
+    def post(self):
+        """Begin, and answer with how long addresses still hold."""
+        if not self.server.asked_to_stop.done():
+            self.server.asked_to_stop.set_result(True)
+        validity = self.server.core.config.fleet.address_validity_s
+        self.send_value({"draining": True, "accepts_for_s": validity})
+
+
 def counter_reader(counters: entry_lib.Counters, name: str):
     """Return a function that reads one counter."""
     return lambda: getattr(counters, name)
