Choose groups of engines that have room now

Groups were chosen by prompt tokens waiting; engines that had read everything but still held the memory of long answers came first, and the group waited for those answers to end.

Change: the smallest group whose engines have room now, and only if there is none, the smallest that could ever hold the prompt.

Ruled out: the low engine priority of the longest band (the excess was there with idle queues).

--- a/src/_coltsfootroad/core/placement.py
+++ b/src/_coltsfootroad/core/placement.py
@@ -65,18 +65,37 @@
     ]
     views.sort(key=lambda v: engine_order(v, band, pool))
     views = spare_clean_ones(views, pool, now)
+    return smallest_group(request, band, views, now=True) or smallest_group(
+        request, band, views, now=False
+    )
+
+
+def smallest_group(
+    request: request_lib.Request,
+    band: int,
+    views: list[endpoints.EndpointView],
+    now: bool,
+) -> GroupPlan | None:
+    """Return the smallest group whose engines have room, now or ever.
+
+    Engines with room now come first: a group that is chosen by its short
+    queues alone waits until other prompts have been answered in full.
+    """
     for count in range(2, min(MAX_GROUP, len(views)) + 1):
         per_engine = math.ceil(request.cost_tokens / count)
-        roomy = [
-            v
-            for v in views
-            if v.announcement.kv_tokens * USABLE_SHARE >= per_engine
-        ]
+        roomy = [v for v in views if has_room(v, per_engine, now)]
         if len(roomy) >= count:
             return make_plan(request, band, roomy[:count], per_engine)
     return None
 
 
+def has_room(view: endpoints.EndpointView, tokens: int, now: bool) -> bool:
+    """Return whether an engine has room for a part, now or when empty."""
+    if now:
+        return view.kv_free >= tokens
+    return view.announcement.kv_tokens * USABLE_SHARE >= tokens
+
+
 def spare_clean_ones(
     views: list[endpoints.EndpointView],
     pool: pool_lib.ServicePool,
