--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -14,6 +14,7 @@
 from _coltsfootroad.control import raft
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import shares
+from _coltsfootroad.core import attempts
 from _coltsfootroad.core import claiming
 from _coltsfootroad.core import dispatcher
 from _coltsfootroad.core import endpoints
@@ -56,10 +57,11 @@
 # --- request path -----------------------------------------------------------
 
 Entry = entry.EntryCore
+Attempts = attempts.Attempts
 Ran = errors.Ran
 
 
-@defect(REQUEST, Entry, "attempt_failed")
+@defect(REQUEST, Attempts, "attempt_failed")
 def retries_a_lost_charge(right):
     def wrong(self, flight, endpoint, fault, now):
         flight.may_have_run = False
@@ -68,7 +70,7 @@
     return wrong
 
 
-@defect(REQUEST, entry, "may_have_run")
+@defect(REQUEST, attempts, "may_have_run")
 def says_not_run_without_proof(_):
     return lambda flight: Ran.NO
 
@@ -113,11 +115,11 @@
     return lambda self, view, report, members, now: []
 
 
-@defect(REQUEST, Entry, "free_parts")
+@defect(REQUEST, Attempts, "free_parts")
 def leaks_memory_of_failed_attempts(_):
     def wrong(self, flight, now, freed):
         flight.parts = ()
-        self.dispatcher.release_group(flight)
+        self.core.dispatcher.release_group(flight)
 
     return wrong
 
@@ -186,7 +188,7 @@
         flight = self.flights.get(request_id)
         if flight is not None:
             flight.may_have_run = False
-            self.fail(flight, entry.caller_gone(), now)
+            self.attempts.fail(flight, attempts.caller_gone(), now)
         return self.flush()
 
     return wrong
@@ -225,11 +227,12 @@
     return wrong
 
 
-@defect(REQUEST, Entry, "end")
+@defect(REQUEST, Attempts, "end")
 def forgets_to_free_limits(_):
     def wrong(self, flight, used, now):
-        self.dispatcher.queue(flight.request.service).remove(flight.request)
-        self.flights.remove(flight)
+        core = self.core
+        core.dispatcher.queue(flight.request.service).remove(flight.request)
+        core.flights.remove(flight)
 
     return wrong
 
--- /dev/null
+++ b/src/_coltsfootroad/core/attempts.py
@@ -0,0 +1,264 @@
+"""What becomes of attempts: progress, failure, retry, the end."""
+
+import enum
+
+import attrs
+
+from _coltsfootroad.core import actions
+from _coltsfootroad.core import admission
+from _coltsfootroad.core import claiming
+from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import errors
+from _coltsfootroad.core import flights as flights_lib
+from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import retries
+
+STREAM_IDLE_S = 20.0
+
+
+class Fault(enum.Enum):
+    """How an attempt failed, by what it proves.
+
+    NOT_SENT: no byte left this process. NOT_RUN: the endpoint says so.
+    LOST: anything else; the work may have happened.
+    """
+
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    LOST = "lost"
+
+
+@attrs.define
+class Attempts:
+    """The part of the entry core from the first chunk to the end."""
+
+    core: object
+
+    def note_progress(self, flight: flights_lib.Flight, now: float) -> None:
+        """Learn from a chunk's timing and push the timeout back."""
+        flight.progress_at = now
+        self.core.flights.arm(flight, now + STREAM_IDLE_S)
+        key = (flight.request_id, flight.attempt)
+        pool = self.core.pool(flight.request.service)
+        for part in flight.parts:
+            view = self.core.view(part.endpoint)
+            work = view.on_first_token(key, now) if view else None
+            if work is None:
+                continue
+            pool.classify(view)
+            pool.outliers.on_success(
+                view.name, now - work.sent_at, work.predicted_s, now
+            )
+        if flight.first_token_at is None:
+            flight.first_token_at = now
+            self.core.dispatcher.pump(flight.request.service, now)
+
+    def emit(
+        self, flight: flights_lib.Flight, chunk: request_lib.Chunk
+    ) -> None:
+        """Hand a piece to the caller and keep it for the claim."""
+        if flight.request.claims_key:
+            flight.answer_parts.append(chunk.data)
+        self.core.out.append(
+            actions.Emit(request_id=flight.request_id, chunk=chunk)
+        )
+
+    def running(
+        self, request_id: str, attempt: int
+    ) -> flights_lib.Flight | None:
+        """Return a flight whose current attempt this is and still runs.
+
+        An attempt that was given up keeps its number until the next one
+        begins; its endpoint may hold memory for it meanwhile.
+        """
+        flight = self.core.flights.get(request_id)
+        if flight is None or flight.attempt != attempt:
+            return None
+        running = flight.state is flights_lib.FlightState.RUNNING
+        return flight if running else None
+
+    def work_freed(
+        self, endpoint: str, key: endpoints.WorkKey, now: float
+    ) -> None:
+        """Forget a piece of work whose memory is free."""
+        self.core.releaser.confirmed(endpoint, key)
+        view = self.core.view(endpoint)
+        if view is None:
+            return
+        view.remove_work(key, now)
+        pool = self.core.pools[self.core.endpoint_service[endpoint]]
+        pool.classify(view)
+        self.core.dispatcher.pump(pool.service, now)
+
+    def attempt_failed(
+        self,
+        flight: flights_lib.Flight,
+        endpoint: str,
+        fault: Fault,
+        now: float,
+    ) -> None:
+        """Retry a failed attempt where that is safe, else fail."""
+        outliers = self.core.pool(flight.request.service).outliers
+        if fault is Fault.NOT_SENT:
+            outliers.on_refused(endpoint, now)
+        else:
+            outliers.on_failure(endpoint, now)
+        nothing_ran = fault is not Fault.LOST and len(flight.parts) == 1
+        if nothing_ran:
+            flight.may_have_run = flight.lost_before
+        else:
+            flight.lost_before = True
+        self.free_parts(flight, now, freed=nothing_ran)
+        if flight.request.non_idempotent and flight.may_have_run:
+            self.fail(flight, lost(endpoint), now)
+            return
+        exhausted = flight.attempt >= retries.MAX_ATTEMPTS
+        if exhausted or not self.core.budget.take():
+            self.fail(flight, lost(endpoint, may_have_run(flight)), now)
+            return
+        self.core.counters.retries += 1
+        if flight.stream.next_offset:
+            self.core.counters.resumed += 1
+        flight.avoid.add(endpoint)
+        flight.state = flights_lib.FlightState.BACKOFF
+        pause = retries.backoff_s(flight.attempt, self.core.rng)
+        self.core.flights.arm(flight, now + pause)
+
+    def free_parts(
+        self, flight: flights_lib.Flight, now: float, freed: bool
+    ) -> None:
+        """Free the memory of the current attempt on all its engines.
+
+        `freed` says that the engines hold nothing; otherwise each part is
+        cancelled until its engine confirms.
+        """
+        key = (flight.request_id, flight.attempt)
+        for part in flight.parts:
+            view = self.core.view(part.endpoint)
+            if view is None or key not in view.work:
+                continue
+            if freed:
+                view.remove_work(key, now)
+                self.core.pool(flight.request.service).classify(view)
+            else:
+                self.core.counters.cancels += 1
+                self.core.out.append(self.core.releaser.release(view, key, now))
+        flight.parts = ()
+        self.core.dispatcher.release_group(flight)
+
+    def finish(
+        self,
+        flight: flights_lib.Flight,
+        answer: request_lib.Answer | None,
+        now: float,
+    ) -> None:
+        """End a flight whose answer is whole."""
+        self.learn(flight, now)
+        leader = flight.parts[0].endpoint
+        key = (flight.request_id, flight.attempt)
+        self.work_freed(leader, key, now)
+        flight.parts = flight.parts[1:]
+        self.free_parts(flight, now, freed=False)
+        request = flight.request
+        if flight.claim_granted:
+            whole = answer or request_lib.Answer(
+                status=200,
+                body=b"".join(flight.answer_parts),
+                content_type=claiming.STREAM_CONTENT_TYPE,
+            )
+            self.core.out.append(
+                actions.SettleClaim(
+                    request=request, ran=errors.Ran.YES, answer=whole
+                )
+            )
+        self.core.counters.finished += 1
+        self.end(flight, flight.stream.next_offset, now)
+        self.core.out.append(
+            actions.Finish(request_id=flight.request_id, answer=answer)
+        )
+
+    def learn(self, flight: flights_lib.Flight, now: float) -> None:
+        """Learn decode speed and output length from a whole answer."""
+        tokens = flight.stream.next_offset
+        if flight.first_token_at is None or tokens < 2:
+            return
+        view = self.core.view(flight.parts[0].endpoint)
+        if view is not None:
+            view.speed.observe_decode(tokens - 1, now - flight.first_token_at)
+        share = self.core.output_share(flight.request.service)
+        share.observe(flight.request.output_tokens, tokens)
+
+    def fail(
+        self,
+        flight: flights_lib.Flight,
+        failure: errors.Failure,
+        now: float,
+    ) -> None:
+        """End a flight with its final failure, at once."""
+        ran = may_have_run(flight)
+        if failure.ran is errors.Ran.NO and ran is not errors.Ran.NO:
+            failure = attrs.evolve(failure, ran=ran)
+        self.free_parts(flight, now, freed=False)
+        if flight.claim_granted or flight.claim_tries:
+            self.core.out.append(
+                actions.SettleClaim(request=flight.request, ran=failure.ran)
+            )
+        self.core.counters.failed += 1
+        self.end(flight, 0, now)
+        self.core.out.append(
+            actions.Fail(request_id=flight.request_id, failure=failure)
+        )
+
+    def end(self, flight: flights_lib.Flight, used: int, now: float) -> None:
+        """Take a flight out of every table."""
+        request = flight.request
+        self.core.dispatcher.queue(request.service).remove(request)
+        meter = self.core.limits.meter(request.workspace)
+        if flight.charged:
+            unused = max(0, request.output_tokens - used)
+            meter.finish(unused if used else 0)
+        else:
+            meter.waiting -= 1
+        self.core.flights.remove(flight)
+        self.core.dispatcher.pump(request.service, now)
+
+
+def may_have_run(flight: flights_lib.Flight) -> errors.Ran:
+    """Return what can be said of the work of a flight that failed."""
+    return errors.Ran.UNKNOWN if flight.may_have_run else errors.Ran.NO
+
+
+def lost(endpoint: str, ran: errors.Ran = errors.Ran.UNKNOWN) -> errors.Failure:
+    """Return the failure of a request whose attempts were lost."""
+    return errors.Failure(
+        errors.ErrorCode.ENDPOINT_FAILED,
+        f"endpoint {endpoint!r} failed before the answer was whole",
+        ran,
+        admission.ENTRY_RETRY_S if ran is errors.Ran.NO else None,
+    )
+
+
+def deadline_exceeded(flight: flights_lib.Flight) -> errors.Failure:
+    """Return the failure of a request whose time is over."""
+    return errors.Failure(
+        errors.ErrorCode.DEADLINE_EXCEEDED,
+        f"the deadline passed while the request was {flight.state.value}",
+        may_have_run(flight),
+    )
+
+
+def no_endpoint(flight: flights_lib.Flight) -> errors.Failure:
+    """Return the failure of a request that no endpoint is left for."""
+    return errors.Failure(
+        errors.ErrorCode.NO_ENDPOINT,
+        f"no endpoint serves {flight.request.service!r} any more",
+        may_have_run(flight),
+        admission.NO_ENDPOINT_RETRY_S,
+    )
+
+
+def caller_gone() -> errors.Failure:
+    """Return the failure of a request that nobody waits for."""
+    return errors.Failure(
+        errors.ErrorCode.CALLER_GONE, "the caller closed the connection"
+    )
--- a/src/_coltsfootroad/core/claiming.py
+++ b/src/_coltsfootroad/core/claiming.py
@@ -66,7 +66,7 @@
         "the control state did not answer; the call was not made",
         admission.ENTRY_RETRY_S,
     )
-    core.fail(flight, refusal, now)
+    core.attempts.fail(flight, refusal, now)
 
 
 def on_answer(
@@ -89,7 +89,7 @@
         give_stored(core, flight, answer.answer, now)
         return
     code, message, ran = REFUSALS[answer.status]
-    core.fail(
+    core.attempts.fail(
         flight,
         errors.Failure(code, message, ran, answer.retry_after_s),
         now,
@@ -104,5 +104,5 @@
 ) -> None:
     """Answer a resend with what the first run answered."""
     core.counters.finished += 1
-    core.end(flight, 0, now)
+    core.attempts.end(flight, 0, now)
     core.out.append(actions.Finish(request_id=flight.request_id, answer=answer))
--- a/src/_coltsfootroad/core/dispatcher.py
+++ b/src/_coltsfootroad/core/dispatcher.py
@@ -303,7 +303,7 @@
         """Fail a flight at once when no group could ever hold it."""
         refusal = admission.check_capacity(flight.request, pool)
         if refusal is not None:
-            self.core.fail(flight, refusal, now)
+            self.core.attempts.fail(flight, refusal, now)
 
     def reservation(self, flight: flights.Flight) -> actions.ReserveGroup:
         """Return the request for, or the renewal of, a reservation."""
--- a/src/_coltsfootroad/core/entry.py
+++ b/src/_coltsfootroad/core/entry.py
@@ -1,6 +1,5 @@
 """The entry's decision core: events and `now` in, actions out."""
 
-import enum
 import random
 
 import attrs
@@ -10,6 +9,7 @@
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import admission
+from _coltsfootroad.core import attempts as attempts_lib
 from _coltsfootroad.core import claiming
 from _coltsfootroad.core import config as config_lib
 from _coltsfootroad.core import dispatcher as dispatcher_lib
@@ -25,12 +25,12 @@
 from _coltsfootroad.core import releases
 from _coltsfootroad.core import request as request_lib
 from _coltsfootroad.core import retries
+from _coltsfootroad.core import roster as roster_lib
 
 # No first token this long past a generous multiple of the prediction, or
 # no progress of a stream: the attempt is lost.
 FIRST_TOKEN_FACTOR = 4.0
 FIRST_TOKEN_GRACE_S = 10.0
-STREAM_IDLE_S = 20.0
 # How often the queue is tried again, and each waiting request is checked.
 PUMP_EVERY_S = 0.05
 LOAD_DIGITS = 4
@@ -41,17 +41,7 @@
 EXPIRED_PATIENCE_S = 3.0
 AGE_STEP_S = 5.0
 
-
-class Fault(enum.Enum):
-    """How an attempt failed, by what it proves.
-
-    NOT_SENT: no byte left this process. NOT_RUN: the endpoint says so.
-    LOST: anything else; the work may have happened.
-    """
-
-    NOT_SENT = "not_sent"
-    NOT_RUN = "not_run"
-    LOST = "lost"
+Fault = attempts_lib.Fault
 
 
 @attrs.define
@@ -97,11 +87,15 @@
     out: list[actions.Action] = attrs.Factory(list)
     releaser: releases.Releaser = attrs.field(init=False)
     dispatcher: dispatcher_lib.Dispatcher = attrs.field(init=False)
+    attempts: attempts_lib.Attempts = attrs.field(init=False)
+    roster: roster_lib.Roster = attrs.field(init=False)
     output_shares: dict[str, admission.OutputShare] = attrs.Factory(dict)
 
     def __attrs_post_init__(self):
         self.releaser = releases.Releaser(self.owner)
         self.dispatcher = dispatcher_lib.Dispatcher(self)
+        self.attempts = attempts_lib.Attempts(self)
+        self.roster = roster_lib.Roster(self)
 
     @property
     def owner(self) -> str:
@@ -228,7 +222,7 @@
             return self.flush()
         if flight.request.non_idempotent and flight.may_have_run:
             return self.flush()
-        self.fail(flight, caller_gone(), now)
+        self.attempts.fail(flight, attempts_lib.caller_gone(), now)
         return self.flush()
 
     # --- control ---------------------------------------------------------
@@ -312,12 +306,12 @@
         self.registry_epoch = reply.epoch
         self.registry_mark = reply.registry_mark
         for name in reply.gone:
-            self.expire_endpoint(name, now)
+            self.roster.expire_endpoint(name, now)
         for announcement in reply.announcements:
-            self.take_announcement(announcement, now)
-        self.drop_expired(now)
+            self.roster.take_announcement(announcement, now)
+        self.roster.drop_expired(now)
         for aged in reply.loads:
-            self.take_load(
+            self.roster.take_load(
                 attrs.evolve(aged.report, measured_at=now - aged.age_s), now
             )
         self.apply_group_holds(reply.group_holds)
@@ -383,95 +377,17 @@
     ) -> list[actions.Action]:
         """Take an announcement that an endpoint sent to this entry."""
         self.announced[announcement.endpoint] = announcement
-        self.take_announcement(announcement, now)
+        self.roster.take_announcement(announcement, now)
         return self.flush()
 
-    def take_announcement(
-        self, announcement: registry.Announcement, now: float
-    ) -> None:
-        """Update the view of an endpoint unless a newer one is known."""
-        name = announcement.endpoint
-        view = self.view(name)
-        if view is not None:
-            same = announcement == view.announcement
-            newer = registry.is_newer(announcement, view.announcement)
-            if not newer and not (same and view.expired):
-                return
-            view.expired = False
-            old = view.announcement
-            restarted = announcement.incarnation > old.incarnation
-            if restarted or announcement.state is registry.EndpointState.GONE:
-                self.lose_endpoint(view, now)
-            elif old.state is registry.EndpointState.LEAVING:
-                announcement = attrs.evolve(announcement, state=old.state)
-        if announcement.state is registry.EndpointState.GONE:
-            self.drop_endpoint(name, now)
-            return
-        self.endpoint_service[name] = announcement.service
-        self.pool(announcement.service).update(announcement, now)
-        self.dispatcher.pump(announcement.service, now)
-
-    def drop_endpoint(self, name: str, now: float) -> None:
-        """Forget an endpoint that is gone, and move its work elsewhere."""
-        view = self.view(name)
-        if view is None:
-            return
-        self.lose_endpoint(view, now)
-        service = self.endpoint_service.pop(name)
-        self.pools[service].remove(name)
-
-    def expire_endpoint(self, name: str, now: float) -> None:
-        """Give an endpoint whose lease has ended no new work.
-
-        Streams that still make progress go on: the announcements may be
-        all that is lost. The others are looked at once more at once.
-        """
-        view = self.view(name)
-        if view is None:
-            return
-        view.expired = True
-        self.pools[self.endpoint_service[name]].classify(view)
-        for request_id, attempt in view.work:
-            flight = self.running(request_id, attempt)
-            if flight is not None:
-                self.flights.arm(flight, now)
-
-    def drop_expired(self, now: float) -> None:
-        """Forget expired endpoints without work; reports find leftovers."""
-        for name in list(self.endpoint_service):
-            view = self.view(name)
-            if view.expired and not view.has_active_work():
-                self.drop_endpoint(name, now)
-
-    def lose_endpoint(self, view: endpoints.EndpointView, now: float) -> None:
-        """Fail every attempt at an endpoint that died or restarted."""
-        self.releaser.forget_endpoint(view.name)
-        lost = list(view.work)
-        view.work.clear()
-        for request_id, attempt in lost:
-            flight = self.running(request_id, attempt)
-            if flight is not None:
-                self.attempt_failed(flight, view.name, Fault.LOST, now)
-
     def on_load(
         self, report: endpoints.LoadReport, now: float
     ) -> list[actions.Action]:
         """Take a load report that an endpoint sent to this entry."""
         self.reported[report.endpoint] = report
-        self.take_load(report, now)
+        self.roster.take_load(report, now)
         return self.flush()
 
-    def take_load(self, report: endpoints.LoadReport, now: float) -> None:
-        """Update a view by a report and reconcile held memory."""
-        view = self.view(report.endpoint)
-        if view is None or not view.on_report(report, now):
-            return
-        pool = self.pools[self.endpoint_service[view.name]]
-        pool.classify(view)
-        self.out += self.releaser.reconcile(
-            view, report, self.freshness.members, now
-        )
-
     def on_cache_event(
         self, event: prefixes.CacheEvent, now: float
     ) -> list[actions.Action]:
@@ -509,46 +425,19 @@
         now: float,
     ) -> list[actions.Action]:
         """Take a piece of an answer, whatever attempt it belongs to."""
-        flight = self.running(request_id, attempt)
+        flight = self.attempts.running(request_id, attempt)
         if flight is None or flight.parts[0].endpoint != endpoint:
             self.counters.late_chunks += 1
             return self.flush()
-        self.note_progress(flight, now)
+        self.attempts.note_progress(flight, now)
         for ready in flight.stream.add(attempt, chunk):
-            self.emit(flight, ready)
+            self.attempts.emit(flight, ready)
         if flight.stream.complete:
-            self.finish(flight, None, now)
+            self.attempts.finish(flight, None, now)
         elif flight.stream.overflow:
-            self.attempt_failed(flight, endpoint, Fault.LOST, now)
+            self.attempts.attempt_failed(flight, endpoint, Fault.LOST, now)
         return self.flush()
 
-    def note_progress(self, flight: flights_lib.Flight, now: float) -> None:
-        """Learn from a chunk's timing and push the timeout back."""
-        flight.progress_at = now
-        self.flights.arm(flight, now + STREAM_IDLE_S)
-        key = (flight.request_id, flight.attempt)
-        pool = self.pool(flight.request.service)
-        for part in flight.parts:
-            view = self.view(part.endpoint)
-            work = view.on_first_token(key, now) if view else None
-            if work is None:
-                continue
-            pool.classify(view)
-            pool.outliers.on_success(
-                view.name, now - work.sent_at, work.predicted_s, now
-            )
-        if flight.first_token_at is None:
-            flight.first_token_at = now
-            self.dispatcher.pump(flight.request.service, now)
-
-    def emit(
-        self, flight: flights_lib.Flight, chunk: request_lib.Chunk
-    ) -> None:
-        """Hand a piece to the caller and keep it for the claim."""
-        if flight.request.claims_key:
-            flight.answer_parts.append(chunk.data)
-        self.out.append(actions.Emit(request_id=flight.request_id, chunk=chunk))
-
     def on_answer(
         self,
         endpoint: str,
@@ -558,29 +447,15 @@
         now: float,
     ) -> list[actions.Action]:
         """Take the whole answer of a plain service."""
-        flight = self.running(request_id, attempt)
+        flight = self.attempts.running(request_id, attempt)
         if flight is None:
             self.counters.late_chunks += 1
             return self.flush()
         pool = self.pool(flight.request.service)
         pool.outliers.on_success(endpoint, 1.0, 1.0, now)
-        self.finish(flight, answer, now)
+        self.attempts.finish(flight, answer, now)
         return self.flush()
 
-    def running(
-        self, request_id: str, attempt: int
-    ) -> flights_lib.Flight | None:
-        """Return a flight whose current attempt this is and still runs.
-
-        An attempt that was given up keeps its number until the next one
-        begins; its endpoint may hold memory for it meanwhile.
-        """
-        flight = self.flights.get(request_id)
-        if flight is None or flight.attempt != attempt:
-            return None
-        running = flight.state is flights_lib.FlightState.RUNNING
-        return flight if running else None
-
     def on_attempt_failed(
         self,
         endpoint: str,
@@ -590,171 +465,24 @@
         now: float,
     ) -> list[actions.Action]:
         """Take the failure of one attempt."""
-        flight = self.running(request_id, attempt)
+        flight = self.attempts.running(request_id, attempt)
         if flight is not None:
-            self.attempt_failed(flight, endpoint, fault, now)
+            self.attempts.attempt_failed(flight, endpoint, fault, now)
         elif fault is not Fault.LOST:
-            self.work_freed(endpoint, (request_id, attempt), now)
+            self.attempts.work_freed(endpoint, (request_id, attempt), now)
         return self.flush()
 
     def on_cancel_confirmed(
         self, endpoint: str, request_id: str, attempt: int, now: float
     ) -> list[actions.Action]:
         """Take the engine's word that it holds nothing of an attempt."""
-        self.work_freed(endpoint, (request_id, attempt), now)
+        self.attempts.work_freed(endpoint, (request_id, attempt), now)
         return self.flush()
 
-    def work_freed(
-        self, endpoint: str, key: endpoints.WorkKey, now: float
-    ) -> None:
-        """Forget a piece of work whose memory is free."""
-        self.releaser.confirmed(endpoint, key)
-        view = self.view(endpoint)
-        if view is None:
-            return
-        view.remove_work(key, now)
-        pool = self.pools[self.endpoint_service[endpoint]]
-        pool.classify(view)
-        self.dispatcher.pump(pool.service, now)
-
-    def attempt_failed(
-        self,
-        flight: flights_lib.Flight,
-        endpoint: str,
-        fault: Fault,
-        now: float,
-    ) -> None:
-        """Retry a failed attempt where that is safe, else fail."""
-        outliers = self.pool(flight.request.service).outliers
-        if fault is Fault.NOT_SENT:
-            outliers.on_refused(endpoint, now)
-        else:
-            outliers.on_failure(endpoint, now)
-        nothing_ran = fault is not Fault.LOST and len(flight.parts) == 1
-        if nothing_ran:
-            flight.may_have_run = flight.lost_before
-        else:
-            flight.lost_before = True
-        self.free_parts(flight, now, freed=nothing_ran)
-        if flight.request.non_idempotent and flight.may_have_run:
-            self.fail(flight, lost(endpoint), now)
-            return
-        exhausted = flight.attempt >= retries.MAX_ATTEMPTS
-        if exhausted or not self.budget.take():
-            self.fail(flight, lost(endpoint, may_have_run(flight)), now)
-            return
-        self.counters.retries += 1
-        if flight.stream.next_offset:
-            self.counters.resumed += 1
-        flight.avoid.add(endpoint)
-        flight.state = flights_lib.FlightState.BACKOFF
-        pause = retries.backoff_s(flight.attempt, self.rng)
-        self.flights.arm(flight, now + pause)
-
-    def free_parts(
-        self, flight: flights_lib.Flight, now: float, freed: bool
-    ) -> None:
-        """Free the memory of the current attempt on all its engines.
-
-        `freed` says that the engines hold nothing; otherwise each part is
-        cancelled until its engine confirms.
-        """
-        key = (flight.request_id, flight.attempt)
-        for part in flight.parts:
-            view = self.view(part.endpoint)
-            if view is None or key not in view.work:
-                continue
-            if freed:
-                view.remove_work(key, now)
-                self.pool(flight.request.service).classify(view)
-            else:
-                self.counters.cancels += 1
-                self.out.append(self.releaser.release(view, key, now))
-        flight.parts = ()
-        self.dispatcher.release_group(flight)
-
-    # --- ends ------------------------------------------------------------
-
-    def finish(
-        self,
-        flight: flights_lib.Flight,
-        answer: request_lib.Answer | None,
-        now: float,
-    ) -> None:
-        """End a flight whose answer is whole."""
-        self.learn(flight, now)
-        leader = flight.parts[0].endpoint
-        key = (flight.request_id, flight.attempt)
-        self.work_freed(leader, key, now)
-        flight.parts = flight.parts[1:]
-        self.free_parts(flight, now, freed=False)
-        request = flight.request
-        if flight.claim_granted:
-            whole = answer or request_lib.Answer(
-                status=200,
-                body=b"".join(flight.answer_parts),
-                content_type=claiming.STREAM_CONTENT_TYPE,
-            )
-            self.out.append(
-                actions.SettleClaim(
-                    request=request, ran=errors.Ran.YES, answer=whole
-                )
-            )
-        self.counters.finished += 1
-        self.end(flight, flight.stream.next_offset, now)
-        self.out.append(
-            actions.Finish(request_id=flight.request_id, answer=answer)
-        )
-
-    def learn(self, flight: flights_lib.Flight, now: float) -> None:
-        """Learn decode speed and output length from a whole answer."""
-        tokens = flight.stream.next_offset
-        if flight.first_token_at is None or tokens < 2:
-            return
-        view = self.view(flight.parts[0].endpoint)
-        if view is not None:
-            view.speed.observe_decode(tokens - 1, now - flight.first_token_at)
-        share = self.output_share(flight.request.service)
-        share.observe(flight.request.output_tokens, tokens)
-
     def output_share(self, service: str) -> admission.OutputShare:
         """Return what is learned of a service's output lengths."""
         return self.output_shares.setdefault(service, admission.OutputShare())
 
-    def fail(
-        self,
-        flight: flights_lib.Flight,
-        failure: errors.Failure,
-        now: float,
-    ) -> None:
-        """End a flight with its final failure, at once."""
-        ran = may_have_run(flight)
-        if failure.ran is errors.Ran.NO and ran is not errors.Ran.NO:
-            failure = attrs.evolve(failure, ran=ran)
-        self.free_parts(flight, now, freed=False)
-        if flight.claim_granted or flight.claim_tries:
-            self.out.append(
-                actions.SettleClaim(request=flight.request, ran=failure.ran)
-            )
-        self.counters.failed += 1
-        self.end(flight, 0, now)
-        self.out.append(
-            actions.Fail(request_id=flight.request_id, failure=failure)
-        )
-
-    def end(self, flight: flights_lib.Flight, used: int, now: float) -> None:
-        """Take a flight out of every table."""
-        request = flight.request
-        self.dispatcher.queue(request.service).remove(request)
-        meter = self.limits.meter(request.workspace)
-        if flight.charged:
-            unused = max(0, request.output_tokens - used)
-            meter.finish(unused if used else 0)
-        else:
-            meter.waiting -= 1
-        self.flights.remove(flight)
-        self.dispatcher.pump(request.service, now)
-
     # --- time ------------------------------------------------------------
 
     def tick(self, now: float) -> list[actions.Action]:
@@ -779,7 +507,7 @@
         )
         for flight in list(self.flights.flights.values()):
             if flight.state in waiting:
-                self.fail(
+                self.attempts.fail(
                     flight,
                     admission.refuse(
                         errors.ErrorCode.ENTRY_FENCED,
@@ -793,7 +521,9 @@
     def on_timer(self, flight: flights_lib.Flight, now: float) -> None:
         """Act on a flight whose timer has run out."""
         if now >= flight.request.deadline_at:
-            self.fail(flight, deadline_exceeded(flight), now)
+            self.attempts.fail(
+                flight, attempts_lib.deadline_exceeded(flight), now
+            )
             return
         match flight.state:
             case flights_lib.FlightState.CLAIMING:
@@ -812,12 +542,14 @@
             predicted_s = self.dispatcher.minimum_s(flight.request, pool)
             refusal = admission.check_deadline(flight.request, predicted_s, now)
             if refusal is not None:
-                self.fail(flight, refusal, now)
+                self.attempts.fail(flight, refusal, now)
                 return
         if not pool.serving_count():
             empty_s = now - max(pool.emptied_at, flight.request.arrived_at)
             if empty_s >= NO_ENDPOINT_PATIENCE_S:
-                self.fail(flight, no_endpoint(flight), now)
+                self.attempts.fail(
+                    flight, attempts_lib.no_endpoint(flight), now
+                )
                 return
         if flight.state is flights_lib.FlightState.RESERVING:
             self.dispatcher.reserve(flight, now)
@@ -833,7 +565,7 @@
             give_up_at = flight.dispatched_at + patience + FIRST_TOKEN_GRACE_S
             self.dispatcher.age(flight, now)
         else:
-            give_up_at = flight.progress_at + STREAM_IDLE_S
+            give_up_at = flight.progress_at + attempts_lib.STREAM_IDLE_S
         view = self.view(flight.parts[0].endpoint)
         if view is None or view.expired:
             give_up_at = min(
@@ -841,7 +573,7 @@
             )
         if now >= give_up_at:
             endpoint = flight.parts[0].endpoint
-            self.attempt_failed(flight, endpoint, Fault.LOST, now)
+            self.attempts.attempt_failed(flight, endpoint, Fault.LOST, now)
             return
         self.flights.arm(flight, min(give_up_at, now + AGE_STEP_S))
 
@@ -883,44 +615,3 @@
             members = tuple(m for m in members if m.entry != self.entry)
         validity = self.config.fleet.address_validity_s
         return addresses.answer(members, caller, zone, validity)
-
-
-def may_have_run(flight: flights_lib.Flight) -> errors.Ran:
-    """Return what can be said of the work of a flight that failed."""
-    return errors.Ran.UNKNOWN if flight.may_have_run else errors.Ran.NO
-
-
-def lost(endpoint: str, ran: errors.Ran = errors.Ran.UNKNOWN) -> errors.Failure:
-    """Return the failure of a request whose attempts were lost."""
-    return errors.Failure(
-        errors.ErrorCode.ENDPOINT_FAILED,
-        f"endpoint {endpoint!r} failed before the answer was whole",
-        ran,
-        admission.ENTRY_RETRY_S if ran is errors.Ran.NO else None,
-    )
-
-
-def deadline_exceeded(flight: flights_lib.Flight) -> errors.Failure:
-    """Return the failure of a request whose time is over."""
-    return errors.Failure(
-        errors.ErrorCode.DEADLINE_EXCEEDED,
-        f"the deadline passed while the request was {flight.state.value}",
-        may_have_run(flight),
-    )
-
-
-def no_endpoint(flight: flights_lib.Flight) -> errors.Failure:
-    """Return the failure of a request that no endpoint is left for."""
-    return errors.Failure(
-        errors.ErrorCode.NO_ENDPOINT,
-        f"no endpoint serves {flight.request.service!r} any more",
-        may_have_run(flight),
-        admission.NO_ENDPOINT_RETRY_S,
-    )
-
-
-def caller_gone() -> errors.Failure:
-    """Return the failure of a request that nobody waits for."""
-    return errors.Failure(
-        errors.ErrorCode.CALLER_GONE, "the caller closed the connection"
-    )
--- /dev/null
+++ b/src/_coltsfootroad/core/roster.py
@@ -0,0 +1,96 @@
+"""The endpoints that an entry knows: coming, reporting, going."""
+
+import attrs
+
+from _coltsfootroad.core import attempts as attempts_lib
+from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import registry
+
+Fault = attempts_lib.Fault
+
+
+@attrs.define
+class Roster:
+    """The part of the entry core that follows endpoints."""
+
+    core: object
+
+    def take_announcement(
+        self, announcement: registry.Announcement, now: float
+    ) -> None:
+        """Update the view of an endpoint unless a newer one is known."""
+        name = announcement.endpoint
+        view = self.core.view(name)
+        if view is not None:
+            same = announcement == view.announcement
+            newer = registry.is_newer(announcement, view.announcement)
+            if not newer and not (same and view.expired):
+                return
+            view.expired = False
+            old = view.announcement
+            restarted = announcement.incarnation > old.incarnation
+            if restarted or announcement.state is registry.EndpointState.GONE:
+                self.lose_endpoint(view, now)
+            elif old.state is registry.EndpointState.LEAVING:
+                announcement = attrs.evolve(announcement, state=old.state)
+        if announcement.state is registry.EndpointState.GONE:
+            self.drop_endpoint(name, now)
+            return
+        self.core.endpoint_service[name] = announcement.service
+        self.core.pool(announcement.service).update(announcement, now)
+        self.core.dispatcher.pump(announcement.service, now)
+
+    def drop_endpoint(self, name: str, now: float) -> None:
+        """Forget an endpoint that is gone, and move its work elsewhere."""
+        view = self.core.view(name)
+        if view is None:
+            return
+        self.lose_endpoint(view, now)
+        service = self.core.endpoint_service.pop(name)
+        self.core.pools[service].remove(name)
+
+    def expire_endpoint(self, name: str, now: float) -> None:
+        """Give an endpoint whose lease has ended no new work.
+
+        Streams that still make progress go on: the announcements may be
+        all that is lost. The others are looked at once more at once.
+        """
+        view = self.core.view(name)
+        if view is None:
+            return
+        view.expired = True
+        self.core.pools[self.core.endpoint_service[name]].classify(view)
+        for request_id, attempt in view.work:
+            flight = self.core.attempts.running(request_id, attempt)
+            if flight is not None:
+                self.core.flights.arm(flight, now)
+
+    def drop_expired(self, now: float) -> None:
+        """Forget expired endpoints without work; reports find leftovers."""
+        for name in list(self.core.endpoint_service):
+            view = self.core.view(name)
+            if view.expired and not view.has_active_work():
+                self.drop_endpoint(name, now)
+
+    def lose_endpoint(self, view: endpoints.EndpointView, now: float) -> None:
+        """Fail every attempt at an endpoint that died or restarted."""
+        self.core.releaser.forget_endpoint(view.name)
+        lost = list(view.work)
+        view.work.clear()
+        for request_id, attempt in lost:
+            flight = self.core.attempts.running(request_id, attempt)
+            if flight is not None:
+                self.core.attempts.attempt_failed(
+                    flight, view.name, Fault.LOST, now
+                )
+
+    def take_load(self, report: endpoints.LoadReport, now: float) -> None:
+        """Update a view by a report and reconcile held memory."""
+        view = self.core.view(report.endpoint)
+        if view is None or not view.on_report(report, now):
+            return
+        pool = self.core.pools[self.core.endpoint_service[view.name]]
+        pool.classify(view)
+        self.core.out += self.core.releaser.reconcile(
+            view, report, self.core.freshness.members, now
+        )
