Refuse over-rate requests at once; one place for control calls

Change: rate_limited with the time to come back when the rate leaves no turn before the deadline; core/calls.py builds the messages for both; the parts of the core name the type of the core they belong to.

--- a/features/support/histories.py
+++ b/features/support/histories.py
@@ -255,6 +255,19 @@
     assert not machine.world.hub.groups.holds, "a group outlived its request"
 
 
+@history(REQUEST)
+def workspace_over_its_rate_is_told_at_once(machine):
+    ask(machine, "entry-0")
+    wait(machine, 0.2)
+    core = machine.world.entries["entry-0"].core
+    core.limits.meter("shop").tokens = -50.0 * requestmachine.TOKENS_PER_S
+    record = ask(machine, "entry-0")
+    wait(machine, 0.01)
+    assert record.failure.code is errors.ErrorCode.RATE_LIMITED, record
+    assert record.failure.retry_after_s > 10, record
+    core.limits.meter("shop").tokens = 0.0
+
+
 @history(REQUEST)
 def shares_move_between_entries(machine):
     for number in range(10):
--- a/src/_coltsfootroad/core/admission.py
+++ b/src/_coltsfootroad/core/admission.py
@@ -5,6 +5,7 @@
 from _coltsfootroad.core import config as config_lib
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import fairqueue
+from _coltsfootroad.core import limits
 from _coltsfootroad.core import placement
 from _coltsfootroad.core import pool as pool_lib
 from _coltsfootroad.core import request as request_lib
@@ -135,6 +136,27 @@
     )
 
 
+def check_rate(
+    request: request_lib.Request, meter: limits.WorkspaceMeter, now: float
+) -> errors.Failure | None:
+    """Return a refusal if the rate leaves no turn before the deadline.
+
+    Waiting for it would only end at the deadline; the caller is told at
+    once when to come back.
+    """
+    if not meter.has_lease(now):
+        return None
+    turn_at = meter.refill_at(now)
+    if turn_at <= request.deadline_at:
+        return None
+    return refuse(
+        errors.ErrorCode.RATE_LIMITED,
+        f"workspace {request.workspace!r} is over its rate for another"
+        f" {turn_at - now:.1f} s, past the deadline",
+        round(turn_at - now, 1),
+    )
+
+
 def check_queue(
     request: request_lib.Request,
     queue: fairqueue.FairQueue,
--- a/src/_coltsfootroad/core/attempts.py
+++ b/src/_coltsfootroad/core/attempts.py
@@ -1,6 +1,7 @@
 """What becomes of attempts: progress, failure, retry, the end."""
 
 import enum
+import typing
 
 import attrs
 
@@ -13,6 +14,9 @@
 from _coltsfootroad.core import request as request_lib
 from _coltsfootroad.core import retries
 
+if typing.TYPE_CHECKING:
+    from _coltsfootroad.core import entry
+
 STREAM_IDLE_S = 20.0
 
 
@@ -32,7 +36,7 @@
 class Attempts:
     """The part of the entry core from the first chunk to the end."""
 
-    core: object
+    core: "entry.EntryCore"
 
     def note_progress(self, flight: flights_lib.Flight, now: float) -> None:
         """Learn from a chunk's timing and push the timeout back."""
--- a/src/_coltsfootroad/core/claiming.py
+++ b/src/_coltsfootroad/core/claiming.py
@@ -1,5 +1,7 @@
 """Takes the durable claim of a non-idempotent request before dispatch."""
 
+import typing
+
 from _coltsfootroad.control import messages
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import admission
@@ -7,6 +9,9 @@
 from _coltsfootroad.core import flights
 from _coltsfootroad.core import request as request_lib
 
+if typing.TYPE_CHECKING:
+    from _coltsfootroad.core import entry
+
 CLAIM_RETRY_S = 0.5
 MAX_CLAIM_TRIES = 6
 # Content type under which the joined text of an engine's answer is stored.
@@ -48,7 +53,7 @@
 }
 
 
-def begin(core, flight: flights.Flight, now: float) -> None:
+def begin(core: "entry.EntryCore", flight: flights.Flight, now: float) -> None:
     """Ask for the claim and wait for its answer."""
     flight.state = flights.FlightState.CLAIMING
     flight.claim_tries += 1
@@ -56,7 +61,7 @@
     core.flights.arm(flight, now + CLAIM_RETRY_S)
 
 
-def retry(core, flight: flights.Flight, now: float) -> None:
+def retry(core: "entry.EntryCore", flight: flights.Flight, now: float) -> None:
     """Ask again, with the same token, or give up."""
     if flight.claim_tries < MAX_CLAIM_TRIES:
         begin(core, flight, now)
@@ -70,7 +75,7 @@
 
 
 def on_answer(
-    core,
+    core: "entry.EntryCore",
     flight: flights.Flight,
     answer: messages.ClaimAnswer,
     now: float,
@@ -97,7 +102,7 @@
 
 
 def give_stored(
-    core,
+    core: "entry.EntryCore",
     flight: flights.Flight,
     answer: request_lib.Answer,
     now: float,
--- a/src/_coltsfootroad/core/dispatcher.py
+++ b/src/_coltsfootroad/core/dispatcher.py
@@ -1,5 +1,7 @@
 """Queues, routes and sends; reserves groups for the longest prompts."""
 
+import typing
+
 import attrs
 
 from _coltsfootroad.control import messages
@@ -15,6 +17,9 @@
 from _coltsfootroad.core import pool as pool_lib
 from _coltsfootroad.core import request as request_lib
 
+if typing.TYPE_CHECKING:
+    from _coltsfootroad.core import entry
+
 # Heads that are tried in vain per pump before the rest must wait.
 MAX_VAIN_TRIES = 16
 # Choices made to get away from where a request failed before.
@@ -31,7 +36,7 @@
 class Dispatcher:
     """The part of the entry core between admission and endpoint."""
 
-    core: object
+    core: "entry.EntryCore"
     queues: dict[str, fairqueue.FairQueue] = attrs.Factory(dict)
     bands_by_service: dict[str, lengths.LengthBands] = attrs.Factory(dict)
     policies: dict[str, tuple] = attrs.Factory(dict)
--- a/src/_coltsfootroad/core/entry.py
+++ b/src/_coltsfootroad/core/entry.py
@@ -1,5 +1,6 @@
 """The entry's decision core: events and `now` in, actions out."""
 
+from collections.abc import Callable
 import random
 
 import attrs
@@ -71,7 +72,9 @@
     entry: str
     incarnation: int
     rng: random.Random
-    make_policy: object = policies.for_service
+    make_policy: Callable[[config_lib.Service], policies.Policy] = (
+        policies.for_service
+    )
     freshness: freshness_lib.Freshness = attrs.Factory(freshness_lib.Freshness)
     flights: flights_lib.FlightTable = attrs.Factory(flights_lib.FlightTable)
     limits: limits_lib.LimitTable = attrs.Factory(limits_lib.LimitTable)
@@ -196,6 +199,11 @@
         wait_s = admission.queue_wait_s(queue, band, pool)
         service = self.config.services[request.service]
         refusal = admission.check_queue(request, queue, service, wait_s)
+        if refusal is not None:
+            return refusal
+        refusal = admission.check_rate(
+            request, self.limits.meter(request.workspace), now
+        )
         if refusal is not None:
             return refusal
         predicted_s = wait_s + self.dispatcher.predict_s(
--- a/src/_coltsfootroad/core/roster.py
+++ b/src/_coltsfootroad/core/roster.py
@@ -1,11 +1,16 @@
 """The endpoints that an entry knows: coming, reporting, going."""
 
+import typing
+
 import attrs
 
 from _coltsfootroad.core import attempts as attempts_lib
 from _coltsfootroad.core import endpoints
 from _coltsfootroad.core import registry
 
+if typing.TYPE_CHECKING:
+    from _coltsfootroad.core import entry
+
 Fault = attempts_lib.Fault
 
 
@@ -13,7 +18,7 @@
 class Roster:
     """The part of the entry core that follows endpoints."""
 
-    core: object
+    core: "entry.EntryCore"
 
     def take_announcement(
         self, announcement: registry.Announcement, now: float
--- a/src/_coltsfootroad/replay/world.py
+++ b/src/_coltsfootroad/replay/world.py
@@ -16,6 +16,7 @@
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import addresses
+from _coltsfootroad.core import calls
 from _coltsfootroad.core import entry as entry_lib
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import flights as flights_lib
@@ -341,24 +342,19 @@
             case actions.Reprioritise():
                 self.reprioritise(entry, action)
             case actions.TakeClaim():
-                self.take_claim(entry, core, action.request)
+                self.take_claim(entry, core, action)
             case actions.SettleClaim():
                 entry.unsettled += 1
                 self.settle(entry, core, action)
             case actions.ReserveGroup():
-                message = messages.GroupReserve(
-                    group=action.group,
-                    service=action.service,
-                    engines=action.engines,
-                    lease_s=action.lease_s,
-                )
+                message = calls.reserve_call(action)
                 self.ask_control(
                     entry,
                     message,
                     lambda a: self.run_core(entry, core.on_group, a),
                 )
             case actions.ReleaseGroup():
-                message = messages.GroupRelease(group=action.group)
+                message = calls.release_call(action)
                 self.ask_control(entry, message, lambda _: None)
 
     def share_note(self, entry: SimEntry, note) -> None:
@@ -375,17 +371,11 @@
                 )
 
     def take_claim(
-        self, entry: SimEntry, core, request: request_lib.Request
+        self, entry: SimEntry, core, action: actions.TakeClaim
     ) -> None:
         """Ask for a claim."""
-        message = messages.TakeClaim(
-            workspace=request.workspace,
-            key=request.idempotency_key,
-            key_time=request.key_time,
-            body_hash=request.body_hash,
-            token=request.request_id,
-            lease_s=request.deadline_at - self.now,
-        )
+        request = action.request
+        message = calls.claim_call(action, self.now)
         self.ask_control(
             entry,
             message,
@@ -400,14 +390,7 @@
         """Settle a claim, again and again until it is heard."""
         if entry.core is not core or not entry.alive:
             return
-        request = action.request
-        message = messages.SettleClaim(
-            workspace=request.workspace,
-            key=request.idempotency_key,
-            token=request.request_id,
-            ran=action.ran,
-            answer=action.answer,
-        )
+        message = calls.settle_call(action)
         heard = []
 
         def reply(_: object) -> None:
--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -9,6 +9,7 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import addresses
+from _coltsfootroad.core import calls
 from _coltsfootroad.core import entry as entry_lib
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import request as request_lib
@@ -198,7 +199,7 @@
             case actions.Cancel():
                 self.spawn(self.cancel(action))
             case actions.TakeClaim():
-                self.spawn(self.take_claim(action.request))
+                self.spawn(self.take_claim(action))
             case actions.SettleClaim():
                 self.unsettled += 1
                 self.spawn(self.settle_claim(action))
@@ -207,7 +208,7 @@
             case actions.ReserveGroup():
                 self.spawn(self.reserve_group(action))
             case actions.ReleaseGroup():
-                release = messages.GroupRelease(group=action.group)
+                release = calls.release_call(action)
                 self.spawn(self.control.call(release, CLAIM_TIMEOUT_S))
 
     def submit(self, request: request_lib.Request) -> Channel:
@@ -391,16 +392,10 @@
         if self.core.freshness.version != version:
             LOG.info("configuration {} in force", self.core.freshness.version)
 
-    async def take_claim(self, request: request_lib.Request) -> None:
+    async def take_claim(self, action: actions.TakeClaim) -> None:
         """Ask for a claim; the core asks again when nothing comes."""
-        message = messages.TakeClaim(
-            workspace=request.workspace,
-            key=request.idempotency_key,
-            key_time=request.key_time,
-            body_hash=request.body_hash,
-            token=request.request_id,
-            lease_s=request.deadline_at - self.loop.time(),
-        )
+        request = action.request
+        message = calls.claim_call(action, self.loop.time())
         answer = await self.control.call(message, CLAIM_TIMEOUT_S)
         if answer.is_ok() and isinstance(answer.ok, messages.ClaimAnswer):
             self.run(
@@ -412,14 +407,7 @@
 
     async def settle_claim(self, action: actions.SettleClaim) -> None:
         """Tell how a claim ended, again and again until it is heard."""
-        request = action.request
-        message = messages.SettleClaim(
-            workspace=request.workspace,
-            key=request.idempotency_key,
-            token=request.request_id,
-            ran=action.ran,
-            answer=action.answer,
-        )
+        message = calls.settle_call(action)
         try:
             while True:
                 answer = await self.control.call(message, CLAIM_TIMEOUT_S)
@@ -431,12 +419,7 @@
 
     async def reserve_group(self, action: actions.ReserveGroup) -> None:
         """Ask for a group of engines; the core asks again by its timer."""
-        message = messages.GroupReserve(
-            group=action.group,
-            service=action.service,
-            engines=action.engines,
-            lease_s=action.lease_s,
-        )
+        message = calls.reserve_call(action)
         answer = await self.control.call(message, CLAIM_TIMEOUT_S)
         if answer.is_ok() and isinstance(answer.ok, messages.GroupAnswer):
             self.run(self.core.on_group, answer.ok, self.loop.time())
