Plant the one-step change of voters without its other fault

Cause: the defect also skipped the check that a learner has caught up, and was caught for that; it showed nothing about the joint step.

Change: the planted change keeps all checks and leaves out the joint set only.

Figures: caught by 'swap of a voter cannot split the system' (before: by 'learner that is behind gets no vote').

Conclusion: the joint step is needed, and the history shows why.

--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -416,7 +416,8 @@
 def changes_voters_in_one_step(right):
     def wrong(self, wanted, now):
         single = attrs.evolve(wanted, old_voters=())
-        if not self.is_leader:
+        busy = self.replica_set_index() > self.commit
+        if not self.is_leader or busy or not self.may_vote(wanted):
             return False
         self.append_own(
             raft.log_lib.Entry(
