--- a/src/_coltsfootroad/commands/control.py
+++ b/src/_coltsfootroad/commands/control.py
@@ -1,6 +1,9 @@
 """`colts-control`: one replica of the durable state."""
 
+import asyncio
+from collections.abc import Callable
 import pathlib
+import signal
 
 from absl import flags
 
@@ -11,6 +14,8 @@
 from _coltsfootroad.shell import metrics
 from _coltsfootroad.shell import settings as settings_lib
 
+LOG = logs.logger("main")
+Adapt = Callable[[controlserver.ControlServer], None]
 BOOTSTRAP = flags.DEFINE_bool(
     "bootstrap",
     False,
@@ -30,16 +35,41 @@
     )
 
 
-async def serve(settings: settings_lib.ControlSettings, bootstrap: bool) -> int:
+def no_adapter(_: controlserver.ControlServer) -> None:
+    """Add no calls of a platform."""
+
+
+def reload(server: controlserver.ControlServer) -> None:
+    """Read the settings again; only seeds may change while it runs."""
+    loaded = settings_lib.load(
+        common.SETTINGS.value, settings_lib.ControlSettings
+    )
+    if loaded.is_ok():
+        server.link.learn(loaded.ok.peers())
+        LOG.info("settings reloaded", peers=list(loaded.ok.peers()))
+    else:
+        LOG.error("settings not reloaded", fault=loaded.error)
+
+
+async def serve(
+    settings: settings_lib.ControlSettings,
+    bootstrap: bool,
+    adapt: Adapt = no_adapter,
+) -> int:
     """Run a replica until it is told to stop."""
     server = build(settings)
-    if bootstrap and not server.bootstrap():
+    if settings.begins_system():
+        server.bootstrap()
+    elif bootstrap and not server.bootstrap():
         common.complain(
             f"--bootstrap: data folder {settings.data_folder} is in use"
             " already; start without the flag"
         )
         return common.EXIT_USAGE
     await server.start()
+    adapt(server)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reload, server)
     went_well = await common.wait_for_stop([server.broken], server.dump)
     await server.stop()
     return common.EXIT_OK if went_well else common.EXIT_FAILED
@@ -47,10 +77,15 @@
 
 def main(_: list[str]) -> int:
     """Run a replica."""
+    return main_with(no_adapter)
+
+
+def main_with(adapt: Adapt) -> int:
+    """Run a replica to which a platform's calls are added."""
     settings = common.read_settings(settings_lib.ControlSettings)
-    logs.start(settings.log_level)
+    logs.start(settings.log_level, structured=settings.structured_logs)
     try:
-        return common.run_loop(lambda: serve(settings, BOOTSTRAP.value))
+        return common.run_loop(lambda: serve(settings, BOOTSTRAP.value, adapt))
     except disk_lib.DiskError as error:
         common.complain(str(error))
         return common.EXIT_FAILED
--- /dev/null
+++ b/src/_coltsfootroad/commands/gateway.py
@@ -0,0 +1,70 @@
+"""`colts-gateway`: passes requests on to endpoints by routes."""
+
+import asyncio
+import signal
+
+from _coltsfootroad.commands import common
+from _coltsfootroad.gateway import names as names_lib
+from _coltsfootroad.gateway import server as server_lib
+from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import metrics
+from _coltsfootroad.shell import settings as settings_lib
+
+LOG = logs.logger("main")
+
+
+def build(
+    settings: settings_lib.GatewaySettings, names: names_lib.HeaderNames
+) -> server_lib.Gateway:
+    """Wire the parts of a gateway."""
+    return server_lib.Gateway(
+        settings, names, metrics.Metrics.start("colts-gateway")
+    )
+
+
+def reload(gateway: server_lib.Gateway) -> None:
+    """Read the settings again; wrong ones change nothing."""
+    loaded = settings_lib.load(
+        common.SETTINGS.value, settings_lib.GatewaySettings
+    )
+    if loaded.is_ok():
+        gateway.reload(loaded.ok)
+    else:
+        LOG.error("settings not reloaded", fault=loaded.error)
+
+
+async def serve(
+    settings: settings_lib.GatewaySettings, names: names_lib.HeaderNames
+) -> int:
+    """Run a gateway until it is told to stop."""
+    gateway = build(settings, names)
+    await gateway.start()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reload, gateway)
+    went_well = await common.wait_for_stop([], gateway.dump)
+    await gateway.drain()
+    return common.EXIT_OK if went_well else common.EXIT_FAILED
+
+
+def main_with(names: names_lib.HeaderNames) -> int:
+    """Run a gateway that speaks the given header names."""
+    settings = common.read_settings(settings_lib.GatewaySettings)
+    if not settings.seeds:
+        common.complain("settings: $.seeds is empty, needs an address")
+        return common.EXIT_USAGE
+    logs.start(settings.log_level, structured=True)
+    return common.run_loop(lambda: serve(settings, names))
+
+
+def main(_: list[str]) -> int:
+    """Run a gateway."""
+    return main_with(names_lib.HeaderNames())
+
+
+def run() -> None:
+    """Run the program."""
+    common.start(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/_coltsfootroad/control/hub.py
+++ b/src/_coltsfootroad/control/hub.py
@@ -11,6 +11,11 @@
 from _coltsfootroad.core import registry as registry_lib
 
 MEMBER_LEASE_S = 4.0
+# Gateways watch at least every 0.5 s; a frozen or lost one has to be out of
+# the addresses that callers get before their next connection.
+WATCHER_LEASE_S = 1.6
+# Endpoints announce themselves every second or so and at times seconds late.
+ANNOUNCEMENT_LEASE_S = 8.0
 # Changes of the registry that an entry can catch up with one by one.
 MAX_CHANGES = 4_096
 
@@ -63,8 +68,9 @@
         """Take an entry's heartbeat and return what is new for it."""
         self.expire(now)
         self.take_member(request.member, now)
+        lease_s = self.state.configs.config.fleet.endpoint_lease_s
         for announcement in request.announcements:
-            self.take_announcement(announcement, now)
+            self.take_announcement(announcement, lease_s, now)
         for aged in request.loads:
             self.take_load(aged.report, now - aged.age_s)
         mark = request.registry_mark if request.epoch == self.epoch else 0
@@ -73,11 +79,7 @@
             epoch=self.epoch,
             registry_mark=self.last_mark,
             config=configs.update_since(request.config_version),
-            members=tuple(
-                live.member
-                for live in self.members.values()
-                if live.mark > mark
-            ),
+            members=self.members_since(mark),
             lost_members=names_since(self.lost_members, mark),
             shares=self.shares.on_sync(
                 request.member.entry,
@@ -92,14 +94,45 @@
             group_holds=self.groups.held_tokens(now),
         )
 
-    def take_member(self, member: addresses.Member, now: float) -> None:
+    def on_watch(self, request: messages.Watch, now: float) -> messages.News:
+        """Take a gateway's watch and return what is new for it."""
+        self.expire(now)
+        self.take_member(request.member, now, WATCHER_LEASE_S)
+        for announcement in request.announcements:
+            self.take_announcement(announcement, ANNOUNCEMENT_LEASE_S, now)
+        mark = request.registry_mark if request.epoch == self.epoch else 0
+        lost = names_since(self.gone, mark)
+        tombstones = self.registry.tombstones
+        return messages.News(
+            epoch=self.epoch,
+            registry_mark=self.last_mark,
+            routes=self.state.routes.newer_than(request.routes_version),
+            members=self.members_since(mark),
+            lost_members=names_since(self.lost_members, mark),
+            announcements=self.changed_since(mark),
+            gone=tuple(name for name in lost if name not in tombstones),
+            left=tuple(name for name in lost if name in tombstones),
+        )
+
+    def members_since(self, mark: int) -> tuple[addresses.Member, ...]:
+        """Return the live entries and gateways that changed after a mark."""
+        return tuple(
+            live.member for live in self.members.values() if live.mark > mark
+        )
+
+    def take_member(
+        self,
+        member: addresses.Member,
+        now: float,
+        lease_s: float = MEMBER_LEASE_S,
+    ) -> None:
         """Renew an entry's lease unless a later start of it is known."""
         known = self.members.get(member.entry)
         if known is not None and known.member.incarnation > member.incarnation:
             return
         changed = known is None or known.member != member
         mark = self.next_mark() if changed else known.mark
-        until = now + MEMBER_LEASE_S
+        until = now + lease_s
         self.members[member.entry] = LiveMember(member, until, mark)
         self.lost_members.pop(member.entry, None)
 
@@ -109,10 +142,12 @@
         return self.last_mark
 
     def take_announcement(
-        self, announcement: registry_lib.Announcement, now: float
+        self,
+        announcement: registry_lib.Announcement,
+        lease_s: float,
+        now: float,
     ) -> None:
-        """Take an endpoint's announcement that an entry has received."""
-        lease_s = self.state.configs.config.fleet.endpoint_lease_s
+        """Take an endpoint's announcement, good for `lease_s` seconds."""
         change = self.registry.announce(announcement, now + lease_s, now)
         if change is not registry_lib.Change.UPDATED:
             return
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -11,6 +11,7 @@
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import hub as hub_lib
 from _coltsfootroad.control import log as log_lib
+from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import peers
 from _coltsfootroad.control import raft as raft_lib
@@ -20,6 +21,9 @@
 from _coltsfootroad.core import errors
 
 SNAPSHOT_EVERY = 4_096
+# Complete versions of the routes take 100 KB and more each; the log has to
+# stay far below the 200 MB of memory and 64 MB of disk of a small VM.
+SNAPSHOT_BYTES = 8 * 1024 * 1024
 FULL_DISK_RETRY_S = 1.0
 MAX_WAITING = 10_000
 
@@ -28,6 +32,7 @@
 
 COMMANDS = (
     messages.PatchConfig,
+    messages.PutRoutes,
     messages.TakeClaim,
     messages.SettleClaim,
     fences.TakeLease,
@@ -68,6 +73,10 @@
     blocked_until: float = 0.0
     syncs: int = 0
     in_process: bool = False
+    log_bytes: int = 0
+    membership: membership_lib.Membership = attrs.Factory(
+        membership_lib.Membership
+    )
 
     def __attrs_post_init__(self):
         loaded = self.storage.load()
@@ -112,6 +121,7 @@
         """Run the timers."""
         if not self.is_blocked:
             self.raft.tick(now)
+            self.retire_silent(now)
         self.process(now)
 
     def next_wake(self) -> float:
@@ -187,6 +197,7 @@
 
     def apply(self, entry: log_lib.Entry) -> None:
         """Apply a committed entry and answer whoever waits for it."""
+        self.log_bytes += len(entry.data)
         answer: object = messages.Done()
         if entry.kind is log_lib.EntryKind.COMMAND:
             command = state_lib.COMMANDS.decode(entry.data)
@@ -204,7 +215,8 @@
     def maybe_snapshot(self) -> None:
         """Save a snapshot when the log has grown long."""
         raft = self.raft
-        if raft.applied - raft.log.snapshot.index < SNAPSHOT_EVERY:
+        grown = raft.applied - raft.log.snapshot.index
+        if grown < SNAPSHOT_EVERY and self.log_bytes < SNAPSHOT_BYTES:
             return
         data = state_lib.save(self.state)
         meta = log_lib.SnapshotMeta(
@@ -218,6 +230,7 @@
         stored = tuple(e for e in keep if e.index not in unstored)
         saved = self.storage.save_snapshot(meta, data, raft.hard_state, stored)
         if saved.is_ok():
+            self.log_bytes = 0
             raft.compacted(meta)
 
     def update_hub(self, now: float) -> None:
@@ -254,11 +267,16 @@
             reply(messages.NotLeader(hint=self.leader_address()))
         elif isinstance(message, messages.ChangeReplicas):
             self.change_replicas(message, now, reply)
+        elif isinstance(message, messages.JoinReplica):
+            self.join(message, now, reply)
         else:
             reply(self.read(message, now))
 
     def propose(self, command: object, now: float, reply: Reply) -> None:
         """Replicate a command; the reply comes once it is applied."""
+        if not self.membership.is_complete(self.raft.replica_set):
+            reply(unavailable("the replicas have not all joined yet"))
+            return
         if self.is_blocked:
             reply(unavailable("the disk of the leader is full"))
             return
@@ -283,6 +301,19 @@
         match message:
             case messages.SyncRequest():
                 return self.hub.on_sync(message, now)
+            case messages.Watch():
+                news = self.hub.on_watch(message, now)
+                return attrs.evolve(news, replicas=self.replica_addresses())
+            case messages.Announce():
+                self.hub.take_announcement(
+                    message.announcement, hub_lib.ANNOUNCEMENT_LEASE_S, now
+                )
+                return messages.Done()
+            case messages.ReadRoutes():
+                routes = self.state.routes
+                return messages.RoutesCopy(
+                    version=routes.version, source=routes.source
+                )
             case messages.GroupReserve():
                 return self.hub.groups.reserve(message, now)
             case messages.GroupRelease():
@@ -330,8 +361,44 @@
                 )
             )
 
+    def join(
+        self, message: messages.JoinReplica, now: float, reply: Reply
+    ) -> None:
+        """Let a replica learn, then give it a vote once it has caught up."""
+        change = self.membership.next_step(
+            message.replica, self.raft.replica_set, self.silences(now)
+        )
+        if change is None:
+            reply(messages.Done())
+        else:
+            self.change_replicas(change, now, reply)
+
+    def retire_silent(self, now: float) -> None:
+        """Take the vote from a replica that is silent and can be spared."""
+        if not self.raft.is_leader:
+            return
+        change = self.membership.to_retire(
+            self.raft.replica_set, self.silences(now)
+        )
+        if change is not None:
+            self.change_replicas(change, now, ignore_reply)
+
+    def silences(self, now: float) -> dict[str, float]:
+        """Return for how many seconds each other replica has been silent."""
+        since = self.raft.led_since
+        return {
+            identity: now - max(progress.acked_at, since)
+            for identity, progress in self.raft.progress.items()
+            if identity != self.raft.identity
+        }
+
     # --- facts -----------------------------------------------------------
 
+    def replica_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of all replicas."""
+        known = self.raft.replica_set.everyone().values()
+        return tuple(replica.address for replica in known)
+
     def info(self) -> messages.ReplicaInfo:
         """Return who this is and where it stands."""
         return messages.ReplicaInfo(
@@ -397,6 +464,10 @@
         }
 
 
+def ignore_reply(_: object) -> None:
+    """Drop an answer that nobody waits for; the step is tried again."""
+
+
 def endpoint_status(announcement) -> dict:
     """Return an endpoint for operators."""
     return {
@@ -422,7 +493,10 @@
     """Return the set that a change asks for, or why it is refused."""
     identity = message.replica.identity
     voters = tuple(r for r in current.voters if r.identity != identity)
-    learners = tuple(r for r in current.learners if r.identity != identity)
+    # An earlier disk of the same replica will not come back.
+    learners = tuple(
+        r for r in current.learners if r.name != message.replica.name
+    )
     match message.action:
         case messages.ReplicaAction.LEARN:
             if identity in current.voter_identities():
--- a/src/_coltsfootroad/control/state.py
+++ b/src/_coltsfootroad/control/state.py
@@ -10,10 +10,13 @@
 from _coltsfootroad.control import configstore
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import routestore
 from _coltsfootroad.core import errors
+from _coltsfootroad.core import routes as routes_lib
 
 COMMANDS = codec.Codec.of(
     messages.PatchConfig,
+    messages.PutRoutes,
     messages.TakeClaim,
     messages.SettleClaim,
     fences.TakeLease,
@@ -23,7 +26,7 @@
 
 @attrs.define
 class ControlState:
-    """Configuration, claims and fenced leases.
+    """Configuration, routes, claims and fenced leases.
 
     `now` is part of each command's log entry, in unix seconds of the leader
     that accepted it, and never goes back.
@@ -31,6 +34,7 @@
 
     now: float = 0.0
     configs: configstore.ConfigStore = attrs.Factory(configstore.ConfigStore)
+    routes: routestore.RouteStore = attrs.Factory(routestore.RouteStore)
     claims: claims_lib.ClaimTable = attrs.Factory(claims_lib.ClaimTable)
     leases: fences.LeaseTable = attrs.Factory(fences.LeaseTable)
 
@@ -40,6 +44,8 @@
         match command:
             case messages.PatchConfig():
                 return self.configs.patch(command)
+            case messages.PutRoutes():
+                return self.routes.put(command)
             case messages.TakeClaim():
                 retention_s = self.configs.config.fleet.key_retention_s
                 return self.claims.take(command, retention_s, self.now)
@@ -84,9 +90,13 @@
     claims: tuple[SavedClaim, ...]
     leases: tuple[fences.Lease, ...]
     last_fence: int
+    routes: routes_lib.RouteConfig | None = None
+    routes_source: bytes = b""
 
 
-FORMAT = 1
+# Format 1 had no routes; its snapshots are still read.
+FORMAT = 2
+READABLE_FORMATS = (1, 2)
 
 
 def save(state: ControlState) -> bytes:
@@ -107,6 +117,8 @@
         ),
         leases=tuple(state.leases.leases.values()),
         last_fence=state.leases.last_fence,
+        routes=state.routes.config,
+        routes_source=state.routes.source,
     )
     return codec.ENCODER.encode(saved)
 
@@ -114,11 +126,14 @@
 def load(data: bytes) -> ControlState:
     """Return the state that a snapshot holds."""
     saved = msgspec.msgpack.decode(data, type=SavedState)
-    if saved.format != FORMAT:
+    if saved.format not in READABLE_FORMATS:
         raise errors.BrokenInvariantError(
-            f"snapshot has format {saved.format}, this program reads {FORMAT}"
+            f"snapshot has format {saved.format}, this program reads"
+            f" {READABLE_FORMATS}"
         )
     state = ControlState(now=saved.now)
+    state.routes.config = saved.routes
+    state.routes.source = saved.routes_source
     restore_configs(state.configs, saved)
     restore_claims(state.claims, saved)
     for lease in saved.leases:
--- /dev/null
+++ b/src/_coltsfootroad/core/routeview.py
@@ -0,0 +1,66 @@
+"""The routes in force at a gateway and the proof that they are current."""
+
+import attrs
+
+from _coltsfootroad.core import addresses
+from _coltsfootroad.core import routes
+
+NEVER = float("-inf")
+
+
+@attrs.define
+class RouteView:
+    """One version of the routes; never goes back within a process.
+
+    Times are of the boot clock, which counts suspension: a VM that wakes
+    up after a pause finds its proof too old at once.
+
+    Attributes:
+        staleness_bound_s: Age of the proof past which it proves nothing.
+        confirmed_at: When the watch was *sent* that the leader answered.
+    """
+
+    staleness_bound_s: float
+    table: routes.RouteTable | None = None
+    confirmed_at: float = NEVER
+    members: dict[str, addresses.Member] = attrs.Factory(dict)
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, -1 for none."""
+        return -1 if self.table is None else self.table.config.version
+
+    def adopt(self, config: routes.RouteConfig) -> bool:
+        """Put a higher version in force; never a lower one."""
+        if config.version <= self.version:
+            return False
+        self.table = routes.RouteTable(config)
+        return True
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that the version was current at `asked_at`."""
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+
+    def age_s(self, now: float) -> float:
+        """Return how old the proof is."""
+        return now - self.confirmed_at
+
+    def is_current(self, now: float) -> bool:
+        """Return whether the proof is young enough to send requests."""
+        return (
+            self.table is not None and self.age_s(now) < self.staleness_bound_s
+        )
+
+    def learn_members(
+        self,
+        changed: tuple[addresses.Member, ...],
+        lost: tuple[str, ...],
+        anew: bool,
+    ) -> None:
+        """Take changes of the live gateways, or all of them `anew`."""
+        if anew:
+            self.members = {}
+        for name in lost:
+            self.members.pop(name, None)
+        for member in changed:
+            self.members[member.entry] = member
--- /dev/null
+++ b/src/_coltsfootroad/core/spread.py
@@ -0,0 +1,239 @@
+"""Chooses the engines for a prompt: where it is read and where it writes.
+
+The pattern it answers: a few prompts that take seconds to read arrive among
+many short ones. A pass in which an engine reads for longer than a stream's
+longest pause makes every stream there late. So long prompts go in parts to
+engines where nobody writes, or in parts so small that the pause holds, and
+short ones gather on few engines so that others stay free for reading.
+
+Each choice is the cheapest by the value that callers lose, own and others'.
+"""
+
+import attrs
+
+from _coltsfootroad.core import enginemodel
+from _coltsfootroad.core import routes
+from _coltsfootroad.core import workload
+
+# Engines besides the first that a prompt may be read on; the engines' limit.
+MAX_HELPERS = 16
+# Numbers of parts that are compared; between them the gain is small.
+PART_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
+# Shorter prompts are never split: a part costs each helper a step, and
+# 10,000 tokens are read within one pass beside writers.
+MIN_SPLIT_TOKENS = 10_000
+# Share of the longest pause that a pass may take by prediction.
+PAUSE_MARGIN = 0.85
+# Share of the aim that the first event may take by prediction.
+TARGET_MARGIN = 0.75
+# What opening an idle engine for a short prompt costs, in values of one
+# short request: it takes the engine from the next long prompt.
+IDLE_ENGINE_COST = 0.2
+# What each further part costs, in the same unit, so that ties go to fewer.
+PART_COST = 0.01
+# What a request over the batch costs: it waits for a whole answer.
+OVERFULL_COST = 3.0
+# Tokens of a prompt that are worth as much as one short request.
+TOKENS_PER_VALUE = 10_000
+# What another availability zone costs: a tie-breaker.
+ZONE_COST = 0.005
+
+
+@attrs.frozen(kw_only=True)
+class Prompt:
+    """What is known of a request before it is placed."""
+
+    prompt_tokens: int
+    output_tokens: int
+    target_s: float
+    gap_target_s: float
+
+    @property
+    def value(self) -> float:
+        """Return what a late answer costs its caller, relative.
+
+        Callers of long prompts have waited longer and resend more; the
+        value of one grows about with its length.
+        """
+        return 1.0 + self.prompt_tokens / TOKENS_PER_VALUE
+
+
+@attrs.define
+class EngineState:
+    """What an engine is believed to do now.
+
+    Attributes:
+        endpoint: Its name.
+        near: Whether it is in the gateway's availability zone.
+        pace: How many times slower than stated it works.
+        writers: Streams that it writes.
+        reading_s: Seconds of reading that are left.
+        running: Requests that it batches or that wait there.
+        helping: Parts that it reads for other engines.
+        kv_used: Tokens that those requests fill at most.
+    """
+
+    endpoint: str
+    near: bool = True
+    pace: float = 1.0
+    writers: list[workload.Work] = attrs.Factory(list)
+    reading_s: float = 0.0
+    running: int = 0
+    helping: int = 0
+    kv_used: int = 0
+
+    def pause_s(self, spec: routes.EngineSpec) -> float:
+        """Return the seconds of a pass without any reading."""
+        context = sum(w.prompt_tokens for w in self.writers)
+        return self.pace * enginemodel.pass_s(spec, len(self.writers), context)
+
+    def harm(self, spec: routes.EngineSpec, extra_s: float) -> float:
+        """Return the value that writers lose by `extra_s` more reading."""
+        pause = self.pause_s(spec)
+        before = pause + self.reading_s
+        after = before + extra_s
+        return sum(
+            work.value
+            for work in self.writers
+            if before <= work.gap_target_s < after / PAUSE_MARGIN
+        )
+
+
+@attrs.frozen(kw_only=True)
+class Placement:
+    """Where a prompt goes: the first engine writes the answer."""
+
+    lead: str
+    helpers: tuple[str, ...] = ()
+    first_event_s: float = 0.0
+    cost: float = 0.0
+
+
+def engine_state(
+    endpoint: str,
+    works: list[workload.Work],
+    spec: routes.EngineSpec,
+    now: float,
+    near: bool = True,
+    pace: float = 1.0,
+) -> EngineState:
+    """Return the state of an engine from the work that was sent to it."""
+    state = EngineState(endpoint, near, pace)
+    for work in works:
+        if not work.leads:
+            state.helping += 1
+        else:
+            state.running += 1
+            state.kv_used += work.prompt_tokens + work.output_tokens
+        if work.writing and work.leads:
+            state.writers.append(work)
+        elif not work.writing:
+            whole = enginemodel.read_s(spec, work.prompt_tokens, work.parts)
+            left = pace * whole - max(0.0, now - work.sent_at)
+            state.reading_s += max(0.0, left)
+    return state
+
+
+def lateness(predicted_s: float, target_s: float) -> float:
+    """Return the likelihood that an aim is missed, from 0 to 1.
+
+    Grows linearly from the margin to the aim, as predictions err, and
+    slowly after it, so that the less late way is still the better one.
+    """
+    start = TARGET_MARGIN * target_s
+    if predicted_s <= start:
+        return 0.0
+    if predicted_s <= target_s:
+        return 0.5 * (predicted_s - start) / (target_s - start)
+    return 0.5 + 0.5 * min(1.0, (predicted_s - target_s) / (2 * target_s))
+
+
+def place(
+    prompt: Prompt, states: list[EngineState], spec: routes.EngineSpec
+) -> Placement | None:
+    """Return the cheapest placement, None when there is no engine."""
+    best: Placement | None = None
+    for parts in PART_COUNTS:
+        if parts > min(len(states), MAX_HELPERS + 1):
+            break
+        if parts > 1 and prompt.prompt_tokens < MIN_SPLIT_TOKENS:
+            break
+        found = place_in(prompt, states, spec, parts)
+        if found is not None and (best is None or found.cost < best.cost):
+            best = found
+    return best
+
+
+def place_in(
+    prompt: Prompt,
+    states: list[EngineState],
+    spec: routes.EngineSpec,
+    parts: int,
+) -> Placement | None:
+    """Return the cheapest placement in so many parts."""
+    part_s = enginemodel.read_s(spec, prompt.prompt_tokens, parts)
+    leads = [s for s in states if fits(prompt, s, spec)]
+    if not leads:
+        return None
+    lead = min(leads, key=lambda s: lead_cost(prompt, s, spec, part_s))
+    others = sorted(
+        (s for s in states if s is not lead and s.helping < spec.slots),
+        key=lambda s: part_cost(s, spec, part_s),
+    )[: parts - 1]
+    if len(others) < parts - 1:
+        return None
+    chosen = [lead, *others]
+    first_event_s = max(event_s(s, spec, part_s) for s in chosen)
+    cost = lead_cost(prompt, lead, spec, part_s)
+    cost += sum(part_cost(s, spec, part_s) for s in others)
+    cost += prompt.value * lateness(first_event_s, prompt.target_s)
+    return Placement(
+        lead=lead.endpoint,
+        helpers=tuple(s.endpoint for s in others),
+        first_event_s=first_event_s,
+        cost=cost,
+    )
+
+
+def fits(prompt: Prompt, state: EngineState, spec: routes.EngineSpec) -> bool:
+    """Return whether a prompt can ever fit into an engine's memory."""
+    return prompt.prompt_tokens + prompt.output_tokens <= spec.kv_tokens
+
+
+def event_s(
+    state: EngineState, spec: routes.EngineSpec, part_s: float
+) -> float:
+    """Return when an engine has read its part and a pass has gone by."""
+    pause = state.pause_s(spec)
+    return 1.5 * pause + state.reading_s + state.pace * part_s
+
+
+def part_cost(
+    state: EngineState, spec: routes.EngineSpec, part_s: float
+) -> float:
+    """Return what reading a part costs the streams of an engine."""
+    cost = state.harm(spec, state.pace * part_s) + PART_COST
+    cost += 0.0 if state.near else ZONE_COST
+    return cost + state.reading_s
+
+
+def lead_cost(
+    prompt: Prompt,
+    state: EngineState,
+    spec: routes.EngineSpec,
+    part_s: float,
+) -> float:
+    """Return what reading a part and writing the answer costs."""
+    cost = part_cost(state, spec, part_s)
+    seconds = event_s(state, spec, part_s)
+    cost += prompt.value * lateness(seconds, prompt.target_s)
+    if state.pause_s(spec) + state.reading_s > prompt.gap_target_s > 0:
+        cost += 0.5 * prompt.value
+    if state.running >= spec.slots:
+        cost += OVERFULL_COST * prompt.value * (1 + state.running - spec.slots)
+    needed = prompt.prompt_tokens + prompt.output_tokens
+    if state.kv_used + needed > spec.kv_tokens:
+        cost += OVERFULL_COST * prompt.value
+    if not state.writers and prompt.prompt_tokens < MIN_SPLIT_TOKENS:
+        cost += IDLE_ENGINE_COST
+    return cost
--- /dev/null
+++ b/src/_coltsfootroad/core/windowbudget.py
@@ -0,0 +1,51 @@
+"""A retry budget over a sliding window, shared between gateways."""
+
+import collections
+
+import attrs
+
+# Share of the fleet's slack that the gateways hand out among themselves;
+# the rest covers gateways that do not know of each other yet.
+SAFE_SHARE = 0.7
+
+
+@attrs.define
+class WindowBudget:
+    """Allows retries of one service as a share of its requests.
+
+    Every gateway keeps to its part, so that the sum stays within what the
+    fleet may spend without a message between them.
+
+    Attributes:
+        ratio: Retries for each request of the window.
+        slack: Retries beyond that, over all gateways.
+        window_s: Length of the window.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+    requests: collections.deque = attrs.Factory(collections.deque)
+    retries: collections.deque = attrs.Factory(collections.deque)
+
+    def on_request(self, now: float) -> None:
+        """Count a fresh request."""
+        self.requests.append(now)
+        self.trim(now)
+
+    def take(self, gateways: int, now: float) -> bool:
+        """Spend one retry if the window still holds one."""
+        self.trim(now)
+        allowed = self.ratio * SAFE_SHARE * len(self.requests)
+        allowed += self.slack * SAFE_SHARE / max(1, gateways)
+        if len(self.retries) + 1 > allowed:
+            return False
+        self.retries.append(now)
+        return True
+
+    def trim(self, now: float) -> None:
+        """Drop what has left the window."""
+        oldest = now - self.window_s
+        for times in (self.requests, self.retries):
+            while times and times[0] <= oldest:
+                times.popleft()
--- /dev/null
+++ b/src/_coltsfootroad/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: passes requests on to endpoints by routes."""
--- /dev/null
+++ b/src/_coltsfootroad/gateway/directory.py
@@ -0,0 +1,85 @@
+"""Answers which gateways to use and whether this one is ready."""
+
+import tornado.web
+
+from _coltsfootroad.core import addresses
+from _coltsfootroad.core import errors
+from _coltsfootroad.shell import web
+
+# Callers of a zone are given that zone's gateways if there are this many:
+# near ones save bytes between zones, and a single one could be lost.
+ENOUGH_NEAR = 2
+MAX_ADDRESSES = 64
+MAX_QUERY_BODY = 1024
+
+
+def answer(members: tuple[addresses.Member, ...], zone: str) -> tuple[str, ...]:
+    """Return the gateways for callers of a zone, none that is leaving."""
+    usable = [member for member in members if not member.leaving]
+    near = [m for m in usable if m.availability_zone == zone]
+    chosen = near if len(near) >= ENOUGH_NEAR else usable
+    return tuple(member.address for member in chosen[:MAX_ADDRESSES])
+
+
+class AddressHandler(web.Handler):
+    """Names the gateways that a caller may use."""
+
+    def initialize(self, gateway):
+        """Keep the gateway."""
+        self.gateway = gateway
+
+    def get(self):
+        """Answer with addresses and how long they may be kept."""
+        members = tuple(self.gateway.view.members.values())
+        found = answer(members, self.get_query_argument("zone", ""))
+        if not found or not self.gateway.knows_members():
+            self.fail(
+                errors.Failure(
+                    errors.ErrorCode.UNAVAILABLE,
+                    "no gateway is known",
+                    retry_after_s=1,
+                )
+            )
+            return
+        self.send_value(
+            {
+                "addresses": list(found),
+                "valid_for_s": self.gateway.settings.address_validity_s,
+            }
+        )
+
+
+class ReadyHandler(web.Handler):
+    """Says whether the gateway takes requests."""
+
+    def initialize(self, gateway):
+        """Keep the gateway."""
+        self.gateway = gateway
+
+    def get(self):
+        """Answer 200 while requests are served, else 503."""
+        # Not being ready is an ordinary answer, no fault to be logged.
+        ready = self.gateway.is_ready()
+        self.set_status(200 if ready else 503)
+        self.finish({"ready": ready, "version": self.gateway.view.version})
+
+
+def directory_app(gateway) -> tornado.web.Application:
+    """Return the application that names gateways."""
+    return tornado.web.Application(
+        [(r"/v1/addresses", AddressHandler, {"gateway": gateway})]
+    )
+
+
+def ready_app(gateway) -> tornado.web.Application:
+    """Return the application that tells readiness."""
+    return tornado.web.Application(
+        [(r"/v1/ready", ReadyHandler, {"gateway": gateway})]
+    )
+
+
+def metrics_app(metrics) -> tornado.web.Application:
+    """Return the application that shows metrics."""
+    return tornado.web.Application(
+        [(r"/metrics", web.MetricsHandler, {"metrics": metrics})]
+    )
--- /dev/null
+++ b/src/_coltsfootroad/gateway/engines.py
@@ -0,0 +1,100 @@
+"""Chooses endpoints for requests from what all gateways have sent."""
+
+import random
+
+import attrs
+
+from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import routes
+from _coltsfootroad.core import spread
+from _coltsfootroad.core import workload
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """Where a request goes, and what decided it."""
+
+    endpoint: endpointset.KnownEndpoint
+    helpers: tuple[endpointset.KnownEndpoint, ...] = ()
+    predicted_s: float = 0.0
+    cost: float = 0.0
+    load: int = 0
+
+
+@attrs.define
+class Chooser:
+    """Picks an endpoint of a service for one request."""
+
+    endpoints: endpointset.EndpointSet
+    load: workload.Workload
+    availability_zone: str
+    rng: random.Random
+
+    def choose(
+        self,
+        spec: routes.ServiceSpec,
+        prompt: spread.Prompt | None,
+        avoid: set[str],
+        now: float,
+    ) -> Choice | None:
+        """Return the best endpoint, one not in `avoid` if there is any."""
+        found = self.endpoints.usable(spec.name, now)
+        fresh = [known for known in found if known.name not in avoid]
+        found = fresh or found
+        if not found:
+            return None
+        self.load.expire(now)
+        works = self.load.by_endpoint()
+        if spec.engine is None or prompt is None:
+            return self.least_loaded(found, works)
+        return self.placed(spec.engine, prompt, found, works, now)
+
+    def least_loaded(
+        self,
+        found: list[endpointset.KnownEndpoint],
+        works: dict[str, list[workload.Work]],
+    ) -> Choice:
+        """Return the endpoint with the least work; ties by lot."""
+
+        def load_of(known: endpointset.KnownEndpoint) -> tuple:
+            return (len(works.get(known.name, ())), self.rng.random())
+
+        best = min(found, key=load_of)
+        return Choice(endpoint=best, load=len(works.get(best.name, ())))
+
+    def placed(
+        self,
+        engine: routes.EngineSpec,
+        prompt: spread.Prompt,
+        found: list[endpointset.KnownEndpoint],
+        works: dict[str, list[workload.Work]],
+        now: float,
+    ) -> Choice | None:
+        """Return the cheapest engines for a prompt."""
+        self.rng.shuffle(found)
+        states = [
+            spread.engine_state(
+                known.name,
+                works.get(known.name, []),
+                engine,
+                now,
+                near=self.is_near(known),
+                pace=known.pace,
+            )
+            for known in found
+        ]
+        placement = spread.place(prompt, states, engine)
+        if placement is None:
+            return None
+        by_name = {known.name: known for known in found}
+        return Choice(
+            endpoint=by_name[placement.lead],
+            helpers=tuple(by_name[name] for name in placement.helpers),
+            predicted_s=placement.first_event_s,
+            cost=placement.cost,
+            load=len(works.get(placement.lead, ())),
+        )
+
+    def is_near(self, known: endpointset.KnownEndpoint) -> bool:
+        """Return whether an endpoint is in the own availability zone."""
+        return known.announcement.availability_zone == self.availability_zone
--- /dev/null
+++ b/src/_coltsfootroad/gateway/server.py
@@ -0,0 +1,280 @@
+"""A gateway with its listeners, timers and beliefs."""
+
+import asyncio
+import collections
+import random
+import time
+
+from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import registry
+from _coltsfootroad.core import routes
+from _coltsfootroad.core import routeview
+from _coltsfootroad.core import windowbudget
+from _coltsfootroad.core import workload
+from _coltsfootroad.gateway import directory
+from _coltsfootroad.gateway import engines
+from _coltsfootroad.gateway import front as front_lib
+from _coltsfootroad.gateway import gossip as gossip_lib
+from _coltsfootroad.gateway import names as names_lib
+from _coltsfootroad.gateway import upstream
+from _coltsfootroad.gateway import watch as watch_lib
+from _coltsfootroad.shell import clocks
+from _coltsfootroad.shell import dumps
+from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import metrics as metrics_lib
+from _coltsfootroad.shell import settings as settings_lib
+from _coltsfootroad.shell import web
+
+LOG = logs.logger("gateway")
+TICK_S = 0.25
+# Age of the last word of the leader past which the gateway no longer calls
+# itself ready; callers should have moved before it refuses.
+READY_BOUND_S = 2.5
+# Age past which what it says of other gateways is not to be used.
+MEMBERS_BOUND_S = 30.0
+# A stopping gateway takes requests for this long, as callers keep addresses
+# for a few seconds; after it, one that needs long would be cut off.
+ACCEPT_WHILE_STOPPING_S = 3.0
+# Left of the grace period when the process must be done.
+STOP_MARGIN_S = 0.6
+
+
+class Gateway:
+    """Passes requests on by the routes in force."""
+
+    def __init__(
+        self,
+        settings: settings_lib.GatewaySettings,
+        names: names_lib.HeaderNames,
+        metrics: metrics_lib.Metrics,
+    ):
+        self.settings = settings
+        self.names = names
+        self.metrics = metrics
+        # Summaries of an earlier process must not hide those of this one.
+        self.incarnation = time.time_ns()
+        self.view = routeview.RouteView(settings.staleness_bound_s)
+        self.endpoints = endpointset.EndpointSet()
+        self.load = workload.Workload()
+        self.chooser = engines.Chooser(
+            self.endpoints,
+            self.load,
+            settings.availability_zone,
+            random.Random(),
+        )
+        self.pools: dict[str, upstream.EndpointPool] = {}
+        self.budgets: dict[str, windowbudget.WindowBudget] = {}
+        self.running: set = set()
+        self.leaving = False
+        self.stopping_at = float("inf")
+        self.counts: collections.Counter = collections.Counter()
+        self.front = front_lib.Front(self)
+        self.gossip = gossip_lib.Gossip(self)
+        self.watch = watch_lib.Watch(self)
+        self.ticker: asyncio.Task | None = None
+        self.first_events = metrics.histogram(
+            "colts_gateway_first_event", "Time to the first event"
+        )
+        self.answer_times = metrics.histogram(
+            "colts_gateway_answer", "Time to the whole answer"
+        )
+        self.add_metrics()
+
+    # --- life ------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Open the listeners and begin to watch."""
+        settings = self.settings
+        self.front.listen(settings.listen)
+        web.listen(
+            directory.directory_app(self),
+            settings.directory_listen,
+            directory.MAX_QUERY_BODY,
+        )
+        web.listen(
+            directory.ready_app(self),
+            settings.ready_listen,
+            directory.MAX_QUERY_BODY,
+        )
+        if settings.metrics_listen:
+            web.listen(
+                directory.metrics_app(self.metrics),
+                settings.metrics_listen,
+                directory.MAX_QUERY_BODY,
+            )
+        await self.gossip.start(settings.peer_listen)
+        self.watch.start()
+        self.ticker = asyncio.ensure_future(self.tick())
+        LOG.info(
+            "started",
+            gateway=settings.gateway,
+            listen=settings.listen,
+            control=list(settings.control()),
+        )
+
+    async def tick(self) -> None:
+        """Keep the other gateways' views alive."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.gossip.refresh()
+
+    async def drain(self) -> None:
+        """Leave the addresses, serve on, and end within the grace period."""
+        started = clocks.boot_time()
+        self.leaving = True
+        self.stopping_at = started
+        LOG.info("stopping", running=len(self.running))
+        end = started + self.settings.shutdown_grace_s - STOP_MARGIN_S
+        while clocks.boot_time() < end:
+            await asyncio.sleep(0.1)
+            waited_s = clocks.boot_time() - started
+            if waited_s > ACCEPT_WHILE_STOPPING_S and not self.running:
+                break
+        await self.front.close()
+        while self.running and clocks.boot_time() < end + STOP_MARGIN_S / 2:
+            await asyncio.sleep(0.02)
+        LOG.info("stopped", running=len(self.running))
+        self.ticker.cancel()
+        self.gossip.close()
+        await self.watch.close()
+
+    def reload(self, settings: settings_lib.GatewaySettings) -> None:
+        """Take settings that may change while the process runs."""
+        self.watch.link.learn(settings.control())
+        LOG.info("settings reloaded", control=list(settings.control()))
+
+    # --- beliefs ---------------------------------------------------------
+
+    def adopt(self, config: routes.RouteConfig) -> None:
+        """Put a higher version of the routes in force."""
+        before = self.view.version
+        if self.view.adopt(config):
+            self.front.apply(config.limits)
+            LOG.info(
+                "routes in force",
+                version=config.version,
+                before=before,
+                routes=len(config.routes),
+            )
+
+    def learn_endpoint(self, announcement: registry.Announcement) -> None:
+        """Take an endpoint's announcement."""
+        if self.endpoints.learn(announcement):
+            LOG.info(
+                "endpoint announced",
+                endpoint=announcement.endpoint,
+                seq=announcement.seq,
+                state=announcement.state.value,
+                address=announcement.address,
+            )
+
+    def is_ready(self) -> bool:
+        """Return whether callers should come here."""
+        young = self.view.age_s(clocks.boot_time()) < READY_BOUND_S
+        return young and self.view.table is not None and not self.leaving
+
+    def knows_members(self) -> bool:
+        """Return whether the list of gateways is young enough to use."""
+        return self.view.age_s(clocks.boot_time()) < MEMBERS_BOUND_S
+
+    def refuses_new(self, now: float) -> bool:
+        """Return whether a stopping gateway takes no more requests."""
+        return now > self.stopping_at + ACCEPT_WHILE_STOPPING_S
+
+    def closes_connections(self) -> bool:
+        """Return whether answers end their connection."""
+        return self.leaving
+
+    def gateway_count(self) -> int:
+        """Return the number of gateways that share budgets."""
+        return max(1, len(self.view.members))
+
+    def budget(self, service: str) -> windowbudget.WindowBudget:
+        """Return the retry budget of a service."""
+        if service not in self.budgets:
+            self.budgets[service] = windowbudget.WindowBudget(
+                self.settings.retry_ratio,
+                self.settings.retry_slack,
+                self.settings.retry_window_s,
+            )
+        return self.budgets[service]
+
+    def pool(self, address: str) -> upstream.EndpointPool:
+        """Return the connections to an address."""
+        if address not in self.pools:
+            self.pools[address] = upstream.EndpointPool(address)
+        return self.pools[address]
+
+    def tell_peers(self) -> None:
+        """Let the other gateways know that own work has changed."""
+        self.gossip.plan()
+
+    # --- facts -----------------------------------------------------------
+
+    def note_first_event(self, seconds: float) -> None:
+        """Count a first event."""
+        self.first_events.record(seconds)
+
+    def note_answer(self, status: int, seconds: float) -> None:
+        """Count a whole answer."""
+        self.counts[f"status_{status // 100}xx"] += 1
+        self.answer_times.record(seconds)
+
+    def note_failure(self, code: str) -> None:
+        """Count a refusal or failure of our own."""
+        self.counts[code] += 1
+
+    def dump(self) -> bytes:
+        """Return the state of the process for people."""
+        return dumps.to_json(
+            {
+                "settings": self.settings,
+                "version": self.view.version,
+                "proof_age_s": self.view.age_s(clocks.boot_time()),
+                "members": self.view.members,
+                "endpoints": self.endpoints.known,
+                "own_work": list(self.load.own.values()),
+                "foreign_work": self.load.foreign,
+                "counts": dict(self.counts),
+                "running": [e.request_id for e in self.running],
+            }
+        )
+
+    def add_metrics(self) -> None:
+        """Register the metrics of this gateway."""
+        gauge, counter = self.metrics.gauge, self.metrics.counter
+        gauge(
+            "colts_gateway_version",
+            "Version of the routes in force",
+            lambda: self.view.version,
+        )
+        gauge(
+            "colts_gateway_proof_age",
+            "Seconds since the version was proved current",
+            lambda: min(1e9, self.view.age_s(clocks.boot_time())),
+        )
+        gauge(
+            "colts_gateway_running",
+            "Requests in progress",
+            lambda: len(self.running),
+        )
+        gauge(
+            "colts_gateway_endpoints",
+            "Endpoints that take work",
+            lambda: sum(k.accepts for k in self.endpoints.known.values()),
+        )
+        counter(
+            "colts_gateway_answers",
+            "Whole answers of endpoints",
+            lambda: sum(
+                n for k, n in self.counts.items() if k.startswith("status_")
+            ),
+        )
+        counter(
+            "colts_gateway_failures",
+            "Refusals and failures of our own",
+            lambda: sum(
+                n for k, n in self.counts.items() if not k.startswith("status_")
+            ),
+        )
+        counter("colts_log_dropped", "Log lines dropped", logs.dropped)
--- /dev/null
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -0,0 +1,122 @@
+"""Keeps a gateway current by asking the leader for news, again and again."""
+
+import asyncio
+
+from _coltsfootroad.control import messages
+from _coltsfootroad.core import addresses
+from _coltsfootroad.shell import clocks
+from _coltsfootroad.shell import links
+from _coltsfootroad.shell import logs
+
+LOG = logs.logger("watch")
+# An answer without news comes after this time. Together with the time-out
+# it keeps the proof younger than a second while the leader lives.
+HOLD_S = 0.4
+TIMEOUT_S = 1.2
+# Pause after an answer: one that brings a change each 60 ms is enough.
+MIN_PAUSE_S = 0.02
+FAILURE_PAUSE_S = 0.1
+
+
+class Watch:
+    """Asks for news and puts them in force."""
+
+    def __init__(self, gateway):
+        self.gateway = gateway
+        self.link = links.GrpcControlLink(gateway.settings.control())
+        self.epoch = ""
+        self.mark = 0
+        self.connected = False
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self.task = asyncio.ensure_future(self.run())
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            answered = await self.ask()
+            pause_s = MIN_PAUSE_S if answered else FAILURE_PAUSE_S
+            await asyncio.sleep(pause_s)
+
+    async def ask(self) -> bool:
+        """Ask once; return whether a leader answered."""
+        asked_at = clocks.boot_time()
+        # Held back, an answer proves no more than a quick one.
+        answer = await self.link.call(self.question(), TIMEOUT_S)
+        news = answer.ok if answer.is_ok() else None
+        if not isinstance(news, messages.News):
+            reason = answer.error.message if news is None else str(news)
+            self.note_link(False, reason)
+            return False
+        self.note_link(True, self.link.leader)
+        self.take(news, asked_at)
+        return True
+
+    def question(self) -> messages.Watch:
+        """Return what is asked."""
+        gateway = self.gateway
+        return messages.Watch(
+            member=self.member(),
+            routes_version=gateway.view.version,
+            epoch=self.epoch,
+            registry_mark=self.mark,
+            announcements=self.owed(),
+            wait_s=HOLD_S,
+        )
+
+    def owed(self) -> tuple:
+        """Return what a leader that is new has to learn again."""
+        if self.connected:
+            return ()
+        return self.gateway.endpoints.everything()
+
+    def member(self) -> addresses.Member:
+        """Return what the other gateways learn of this one."""
+        settings = self.gateway.settings
+        return addresses.Member(
+            entry=settings.gateway,
+            incarnation=self.gateway.incarnation,
+            address=settings.listen,
+            peer_address=settings.peer_listen,
+            availability_zone=settings.availability_zone,
+            leaving=self.gateway.leaving,
+        )
+
+    def note_link(self, connected: bool, detail: str) -> None:
+        """Log each lost or regained leader once."""
+        if connected != self.connected:
+            text = "leader regained" if connected else "leader lost"
+            LOG.info(text, detail=detail, version=self.gateway.view.version)
+        self.connected = connected
+
+    def take(self, news: messages.News, asked_at: float) -> None:
+        """Put news in force."""
+        gateway = self.gateway
+        anew = news.epoch != self.epoch
+        if anew:
+            LOG.info("new epoch", epoch=news.epoch, before=self.epoch)
+            # What this leader does not know yet is brought to it next time.
+            self.connected = self.epoch == ""
+        self.epoch = news.epoch
+        self.mark = news.registry_mark
+        self.link.learn(news.replicas)
+        for announcement in news.announcements:
+            gateway.learn_endpoint(announcement)
+        for name in news.gone:
+            gateway.endpoints.expire(name)
+            LOG.info("endpoint silent", endpoint=name)
+        for name in news.left:
+            gateway.endpoints.bury(name)
+            LOG.info("endpoint left", endpoint=name)
+        gateway.view.learn_members(news.members, news.lost_members, anew)
+        if news.routes is not None:
+            gateway.adopt(news.routes)
+        gateway.view.confirm(asked_at)
+
+    async def close(self) -> None:
+        """Stop asking."""
+        if self.task is not None:
+            self.task.cancel()
+        await self.link.close()
--- /dev/null
+++ b/src/_coltsfootroad/shell/clocks.py
@@ -0,0 +1,12 @@
+"""The clock that leases and proofs of freshness are judged by."""
+
+import time
+
+
+def boot_time() -> float:
+    """Return seconds of a steady clock that also counts suspension.
+
+    The event loop's clock stands still while a VM is suspended, so a lease
+    that is judged by it would outlive the time for which it was granted.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -4,12 +4,15 @@
 import random
 import time
 
+import attrs
 from expression import Ok
 
+from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import node as node_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.core import errors
+from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import disk as disk_lib
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import links
@@ -22,6 +25,11 @@
 LOG = logs.logger("control")
 MAX_OPERATOR_BODY = 8 * 1024 * 1024
 MIN_WAKE_S = 0.005
+# How often a replica without a vote asks for one.
+JOIN_EVERY_S = 0.5
+JOIN_TIMEOUT_S = 2.0
+# A gateway may ask for its answer to be held back this long at most.
+MAX_WATCH_S = 5.0
 
 
 class ControlServer:
@@ -37,6 +45,11 @@
         self.folder = folder
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
+        self.clock = clocks.boot_time
+        self.changed = asyncio.Event()
+        self.seen = None
+        self.link = links.GrpcControlLink(settings.peers())
+        self.join_task: asyncio.Task | None = None
         self.peer_links: dict[str, links.PeerLink] = {}
         self.learned_addresses: dict[str, str] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -54,7 +67,8 @@
             send=self.send,
             wall=time.time,
             rng=random.Random(),
-            started_at=self.loop.time(),
+            started_at=self.clock(),
+            membership=membership_lib.Membership(settings.required_voters),
         )
         self.add_metrics()
 
@@ -72,6 +86,8 @@
         if listen_admin:
             self.listen_admin()
         self.wake()
+        if self.settings.peers():
+            self.join_task = asyncio.ensure_future(self.join())
         LOG.info(
             "replica {} listens on {}, admin on {}",
             self.node.replica.identity,
@@ -93,6 +109,9 @@
         """Close everything; whatever was acknowledged is on the disk."""
         if self.timer is not None:
             self.timer.cancel()
+        if self.join_task is not None:
+            self.join_task.cancel()
+        await self.link.close()
         if self.http_server is not None:
             self.http_server.stop()
         if self.grpc_server is not None:
@@ -104,7 +123,21 @@
 
     def bootstrap(self) -> bool:
         """Become the only voter of a new system."""
-        return self.node.bootstrap(self.loop.time())
+        return self.node.bootstrap(self.clock())
+
+    async def join(self) -> None:
+        """Ask the leader for a vote whenever this replica has none."""
+        while True:
+            await asyncio.sleep(JOIN_EVERY_S)
+            raft = self.node.raft
+            voters = {r.identity for r in raft.replica_set.voters}
+            if raft.identity in voters:
+                continue
+            self.link.learn(self.node.replica_addresses())
+            answer = await self.link.call(
+                messages.JoinReplica(replica=self.node.replica), JOIN_TIMEOUT_S
+            )
+            LOG.info("asked for a vote", replica=raft.identity, got=str(answer))
 
     def guard(self, function, *arguments) -> None:
         """Run a step; a broken invariant ends the process."""
@@ -119,9 +152,10 @@
 
     def wake(self) -> None:
         """Tick and plan the next tick."""
-        self.guard(self.node.tick, self.loop.time())
-        at = max(self.node.next_wake(), self.loop.time() + MIN_WAKE_S)
-        self.timer = self.loop.call_at(at, self.wake)
+        self.guard(self.node.tick, self.clock())
+        self.note_changes()
+        wait_s = max(MIN_WAKE_S, self.node.next_wake() - self.clock())
+        self.timer = self.loop.call_later(wait_s, self.wake)
 
     def plan_process(self) -> None:
         """Process once after this turn of the loop: one sync for many."""
@@ -132,7 +166,42 @@
     def process(self) -> None:
         """Carry out what the calls of this turn led to."""
         self.process_planned = False
-        self.guard(self.node.process, self.loop.time())
+        self.guard(self.node.process, self.clock())
+        self.note_changes()
+
+    def note_changes(self) -> None:
+        """Wake the watches whose answer may have changed."""
+        hub = self.node.hub
+        seen = (
+            hub and hub.epoch,
+            hub and hub.last_mark,
+            self.node.state.routes.version,
+        )
+        if seen != self.seen:
+            self.log_beliefs(seen)
+            self.seen = seen
+            self.changed.set()
+            self.changed = asyncio.Event()
+
+    def log_beliefs(self, seen: tuple) -> None:
+        """Log a change of leadership or of the version in force."""
+        before = self.seen or (None, None, None)
+        epoch, _, version = seen
+        raft = self.node.raft
+        if epoch != before[0]:
+            LOG.info(
+                "leads" if epoch else "does not lead",
+                epoch=epoch or "",
+                term=raft.term,
+                leader=raft.leader,
+            )
+        if version != before[2]:
+            LOG.info(
+                "routes applied",
+                version=version,
+                before=before[2],
+                term=raft.term,
+            )
 
     # --- messages --------------------------------------------------------
 
@@ -156,7 +225,7 @@
         if decoded.is_error():
             LOG.warning("peer message dropped: {}", decoded.error.message)
             return
-        self.guard(self.node.on_peer, decoded.ok, self.loop.time())
+        self.guard(self.node.on_peer, decoded.ok, self.clock())
 
     async def on_call(self, data: bytes) -> bytes:
         """Answer an encoded call."""
@@ -168,14 +237,30 @@
         return links.CALLS.encode(answer)
 
     async def call(self, message: object) -> object:
-        """Answer a call."""
+        """Answer a call; a watch is held back while there is no news."""
+        if not isinstance(message, messages.Watch):
+            return await self.call_node(message)
+        end = self.clock() + min(message.wait_s, MAX_WATCH_S)
+        while True:
+            changed = self.changed
+            answer = await self.call_node(message)
+            left_s = end - self.clock()
+            empty = isinstance(answer, messages.News) and answer.is_empty
+            if not empty or left_s <= 0:
+                return answer
+            # What the watch brought along has been taken the first time.
+            message = attrs.evolve(message, announcements=())
+            await wait_for_event(changed, left_s)
+
+    async def call_node(self, message: object) -> object:
+        """Answer a call at once, or when its command is applied."""
         future = self.loop.create_future()
 
         def reply(answer: object) -> None:
             if not future.done():
                 future.set_result(answer)
 
-        self.guard(self.node.call, message, self.loop.time(), reply)
+        self.guard(self.node.call, message, self.clock(), reply)
         self.plan_process()
         return await future
 
@@ -238,6 +323,32 @@
         counter("colts_control_syncs", "Syncs to disk", lambda: node.syncs)
 
 
+async def wait_for_event(event: asyncio.Event, timeout_s: float) -> None:
+    """Wait until an event is set or the time is over."""
+    try:
+        await asyncio.wait_for(event.wait(), timeout_s)
+    except TimeoutError:
+        return
+
+
+class LeaderLink(links.ControlLink):
+    """Calls the replica in this process, or the leader it knows of."""
+
+    def __init__(self, server: ControlServer):
+        self.server = server
+
+    async def call(self, message, timeout_s):
+        """Return the leader's answer."""
+        answer = await self.server.call(message)
+        if not isinstance(answer, messages.NotLeader):
+            return Ok(answer)
+        link = self.server.link
+        link.learn(self.server.node.replica_addresses())
+        if answer.hint:
+            link.leader = answer.hint
+        return await link.call(message, timeout_s)
+
+
 class LocalLink(links.ControlLink):
     """Calls a replica in the same process, for `colts-standalone`."""
 
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -27,8 +27,12 @@
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
     ("grpc.service_config_disable_resolution", 1),
-    ("grpc.keepalive_time_ms", 10_000),
-    ("grpc.keepalive_timeout_ms", 4_000),
+    # Connections go silent without a reset: a ping each second finds that,
+    # and the servers must not take the pings for abuse.
+    ("grpc.keepalive_time_ms", 1_000),
+    ("grpc.keepalive_timeout_ms", 1_500),
+    ("grpc.http2.min_ping_interval_without_data_ms", 500),
+    ("grpc.http2.max_ping_strikes", 0),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
     ("grpc.max_reconnect_backoff_ms", 1_000),
@@ -74,6 +78,13 @@
     messages.Refused,
     messages.TakeSnapshot,
     messages.SnapshotCopy,
+    messages.PutRoutes,
+    messages.RoutesCopy,
+    messages.ReadRoutes,
+    messages.Announce,
+    messages.JoinReplica,
+    messages.Watch,
+    messages.News,
     fences.TakeLease,
     fences.DropLease,
     fences.LeaseAnswer,
@@ -125,6 +136,12 @@
         self.place = 0
         self.leader = ""
 
+    def learn(self, addresses: tuple[str, ...]) -> None:
+        """Add replicas that are not among the known addresses yet."""
+        for address in addresses:
+            if address not in self.addresses:
+                self.addresses.append(address)
+
     def channel(self, address: str) -> grpc.aio.Channel:
         """Return the channel to a replica."""
         if address not in self.channels:
@@ -173,10 +190,18 @@
         try:
             data = await method(CALLS.encode(message), timeout=share)
         except grpc.aio.AioRpcError as error:
+            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                await self.forget_channel(address)
             return error.code().name.lower()
         decoded = CALLS.decode(data)
         return decoded.ok if decoded.is_ok() else decoded.error.message
 
+    async def forget_channel(self, address: str) -> None:
+        """Close a channel that may have gone silent; the next is new."""
+        channel = self.channels.pop(address, None)
+        if channel is not None:
+            await channel.close()
+
     async def close(self):
         """Close all channels."""
         for channel in self.channels.values():
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -23,8 +23,8 @@
 
 
 def check_token(_, attribute, value) -> None:
-    """Reject short secrets."""
-    if len(value) < MIN_TOKEN_LENGTH:
+    """Reject short secrets; an empty one switches the calls off."""
+    if value and len(value) < MIN_TOKEN_LENGTH:
         raise ValueError(
             f"{attribute.name} is shorter than {MIN_TOKEN_LENGTH} characters"
         )
@@ -42,6 +42,68 @@
 LISTEN = {"validator": check_listen}
 
 
+def peer_addresses(seeds: tuple[str, ...], port: int) -> tuple[str, ...]:
+    """Return the seeds with another port, or as they are for port 0."""
+    if not port:
+        return seeds
+    return tuple(f"{split_address(seed)[0]}:{port}" for seed in seeds)
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """Settings of `colts-gateway`.
+
+    Attributes:
+        gateway: Name, unique over the fleet and stable over restarts.
+        availability_zone: Zone of the VM.
+        listen: `ip:port` for callers.
+        ready_listen: `ip:port` that answers whether the gateway is ready.
+        directory_listen: `ip:port` that answers which gateways to use.
+        peer_listen: `ip:port` for datagrams of other gateways.
+        metrics_listen: `ip:port` of the metrics, none if empty.
+        seeds: `ip:port` of some replicas of the control state.
+        control_port: Port at which the seeds listen for gateways, 0 if the
+            seeds name it themselves.
+        staleness_bound_s: Age of the proof that the routes are current past
+            which nothing that needs a key is sent on.
+        shutdown_grace_s: Longest wait for requests in progress.
+        address_validity_s: Time for which callers may keep addresses.
+        retry_ratio: Retries as a share of the requests for a service.
+        retry_slack: Retries beyond that in one window, over all gateways.
+        retry_window_s: Length of that window.
+        log_level: Least severe level that is logged.
+    """
+
+    gateway: str = attrs.field(validator=check_name)
+    availability_zone: str = ""
+    listen: str = attrs.field(**LISTEN)
+    ready_listen: str = attrs.field(**LISTEN)
+    directory_listen: str = attrs.field(**LISTEN)
+    peer_listen: str = attrs.field(**LISTEN)
+    metrics_listen: str = ""
+    seeds: tuple[str, ...] = ()
+    control_port: int = 0
+    staleness_bound_s: float = attrs.field(
+        default=4.5, validator=config_lib.check_positive
+    )
+    shutdown_grace_s: float = attrs.field(
+        default=8.0, validator=config_lib.check_positive
+    )
+    address_validity_s: float = attrs.field(
+        default=2.0, validator=config_lib.check_positive
+    )
+    retry_ratio: float = 0.1
+    retry_slack: float = 20.0
+    retry_window_s: float = attrs.field(
+        default=10.0, validator=config_lib.check_positive
+    )
+    log_level: str = "INFO"
+
+    def control(self) -> tuple[str, ...]:
+        """Return the addresses at which the replicas take calls."""
+        return peer_addresses(self.seeds, self.control_port)
+
+
 @attrs.frozen(kw_only=True)
 class EntrySettings:
     """Settings of `colts-entry`.
@@ -99,6 +161,15 @@
         admin_token: Secret of operators.
         data_folder: Folder that holds all durable state.
         log_level: Least severe level that is logged.
+        seeds: `ip:port` of some replicas, whatever they listen there for;
+            empty where operators add replicas themselves.
+        peer_port: Port at which the seeds listen for replicas, 0 if the
+            seeds name it themselves.
+        first_start: Whether the whole system starts for the first time; the
+            first of the seeds in order then begins it.
+        lost_at_once: Replicas that may be lost at the same time.
+        api_listen: `ip:port` of a platform's own calls, where one is adapted.
+        structured_logs: Whether logs are JSON lines on standard output.
     """
 
     replica: str = attrs.field(validator=check_name)
@@ -107,6 +178,26 @@
     admin_token: str = attrs.field(validator=check_token)
     data_folder: str
     log_level: str = "INFO"
+    seeds: tuple[str, ...] = ()
+    peer_port: int = 0
+    first_start: bool = False
+    lost_at_once: int = 0
+    api_listen: str = ""
+    structured_logs: bool = False
+
+    @property
+    def required_voters(self) -> int:
+        """Return the replicas that must hold what is acknowledged."""
+        return 2 * self.lost_at_once + 1
+
+    def peers(self) -> tuple[str, ...]:
+        """Return the addresses at which the seeds listen for replicas."""
+        return peer_addresses(self.seeds, self.peer_port)
+
+    def begins_system(self) -> bool:
+        """Return whether this replica is the one that begins the system."""
+        peers = sorted(self.peers())
+        return self.first_start and bool(peers) and peers[0] == self.listen
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/shell/web.py
+++ b/src/_coltsfootroad/shell/web.py
@@ -13,6 +13,8 @@
 
 IDLE_TIMEOUT_S = 300.0
 MAX_HEADER_BYTES = 64 * 1024
+# Unavailable is an ordinary answer, which the part that gives it logs.
+ORDINARY_STATUSES = (503,)
 FAULT_STATUS = 500
 LOG = logs.logger("web")
 JSON_TYPE = "application/json"
@@ -37,7 +39,8 @@
 
 def log_request(handler: tornado.web.RequestHandler) -> None:
     """Log a request that ended in a fault of ours, and no other."""
-    if handler.get_status() >= FAULT_STATUS:
+    status = handler.get_status()
+    if status >= FAULT_STATUS and status not in ORDINARY_STATUSES:
         LOG.warning(
             "{} {} ended with status {}",
             handler.request.method,
@@ -59,8 +62,8 @@
 
 
 def same_secret(given: str, wanted: str) -> bool:
-    """Compare two secrets in constant time."""
-    return hmac.compare_digest(given.encode(), wanted.encode())
+    """Compare two secrets in constant time; an empty one fits nobody."""
+    return bool(wanted) and hmac.compare_digest(given.encode(), wanted.encode())
 
 
 def hash_key(key: str) -> str:
