--- /dev/null
+++ b/features/gateway/parts.feature
@@ -0,0 +1,102 @@
+Feature: The parts of a gateway that need no network
+
+  Scenario Outline: Only whole events are passed on: <text>
+    Then bytes <text> make <whole> whole events
+
+    Examples:
+      | text                                 | whole |
+      | "id: 1\ndata: a\n\n"                 | 1     |
+      | "id: 1\ndata: a\n\nid: 2\ndata"      | 1     |
+      | "id: 1\r\ndata: a\r\n\r\nid: 2\n\n"  | 2     |
+      | "data: half"                         | 0     |
+
+  Scenario Outline: A version with <fault> is refused
+    Then a version with <fault> is refused with <words>
+
+    Examples:
+      | fault                    | words              |
+      | an unknown service       | 'no' is not known  |
+      | no weight                | add up to 0        |
+      | a negative weight        | -1 is negative     |
+      | no timeout               | timeout is 0       |
+      | a prefix without slashes | prefix 'x'         |
+      | a place that is taken    | another route      |
+      | a shared key             | share a key        |
+
+  Scenario: A valid version is taken
+    Then a valid version is not refused
+
+  Scenario Outline: The longest prefix that begins the path decides
+    Then of prefixes <prefixes> the path <path> takes <wanted>
+
+    Examples:
+      | prefixes   | path   | wanted |
+      | /,/a/,/a/b/ | /a/b/c | /a/b/  |
+      | /,/a/,/a/b/ | /a/bc  | /a/    |
+      | /,/a/       | /b     | /      |
+      | /a/         | /b     | none   |
+
+  Scenario Outline: Weights split a route's requests
+    Then a split of <a> to <b> gives the first about <percent>%
+
+    Examples:
+      | a  | b  | percent |
+      | 90 | 10 | 90      |
+      | 1  | 1  | 50      |
+      | 0  | 1  | 0       |
+
+  Scenario Outline: A version never goes back
+    Then versions <given> in turn leave <wanted> in force
+
+    Examples:
+      | given | wanted |
+      | 1 3 2 | 3      |
+      | 4 4   | 4      |
+      | 2 9   | 9      |
+
+  Scenario Outline: Freshness counts from before it was asked for
+    Then a proof asked for <age> s ago is <state>
+
+    Examples:
+      | age | state |
+      | 0   | good  |
+      | 4.4 | good  |
+      | 4.6 | old   |
+
+  Scenario Outline: Gateways together stay within the fleet's retry budget
+    Then <gateways> gateways with <requests> requests each retry <most>
+
+    Examples:
+      | gateways | requests | most |
+      | 1        | 0        | 70   |
+      | 9        | 0        | 60   |
+      | 9        | 50       | 110  |
+      | 96       | 5        | 0    |
+
+  Scenario Outline: An endpoint that leaves never comes back
+    Then an endpoint that was <before> and is announced <after> is <state>
+
+    Examples:
+      | before  | after   | state  |
+      | serving | serving | used   |
+      | serving | leaving | unused |
+      | leaving | serving | unused |
+      | gone    | serving | unused |
+      | serving | silent  | unused |
+
+  Scenario Outline: Summaries of other gateways replace each other in order
+    Then a summary numbered <later> after <earlier> is <taken>
+
+    Examples:
+      | later | earlier | taken   |
+      | 5     | 4       | taken   |
+      | 4     | 5       | dropped |
+      | 4     | 4       | dropped |
+
+  Scenario Outline: What a silent gateway had sent is forgotten
+    Then a gateway that is silent for <seconds> s counts <count> pieces
+
+    Examples:
+      | seconds | count |
+      | 1.0     | 1     |
+      | 3.0     | 0     |
--- /dev/null
+++ b/features/gateway/requests.feature
@@ -0,0 +1,75 @@
+Feature: A gateway gives each request one true answer
+
+  Scenario Outline: A <kind> request at endpoints that <first>, then <second>
+    When a <kind> request meets endpoints that <first> and then <second>
+    Then the caller gets <status> and the answer is <whole>
+    And <sends> sends were made
+
+    Examples: what did not run may be sent again, at whatever kind
+      | kind   | first  | second | status | whole | sends |
+      | safe   | answer | answer | 200    | whole | 1     |
+      | unsafe | answer | answer | 200    | whole | 1     |
+      | safe   | reject | answer | 200    | whole | 2     |
+      | unsafe | reject | answer | 200    | whole | 2     |
+
+    Examples: what may have run is sent again only if it may run twice
+      | kind   | first        | second | status | whole | sends |
+      | safe   | reset        | answer | 200    | whole | 2     |
+      | unsafe | reset        | answer | 502    | whole | 1     |
+      | safe   | truncate     | answer | 200    | whole | 2     |
+      | unsafe | truncate     | answer | 502    | whole | 1     |
+      | safe   | misattribute | answer | 200    | whole | 2     |
+      | unsafe | misattribute | answer | 502    | whole | 1     |
+      | safe   | unsigned     | answer | 200    | whole | 2     |
+      | unsafe | unsigned     | answer | 502    | whole | 1     |
+      | safe   | encoded      | answer | 200    | whole | 2     |
+      | safe   | fail         | answer | 200    | whole | 2     |
+      | unsafe | fail         | answer | 500    | whole | 1     |
+      | safe   | fail         | fail   | 500    | whole | 2     |
+      | safe   | reset        | reset  | 502    | whole | 2     |
+
+    Examples: odd but whole answers
+      | kind   | first    | second | status | whole | sends |
+      | safe   | unframed | answer | 200    | whole | 1     |
+      | unsafe | unframed | answer | 200    | whole | 1     |
+      | unsafe | twice    | answer | 200    | whole | 1     |
+
+  Scenario Outline: A stream whose endpoint will <first>, then <second>
+    When a stream request meets endpoints that <first> and then <second>
+    Then the caller gets 200 and the answer is <whole>
+    And the events are <events>
+
+    Examples:
+      | first        | second       | whole  | events  |
+      | stream       | stream       | whole  | 1 2 3 4 |
+      | die in event | stream       | whole  | 1 2 3 4 |
+      | reset        | stream       | whole  | 1 2 3 4 |
+      | die in event | reset        | broken | 1 2     |
+
+  Scenario Outline: A <kind> request with <fault> is refused at once
+    When a <kind> request comes with <fault>
+    Then the caller gets <status> at once and nothing is sent
+    And the refusal says when to come back: <back>
+
+    Examples:
+      | kind   | fault                         | status | back |
+      | safe   | an unknown key                | 401    | no   |
+      | unsafe | a path without a route        | 404    | no   |
+      | unsafe | a proof that is too old       | 503    | yes  |
+      | safe   | no routes known               | 503    | yes  |
+      | unsafe | no endpoint alive             | 503    | yes  |
+      | stream | no endpoint alive             | 503    | yes  |
+      | stream | the gateway stopping for long | 503    | yes  |
+
+  Scenario: Headers that only the gateway may set are the gateway's
+    When a caller sends headers of its own for what the gateway sets
+    Then the endpoint sees the gateway's word and the rest unchanged
+
+  Scenario: Work for a caller that has left is stopped
+    When a caller leaves while an endpoint works
+    Then the endpoint's connection is closed within half a second
+
+  Scenario: A second answer on a kept connection reaches nobody
+    When two safe requests follow each other and the first is answered twice
+    Then the caller gets 200 and the answer is whole
+    And 2 sends were made
--- /dev/null
+++ b/features/steps/gateway_steps.py
@@ -0,0 +1,457 @@
+"""Steps of the gateway's features."""
+
+import asyncio
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+
+from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import enginemodel
+from _coltsfootroad.core import eventstream
+from _coltsfootroad.core import registry
+from _coltsfootroad.core import routes
+from _coltsfootroad.core import routeview
+from _coltsfootroad.core import spread
+from _coltsfootroad.core import windowbudget
+from _coltsfootroad.core import workload
+from features.support import gatewaybed
+
+# An engine of the size that the platform's deployments state: a pass of 46
+# steps with writers takes 45 ms, and 256,000 prompt tokens a second are read.
+ENGINE = routes.EngineSpec(
+    slots=8,
+    kv_tokens=450_000,
+    stride=46,
+    step_s=0.000925,
+    per_sequence_s=0.00000966,
+    context_s_per_token=0.00000000254,
+    read_tokens_per_s=256_000.0,
+    pair_s=0.0917e-9,
+)
+SHORT = spread.Prompt(
+    prompt_tokens=5_000, output_tokens=1_600, target_s=0.3, gap_target_s=0.2
+)
+LONG = spread.Prompt(
+    prompt_tokens=210_000, output_tokens=800, target_s=3.0, gap_target_s=0.8
+)
+
+# --- requests ------------------------------------------------------------
+
+
+def play(context, story) -> None:
+    """Run a coroutine function of a test bed on a loop of its own."""
+
+    async def run():
+        bed = gatewaybed.Bed()
+        try:
+            await story(bed)
+        finally:
+            await bed.close()
+
+    asyncio.run(run())
+
+
+@when("a {kind} request meets endpoints that {first} and then {second}")
+def meets(context, kind, first, second):
+    async def story(bed):
+        # Both endpoints are the same for the choice, so both act in turn.
+        acts = iter([first, second, second])
+        endpoints = [
+            await bed.add("e1", "answer"),
+            await bed.add("e2", "answer"),
+        ]
+        for endpoint in endpoints:
+            endpoint.serve_one = one_act(endpoint, acts)
+        context.answer = await bed.ask(f"/{kind}/x")
+        context.seen = [s for e in endpoints for s in e.seen]
+
+    play(context, story)
+
+
+def one_act(endpoint, acts):
+    """Return a `serve_one` that takes its act from a shared list."""
+    plain = endpoint.serve_one
+
+    async def serve_one(reader, writer):
+        endpoint.script = LazyScript(acts)
+        return await plain(reader, writer)
+
+    return serve_one
+
+
+class LazyScript:
+    """A script whose next word is drawn when a request has come."""
+
+    def __init__(self, acts):
+        self.acts = acts
+
+    def __len__(self):
+        return 1
+
+    def __getitem__(self, _):
+        return next(self.acts)
+
+
+@then("the caller gets {status:d} and the answer is {whole}")
+def gets(context, status, whole):
+    found = context.answer
+    assert found.status == status, found
+    assert found.whole == (whole == "whole"), found
+
+
+@then("{count:d} sends were made")
+def sends(context, count):
+    assert len(context.seen) == count, context.seen
+
+
+@then("the events are {numbers}")
+def events_are(context, numbers):
+    wanted = b"".join(gatewaybed.event(int(n)) for n in numbers.split())
+    assert context.answer.body == wanted, context.answer.body
+
+
+@when("a {kind} request comes with {fault}")
+def comes_with(context, kind, fault):
+    async def story(bed):
+        endpoint = await bed.add("e1", "answer")
+        options = {}
+        path = f"/{kind}/x"
+        if fault == "an unknown key":
+            options["key"] = "nobodys"
+        elif fault == "a path without a route":
+            path = "/elsewhere/x"
+        elif fault == "a proof that is too old":
+            bed.prove(age_s=60.0)
+        elif fault == "no routes known":
+            bed.gateway.view.table = None
+        elif fault == "no endpoint alive":
+            endpoint.server.close()
+        elif fault == "the gateway stopping for long":
+            bed.gateway.leaving = True
+            bed.gateway.stopping_at = 0.0
+        context.answer = await bed.ask(path, **options)
+        context.seen = endpoint.seen
+
+    play(context, story)
+
+
+@then("the caller gets {status:d} at once and nothing is sent")
+def refused(context, status):
+    assert context.answer.status == status, context.answer
+    assert context.seen == [], context.seen
+
+
+@then("the refusal says when to come back: {yes}")
+def comes_back(context, yes):
+    known = "retry-after" in context.answer.headers
+    assert known == (yes == "yes"), context.answer
+
+
+@when("a caller sends headers of its own for what the gateway sets")
+def forged(context):
+    async def story(bed):
+        endpoint = await bed.add("e1", "answer")
+        context.answer = await bed.ask(
+            "/safe/x?q=a%2Fb",
+            extra={
+                "X-Workspace": "somebody-else",
+                "X-Expected-Endpoint": "other",
+                "X-Helpers": "10.0.0.1:1",
+                "X-Custom": "kept",
+                "Connection": "x-private",
+                "X-Private": "dropped",
+            },
+        )
+        context.seen = endpoint.seen
+
+    play(context, story)
+
+
+@then("the endpoint sees the gateway's word and the rest unchanged")
+def sees(context):
+    (seen,) = context.seen
+    assert seen.line == "POST /safe/x?q=a%2Fb HTTP/1.1", seen.line
+    assert seen.body == b"body"
+    assert seen.headers["x-workspace"] == "acme"
+    assert seen.headers["x-expected-endpoint"] == "e1"
+    assert seen.headers["x-custom"] == "kept"
+    for name in ("x-api-key", "x-helpers", "x-private"):
+        assert name not in seen.headers, name
+    left_ms = int(seen.headers["x-deadline-ms"])
+    # The route's timeout of 2 s is below the caller's deadline.
+    assert 1_500 <= left_ms <= 2_000, left_ms
+
+
+@when("a caller leaves while an endpoint works")
+def leaves(context):
+    async def story(bed):
+        endpoint = await bed.add("e1", "hang")
+        reader, writer = await asyncio.open_connection("127.0.0.1", bed.port)
+        writer.write(
+            f"GET /safe/x HTTP/1.1\r\nHost: {gatewaybed.HOST}\r\n"
+            f"X-Request-Id: r\r\nX-Api-Key: {gatewaybed.KEY}\r\n\r\n".encode()
+        )
+        while not endpoint.seen:
+            await asyncio.sleep(0.01)
+        writer.close()
+        del reader
+        async with asyncio.timeout(0.5):
+            await endpoint.hung_up.wait()
+        context.hung_up = True
+
+    play(context, story)
+
+
+@then("the endpoint's connection is closed within half a second")
+def closed(context):
+    assert context.hung_up
+
+
+@when("two safe requests follow each other and the first is answered twice")
+def answered_twice(context):
+    async def story(bed):
+        endpoint = await bed.add("e1", "twice", "answer")
+        await bed.ask("/safe/x")
+        context.answer = await bed.ask("/safe/x", extra={"X-Request-Id": "r-2"})
+        context.seen = endpoint.seen
+
+    play(context, story)
+
+
+# --- events --------------------------------------------------------------
+
+
+@then("bytes {text} make {whole:d} whole events")
+def make_events(context, text, whole):
+    data = text.strip('"').encode().decode("unicode_escape").encode()
+    splitter = eventstream.EventSplitter()
+    found = [e for byte in data for e in splitter.feed(bytes([byte]))]
+    assert len(found) == whole, found
+    assert b"".join(e.data for e in found) + splitter.pending == data
+
+
+# --- routes --------------------------------------------------------------
+
+
+@then("a version with {fault} is refused with {words}")
+def version_refused(context, fault, words):
+    plain = gatewaybed.config()
+    route = plain.routes[0]
+    changed = {
+        "an unknown service": {
+            "splits": (routes.Split(service="no", weight=1),)
+        },
+        "no weight": {"splits": (routes.Split(service="shop", weight=0),)},
+        "no timeout": {"timeout_s": 0.0},
+        "a negative weight": {
+            "splits": (routes.Split(service="shop", weight=-1),)
+        },
+        "a prefix without slashes": {"prefix": "x"},
+        "a place that is taken": {"prefix": "/unsafe/"},
+    }
+    if fault == "a shared key":
+        other = routes.KeyHolder(workspace="b", keys=(gatewaybed.KEY,))
+        config = attrs.evolve(plain, holders=(*plain.holders, other))
+    else:
+        bad = attrs.evolve(route, **changed[fault])
+        config = attrs.evolve(plain, routes=(bad, *plain.routes[1:]))
+    checked = routes.check(config)
+    assert checked.is_error()
+    assert words in checked.error.message, checked.error.message
+
+
+@then("a valid version is not refused")
+def version_taken(context):
+    assert routes.check(gatewaybed.config()).is_ok()
+
+
+@then("of prefixes {prefixes} the path {path} takes {wanted}")
+def longest(context, prefixes, path, wanted):
+    plain = gatewaybed.config()
+    found = tuple(
+        attrs.evolve(plain.routes[0], name=prefix, prefix=prefix)
+        for prefix in prefixes.split(",")
+    )
+    table = routes.RouteTable(attrs.evolve(plain, routes=found))
+    match = table.match(gatewaybed.HOST, path)
+    assert (match.name if match else "none") == wanted, match
+
+
+@then("a split of {first:d} to {second:d} gives the first about {percent:d}%")
+def split(context, first, second, percent):
+    route = attrs.evolve(
+        gatewaybed.config().routes[0],
+        splits=(
+            routes.Split(service="a", weight=first),
+            routes.Split(service="b", weight=second),
+        ),
+    )
+    taken = [routes.choose_service(route, f"r{n}") for n in range(2_000)]
+    assert abs(taken.count("a") / 20 - percent) < 4, taken.count("a")
+
+
+# --- route view ----------------------------------------------------------
+
+
+@then("versions {given_ones} in turn leave {wanted:d} in force")
+def versions(context, given_ones, wanted):
+    view = routeview.RouteView(staleness_bound_s=4.5)
+    for version in given_ones.split():
+        view.adopt(gatewaybed.config(version=int(version)))
+    assert view.version == wanted
+
+
+@then("a proof asked for {age_s:g} s ago is {state}")
+def proof(context, age_s, state):
+    view = routeview.RouteView(staleness_bound_s=4.5)
+    view.adopt(gatewaybed.config())
+    view.confirm(1_000.0)
+    assert view.is_current(1_000.0 + age_s) == (state == "good")
+
+
+# --- budget --------------------------------------------------------------
+
+
+@then("{gateways:d} gateways with {requests:d} requests each retry {most:d}")
+def budget(context, gateways, requests, most):
+    total = 0
+    for _ in range(gateways):
+        part = windowbudget.WindowBudget(ratio=0.2, slack=106, window_s=10.0)
+        for _ in range(requests):
+            part.on_request(100.0)
+        while part.take(gateways, 100.0):
+            total += 1
+    assert total <= 0.2 * requests * gateways + 106
+    assert total >= most, total
+
+
+# --- endpoints -----------------------------------------------------------
+
+
+@then("an endpoint that was {before} and is announced {after} is {state}")
+def announced(context, before, after, state):
+    endpoints = endpointset.EndpointSet()
+    for seq, word in enumerate((before, after)):
+        if word == "silent":
+            endpoints.expire("e")
+            continue
+        endpoints.learn(
+            registry.Announcement(
+                endpoint="e",
+                incarnation=1,
+                seq=seq,
+                service="s",
+                state=registry.EndpointState(word),
+            )
+        )
+    used = bool(endpoints.of_service("s"))
+    assert used == (state == "used"), endpoints
+
+
+# --- spread --------------------------------------------------------------
+
+
+def writers(count: int, endpoint: str) -> list[workload.Work]:
+    """Return short streams that are being written."""
+    return [
+        workload.Work(
+            endpoint=endpoint,
+            prompt_tokens=5_000,
+            output_tokens=1_600,
+            kv_tokens=6_600,
+            writing=True,
+            gap_target_s=0.2,
+            value=SHORT.value,
+        )
+        for _ in range(count)
+    ]
+
+
+def states(loads: list[int]) -> list[spread.EngineState]:
+    """Return engines that write so many short streams each."""
+    return [
+        spread.engine_state(f"e{n}", writers(count, f"e{n}"), ENGINE, 0.0)
+        for n, count in enumerate(loads)
+    ]
+
+
+@given("engines that write {loads} short streams")
+def engines_write(context, loads):
+    context.states = states([int(n) for n in loads.split()])
+
+
+@when("a {size} prompt is placed")
+def placed(context, size):
+    prompts = {
+        "short": SHORT,
+        "long": LONG,
+        "45k": attrs.evolve(LONG, prompt_tokens=45_000, target_s=1.5),
+        "million": attrs.evolve(LONG, prompt_tokens=1_000_000),
+    }
+    context.prompt = prompts[size]
+    context.placement = spread.place(context.prompt, context.states, ENGINE)
+
+
+@then("it goes to {wanted}")
+def goes_to(context, wanted):
+    assert context.placement.lead == wanted, context.placement
+
+
+@then("no short stream pauses for longer than its aim")
+def no_harm(context):
+    found = context.placement
+    chosen = {found.lead, *found.helpers}
+    part_s = enginemodel.read_s(
+        ENGINE, context.prompt.prompt_tokens, len(chosen)
+    )
+    for state in context.states:
+        if state.endpoint in chosen:
+            assert not state.harm(ENGINE, part_s), found
+
+
+@then("its first event is predicted within {seconds:g} s")
+def predicted(context, seconds):
+    assert context.placement.first_event_s <= seconds, context.placement
+
+
+@then("the memory of the prompt is held whole by tickets and first engine")
+def memory_held(context):
+    held = sum(tokens for _, tokens in context.placement.tickets)
+    rest = context.prompt.prompt_tokens + context.prompt.output_tokens - held
+    assert held and rest <= ENGINE.kv_tokens - spread.SPARE_TOKENS
+    names = [name for name, _ in context.placement.tickets]
+    assert set(names) <= set(context.placement.helpers)
+
+
+# --- workload ------------------------------------------------------------
+
+
+@then("a summary numbered {later:d} after {earlier:d} is {taken}")
+def summary(context, later, earlier, taken):
+    load = workload.Workload()
+    for seq in (earlier, later):
+        works = (workload.Work(endpoint=f"e{seq}"),)
+        told = workload.WorkSummary(
+            gateway="g", incarnation=1, seq=seq, works=works, ages=(0.5,)
+        )
+        result = load.take(told, 10.0)
+    assert result == (taken == "taken")
+    work = load.foreign["g"].works[0]
+    assert work.sent_at == 9.5, work
+
+
+@then("a gateway that is silent for {seconds:g} s counts {count:d} pieces")
+def silent(context, seconds, count):
+    load = workload.Workload()
+    told = workload.WorkSummary(
+        gateway="g",
+        incarnation=1,
+        seq=1,
+        works=(workload.Work(endpoint="e"),),
+        ages=(0.0,),
+    )
+    load.take(told, 10.0)
+    load.expire(10.0 + seconds)
+    assert len(load.by_endpoint().get("e", [])) == count
--- /dev/null
+++ b/features/steps/watch_steps.py
@@ -0,0 +1,258 @@
+"""Steps of what gateways learn from the control state."""
+
+import asyncio
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from _coltsfootroad.control import hub as hub_lib
+from _coltsfootroad.control import membership as membership_lib
+from _coltsfootroad.control import messages
+from _coltsfootroad.control import node as node_lib
+from _coltsfootroad.control import peers
+from _coltsfootroad.control import replicas
+from _coltsfootroad.control import state as state_lib
+from _coltsfootroad.control import storage
+from _coltsfootroad.core import addresses
+from _coltsfootroad.core import registry
+from _coltsfootroad.shell import links
+from features.support import gatewaybed
+
+START = 1_000.0
+MEMBER = addresses.Member(entry="g1", incarnation=1, address="10.0.0.1:1")
+
+
+def announcement(name: str, seq: int = 1, state="serving"):
+    """Return an endpoint's announcement."""
+    return registry.Announcement(
+        endpoint=name,
+        incarnation=1,
+        seq=seq,
+        service="s",
+        state=registry.EndpointState(state),
+    )
+
+
+def watch(hub: hub_lib.Hub, now: float, mark: int = 0, brought=()):
+    """Return what a gateway learns."""
+    return hub.on_watch(
+        messages.Watch(
+            member=MEMBER,
+            routes_version=-1,
+            epoch=hub.epoch,
+            registry_mark=mark,
+            announcements=tuple(brought),
+        ),
+        now,
+    )
+
+
+@when("versions {sent} are put")
+def put(context, sent):
+    context.state = state_lib.ControlState()
+    for version in sent.split():
+        first = context.state.routes.version < int(version)
+        source = f"document {version} {'first' if first else 'again'}"
+        command = messages.PutRoutes(
+            config=gatewaybed.config(version=int(version)),
+            source=source.encode(),
+        )
+        answer = context.state.apply(command, 0.0)
+        assert answer.version >= int(version)
+
+
+@when("the state is saved and loaded")
+def saved(context):
+    context.state = state_lib.load(state_lib.save(context.state))
+
+
+@then("version {wanted:d} is in force with its own document")
+def in_force(context, wanted):
+    kept = context.state.routes
+    assert kept.version == wanted
+    assert kept.source == f"document {wanted} first".encode(), kept.source
+
+
+@given('a hub that knows endpoints "{first}" and "{second}"')
+def hub_knows(context, first, second):
+    hub_knows_nothing(context)
+    for name in (first, second):
+        context.hub.take_announcement(announcement(name), 8.0, START)
+    context.mark = watch(context.hub, START).registry_mark
+
+
+@given("a hub that knows nothing")
+def hub_knows_nothing(context):
+    context.hub = hub_lib.Hub("epoch", state_lib.ControlState(), START)
+
+
+@when('"{left}" signs off and "{silent}" is silent for {seconds:g} s')
+def signs_off(context, left, silent, seconds):
+    context.hub.take_announcement(
+        announcement(left, 2**62, "gone"), 8.0, START + 1
+    )
+    context.now = START + seconds
+
+
+@then('a watch since then names "{left}" as left and "{silent}" as gone')
+def names(context, left, silent):
+    news = watch(context.hub, context.now, context.mark)
+    assert news.left == (left,), news
+    assert news.gone == (silent,), news
+
+
+@when('"{left}" signs off and its earlier heartbeat comes late')
+def late(context, left):
+    hub = context.hub
+    hub.take_announcement(announcement(left, 2**62, "gone"), 8.0, START)
+    hub.take_announcement(announcement(left, 2), 8.0, START + 1)
+
+
+@then('a new watch does not name "{left}"')
+def not_named(context, left):
+    news = watch(context.hub, START + 2)
+    assert left not in [a.endpoint for a in news.announcements], news
+
+
+@when("a gateway watches and brings along an endpoint and a tombstone")
+def brings(context):
+    brought = (announcement("alive", 7), announcement("dead", 0, "gone"))
+    watch(context.hub, START, brought=brought)
+
+
+@then("the hub knows the endpoint, and a late heartbeat revives no other")
+def knows(context):
+    context.hub.take_announcement(announcement("dead", 9), 8.0, START)
+    assert list(context.hub.registry.registrations) == ["alive"]
+
+
+@when("the process at the other end of a peer link restarts")
+def restarts(context):
+    context.arrived = asyncio.run(restart_under_a_link())
+
+
+async def restart_under_a_link() -> bool:
+    """Return whether messages arrive after the receiver has restarted."""
+    address = f"127.0.0.1:{gatewaybed.free_port()}"
+    arrived = asyncio.Event()
+
+    async def on_call(_):
+        return b""
+
+    def listen():
+        server = links.make_server(on_call, lambda *_: arrived.set())
+        server.add_insecure_port(address)
+        return server
+
+    server = listen()
+    await server.start()
+    link = links.PeerLink(address, "me", "127.0.0.1:1")
+    reached = await send_until(link, arrived)
+    assert reached, "nothing arrived before the restart"
+    await server.stop(grace=None)
+    # The end of the stream is known before the next message is written.
+    await asyncio.sleep(0.3)
+    link.send(message())
+    await asyncio.sleep(0.1)
+    arrived.clear()
+    server = listen()
+    await server.start()
+    reached = await send_until(link, arrived)
+    await link.close()
+    await server.stop(grace=None)
+    return reached
+
+
+async def send_until(link: links.PeerLink, arrived: asyncio.Event) -> bool:
+    """Send again and again until something has arrived."""
+    for _ in range(60):
+        link.send(message())
+        try:
+            await asyncio.wait_for(arrived.wait(), 0.1)
+            return True
+        except TimeoutError:
+            continue
+    return False
+
+
+def message() -> peers.VoteReply:
+    """Return some message between replicas."""
+    return peers.VoteReply(
+        term=1, sender="me", pre=False, granted=False, asked_term=1
+    )
+
+
+@then("messages arrive there again")
+def arrive(context):
+    assert context.arrived
+
+
+# --- membership ------------------------------------------------------------
+
+
+def replica(name: str, disk: str = "d") -> replicas.Replica:
+    """Return a replica."""
+    return replicas.Replica(name=name, disk=disk, address=f"{name}:1")
+
+
+@then("a joining replica that {case} is then {step}")
+def next_step(context, case, step):
+    decide = membership_lib.Membership(required_voters=3)
+    voters = [replica(n) for n in ("a", "b", "c")]
+    new = replica("d")
+    silences = dict.fromkeys(("b#d", "c#d"), 0.1)
+    learners: tuple = (new,)
+    if case == "is new":
+        learners = ()
+    elif case == "learns, with a voter missing":
+        voters = voters[:2]
+    elif case == "learns again with an empty disk":
+        new = replica("c", "empty")
+        learners = (new,)
+    elif case == "learns while a voter is silent for 5 s":
+        silences["b#d"] = 5.0
+    elif case == "votes already":
+        new = voters[1]
+    current = replicas.ReplicaSet(voters=tuple(voters), learners=learners)
+    change = decide.next_step(new, current, silences)
+    wanted = {
+        "made a learner": (messages.ReplicaAction.LEARN, ""),
+        "promoted": (messages.ReplicaAction.PROMOTE, ""),
+        "promoted for itself": (messages.ReplicaAction.PROMOTE, "c#d"),
+        "promoted for another": (messages.ReplicaAction.PROMOTE, "b#d"),
+        "left alone": None,
+    }[step]
+    found = None if change is None else (change.action, change.replaces)
+    assert found == wanted, found
+
+
+@then("of {voters:d} voters one that is silent for {seconds:g} s {fate}")
+def fate_of(context, voters, seconds, fate):
+    decide = membership_lib.Membership(required_voters=3)
+    current = replicas.ReplicaSet(
+        voters=tuple(replica(n) for n in "abcd"[:voters])
+    )
+    silences = {f"{n}#d": 0.1 for n in "bcd"[: voters - 1]}
+    silences["b#d"] = seconds
+    change = decide.to_retire(current, silences)
+    assert (change is not None) == (fate == "is retired"), change
+
+
+@then("a system of 1 replica that needs {needed:d} refuses a version")
+def refuses(context, needed):
+    node = node_lib.ControlNode(
+        replica=replica("a"),
+        storage=storage.MemoryStorage(),
+        send=lambda *_: None,
+        wall=lambda: 0.0,
+        rng=random.Random(1),
+        membership=membership_lib.Membership(required_voters=needed),
+    )
+    node.bootstrap(START)
+    answers = []
+    command = messages.PutRoutes(config=gatewaybed.config(), source=b"x")
+    node.call(command, START + 0.1, answers.append)
+    assert isinstance(answers[0], messages.Refused), answers
+    assert node.state.routes.version == -1
--- /dev/null
+++ b/features/support/gatewaybed.py
@@ -0,0 +1,311 @@
+"""A gateway on loopback with scripted endpoints, all on one loop."""
+
+import asyncio
+import http.client
+import socket
+
+import attrs
+
+from _coltsfootroad.core import registry
+from _coltsfootroad.core import routes
+from _coltsfootroad.gateway import dialect
+from _coltsfootroad.gateway import server as server_lib
+from _coltsfootroad.shell import clocks
+from _coltsfootroad.shell import metrics
+from _coltsfootroad.shell import settings as settings_lib
+
+HOST = "shop.example"
+KEY = "key-of-acme"
+EVENTS = 4
+TIMEOUT_S = 10
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@attrs.define
+class Seen:
+    """A request as an endpoint saw it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class ScriptedEndpoint:
+    """Answers each request as its script says; the last word repeats."""
+
+    def __init__(self, name: str, script: list[str]):
+        self.name = name
+        self.script = script
+        self.seen: list[Seen] = []
+        self.hung_up = asyncio.Event()
+        self.server = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen."""
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def serve(self, reader, writer) -> None:
+        """Serve a connection until either side closes it."""
+        try:
+            while await self.serve_one(reader, writer):
+                pass
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.hung_up.set()
+        finally:
+            writer.close()
+
+    async def serve_one(self, reader, writer) -> bool:
+        """Serve one request; return whether the connection goes on."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        lines = head.split("\r\n")
+        headers = dict(
+            line.lower().split(": ", 1) for line in lines[1:] if ": " in line
+        )
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        self.seen.append(Seen(lines[0], headers, body))
+        place = min(len(self.seen), len(self.script)) - 1
+        act = getattr(self, "do_" + self.script[place].replace(" ", "_"))
+        return await act(headers, reader, writer)
+
+    def head(self, headers, *extra: str, status: str = "200 OK") -> bytes:
+        """Return the head of a genuine answer."""
+        lines = [
+            f"HTTP/1.1 {status}",
+            f"X-Request-Id: {headers.get('x-request-id', '')}",
+            f"X-Signature: by-{self.name}",
+            *extra,
+        ]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    async def do_answer(self, headers, _, writer) -> bool:
+        """Answer whole."""
+        writer.write(self.head(headers, "Content-Length: 4") + b"done")
+        return True
+
+    async def do_fail(self, headers, _, writer) -> bool:
+        """Answer with a failure of its own."""
+        head = self.head(headers, "Content-Length: 4", status="500 Bad")
+        writer.write(head + b"oops")
+        return True
+
+    async def do_reject(self, headers, _, writer) -> bool:
+        """Say that the request was not run."""
+        writer.write(
+            self.head(
+                headers,
+                "Content-Length: 0",
+                "X-Not-Run: 1",
+                status="503 Full",
+            )
+        )
+        return True
+
+    async def do_reset(self, _headers, _reader, writer) -> bool:
+        """Close without an answer."""
+        writer.transport.abort()
+        return False
+
+    async def do_truncate(self, headers, _, writer) -> bool:
+        """Break off in the middle of the body."""
+        writer.write(self.head(headers, "Content-Length: 4") + b"do")
+        await writer.drain()
+        return False
+
+    async def do_misattribute(self, _, _reader, writer) -> bool:
+        """Send the answer to another request."""
+        other = {"x-request-id": "somebody-elses"}
+        writer.write(self.head(other, "Content-Length: 4") + b"late")
+        return True
+
+    async def do_unsigned(self, headers, _, writer) -> bool:
+        """Send bytes that the endpoint did not sign."""
+        head = self.head(headers, "Content-Length: 4")
+        writer.write(head.replace(b"X-Signature", b"X-Other") + b"fake")
+        return True
+
+    async def do_encoded(self, headers, _, writer) -> bool:
+        """Send a body in an encoding that nobody asked for."""
+        head = self.head(headers, "Content-Length: 4", "Content-Encoding: gzip")
+        writer.write(head + b"zzzz")
+        return True
+
+    async def do_twice(self, headers, _, writer) -> bool:
+        """Answer, and send a second answer right after it."""
+        answer = self.head(headers, "Content-Length: 4") + b"done"
+        writer.write(answer + answer)
+        return True
+
+    async def do_unframed(self, headers, _, writer) -> bool:
+        """Answer without a length; the end of the connection ends it."""
+        writer.write(self.head(headers, "Connection: close") + b"done")
+        return False
+
+    async def do_hang(self, _headers, reader, _writer) -> bool:
+        """Say nothing until the other side goes away."""
+        if not await reader.read(1):
+            self.hung_up.set()
+        return False
+
+    async def do_stream(self, headers, _, writer) -> bool:
+        """Send all events after the last one that the caller has."""
+        first = int(headers.get("last-event-id", 0)) + 1
+        writer.write(self.head(headers, "Transfer-Encoding: chunked"))
+        for number in range(first, EVENTS + 1):
+            write_chunk(writer, event(number))
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    async def do_die_in_event(self, headers, _, writer) -> bool:
+        """Send two events and half of the third, then break off."""
+        writer.write(self.head(headers, "Transfer-Encoding: chunked"))
+        write_chunk(writer, event(1))
+        write_chunk(writer, event(2))
+        write_chunk(writer, event(3)[:7])
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        return False
+
+
+def event(number: int) -> bytes:
+    """Return one event."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
+
+
+def write_chunk(writer, data: bytes) -> None:
+    """Write one chunk of a body without a length."""
+    writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got; `whole` if its end was not a broken connection."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+def ask(
+    port: int,
+    path: str,
+    method: str = "POST",
+    key: str = KEY,
+    deadline_ms: int = 5_000,
+    extra: dict[str, str] | None = None,
+) -> Answer:
+    """Send a request as a caller does; runs on a thread of its own."""
+    connection = http.client.HTTPConnection(
+        "127.0.0.1", port, timeout=TIMEOUT_S
+    )
+    headers = {
+        "Host": HOST,
+        "X-Request-Id": "r-1",
+        "X-Deadline-Ms": str(deadline_ms),
+        "X-Api-Key": key,
+    }
+    try:
+        connection.request(method, path, b"body", headers | (extra or {}))
+        answer = connection.getresponse()
+        fields = {k.lower(): v for k, v in answer.getheaders()}
+        try:
+            return Answer(answer.status, fields, answer.read(), True)
+        except http.client.IncompleteRead as broken:
+            return Answer(answer.status, fields, broken.partial, False)
+    except (http.client.HTTPException, ConnectionError):
+        return Answer(0, {}, b"", False)
+    finally:
+        connection.close()
+
+
+def config(version: int = 1, **changes) -> routes.RouteConfig:
+    """Return a version with a route of each kind."""
+    kinds = {
+        "safe": routes.RequestKind.SAFE,
+        "unsafe": routes.RequestKind.UNSAFE,
+        "stream": routes.RequestKind.STREAM,
+    }
+    found = tuple(
+        routes.Route(
+            name=name,
+            host=HOST,
+            prefix=f"/{name}/",
+            kind=kind,
+            timeout_s=2.0,
+            attempts=2,
+            resumable=True,
+            splits=(routes.Split(service="shop", weight=1),),
+        )
+        for name, kind in kinds.items()
+    )
+    document = {
+        "version": version,
+        "routes": found,
+        "services": (routes.ServiceSpec(name="shop"),),
+        "holders": (routes.KeyHolder(workspace="acme", keys=(KEY,)),),
+    }
+    return routes.RouteConfig(**(document | changes))
+
+
+class Bed:
+    """A gateway whose beliefs the test sets by hand."""
+
+    def __init__(self):
+        self.port = free_port()
+        settings = settings_lib.GatewaySettings(
+            gateway="g1",
+            listen=f"127.0.0.1:{self.port}",
+            ready_listen="127.0.0.1:1",
+            directory_listen="127.0.0.1:1",
+            peer_listen="127.0.0.1:1",
+            retry_slack=100.0,
+        )
+        self.gateway = server_lib.Gateway(
+            settings, dialect.Dialect(), metrics.Metrics.start("test")
+        )
+        self.gateway.front.listen(settings.listen)
+        self.gateway.adopt(config())
+        self.prove()
+        self.endpoints: list[ScriptedEndpoint] = []
+
+    def prove(self, age_s: float = 0.0) -> None:
+        """Prove that the version was current some seconds ago."""
+        self.gateway.view.confirmed_at = clocks.boot_time() - age_s
+
+    async def add(self, name: str, *script: str) -> ScriptedEndpoint:
+        """Start an endpoint and announce it."""
+        endpoint = ScriptedEndpoint(name, list(script))
+        await endpoint.start()
+        self.endpoints.append(endpoint)
+        self.gateway.learn_endpoint(
+            registry.Announcement(
+                endpoint=name,
+                incarnation=1,
+                seq=1,
+                service="shop",
+                address=endpoint.address,
+            )
+        )
+        return endpoint
+
+    async def ask(self, path: str, **options) -> Answer:
+        """Send a request as a caller does."""
+        return await asyncio.to_thread(ask, self.port, path, **options)
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for endpoint in self.endpoints:
+            endpoint.server.close()
+        for pool in self.gateway.pools.values():
+            pool.close()
+        self.gateway.front.server.stop()
+        await asyncio.sleep(0)
--- a/src/_coltsfootroad/commands/gateway.py
+++ b/src/_coltsfootroad/commands/gateway.py
@@ -4,7 +4,7 @@
 import signal
 
 from _coltsfootroad.commands import common
-from _coltsfootroad.gateway import names as names_lib
+from _coltsfootroad.gateway import dialect as dialect_lib
 from _coltsfootroad.gateway import server as server_lib
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import metrics
@@ -14,11 +14,11 @@
 
 
 def build(
-    settings: settings_lib.GatewaySettings, names: names_lib.HeaderNames
+    settings: settings_lib.GatewaySettings, dialect: dialect_lib.Dialect
 ) -> server_lib.Gateway:
     """Wire the parts of a gateway."""
     return server_lib.Gateway(
-        settings, names, metrics.Metrics.start("colts-gateway")
+        settings, dialect, metrics.Metrics.start("colts-gateway")
     )
 
 
@@ -34,10 +34,10 @@
 
 
 async def serve(
-    settings: settings_lib.GatewaySettings, names: names_lib.HeaderNames
+    settings: settings_lib.GatewaySettings, dialect: dialect_lib.Dialect
 ) -> int:
     """Run a gateway until it is told to stop."""
-    gateway = build(settings, names)
+    gateway = build(settings, dialect)
     await gateway.start()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reload, gateway)
@@ -46,19 +46,19 @@
     return common.EXIT_OK if went_well else common.EXIT_FAILED
 
 
-def main_with(names: names_lib.HeaderNames) -> int:
-    """Run a gateway that speaks the given header names."""
+def main_with(dialect: dialect_lib.Dialect) -> int:
+    """Run a gateway that speaks the given dialect."""
     settings = common.read_settings(settings_lib.GatewaySettings)
     if not settings.seeds:
         common.complain("settings: $.seeds is empty, needs an address")
         return common.EXIT_USAGE
     logs.start(settings.log_level, structured=True)
-    return common.run_loop(lambda: serve(settings, names))
+    return common.run_loop(lambda: serve(settings, dialect))
 
 
 def main(_: list[str]) -> int:
     """Run a gateway."""
-    return main_with(names_lib.HeaderNames())
+    return main_with(dialect_lib.Dialect())
 
 
 def run() -> None:
--- a/src/_coltsfootroad/core/spread.py
+++ b/src/_coltsfootroad/core/spread.py
@@ -33,6 +33,9 @@
 PART_COST = 0.01
 # What a request over the batch costs: it waits for a whole answer.
 OVERFULL_COST = 3.0
+# Tokens kept free at each engine that lends memory to a long prompt, for
+# the short ones that come while it is there.
+SPARE_TOKENS = 40_000
 # Tokens of a prompt that are worth as much as one short request.
 TOKENS_PER_VALUE = 10_000
 # What another availability zone costs: a tie-breaker.
@@ -101,10 +104,15 @@
 
 @attrs.frozen(kw_only=True)
 class Placement:
-    """Where a prompt goes: the first engine writes the answer."""
+    """Where a prompt goes: the first engine writes the answer.
+
+    `tickets` are the helpers that hold a part of the prompt's memory, and
+    how many tokens.
+    """
 
     lead: str
     helpers: tuple[str, ...] = ()
+    tickets: tuple[tuple[str, int], ...] = ()
     first_event_s: float = 0.0
     cost: float = 0.0
 
@@ -120,11 +128,11 @@
     """Return the state of an engine from the work that was sent to it."""
     state = EngineState(endpoint, near, pace)
     for work in works:
-        if not work.leads:
-            state.helping += 1
-        else:
+        state.kv_used += work.kv_tokens
+        if work.leads:
             state.running += 1
-            state.kv_used += work.prompt_tokens + work.output_tokens
+        elif not work.writing:
+            state.helping += 1
         if work.writing and work.leads:
             state.writers.append(work)
         elif not work.writing:
@@ -172,16 +180,16 @@
 ) -> Placement | None:
     """Return the cheapest placement in so many parts."""
     part_s = enginemodel.read_s(spec, prompt.prompt_tokens, parts)
-    leads = [s for s in states if fits(prompt, s, spec)]
-    if not leads:
-        return None
-    lead = min(leads, key=lambda s: lead_cost(prompt, s, spec, part_s))
+    lead = min(states, key=lambda s: lead_cost(prompt, s, spec, part_s))
     others = sorted(
         (s for s in states if s is not lead and s.helping < spec.slots),
         key=lambda s: part_cost(s, spec, part_s),
     )[: parts - 1]
     if len(others) < parts - 1:
         return None
+    tickets = lend_memory(prompt, lead, others, spec)
+    if tickets is None:
+        return None
     chosen = [lead, *others]
     first_event_s = max(event_s(s, spec, part_s) for s in chosen)
     cost = lead_cost(prompt, lead, spec, part_s)
@@ -190,14 +198,36 @@
     return Placement(
         lead=lead.endpoint,
         helpers=tuple(s.endpoint for s in others),
+        tickets=tickets,
         first_event_s=first_event_s,
         cost=cost,
     )
 
 
-def fits(prompt: Prompt, state: EngineState, spec: routes.EngineSpec) -> bool:
-    """Return whether a prompt can ever fit into an engine's memory."""
-    return prompt.prompt_tokens + prompt.output_tokens <= spec.kv_tokens
+def lend_memory(
+    prompt: Prompt,
+    lead: EngineState,
+    others: list[EngineState],
+    spec: routes.EngineSpec,
+) -> tuple[tuple[str, int], ...] | None:
+    """Return which helpers hold what the first engine cannot.
+
+    None if they do not hold all of it; nothing if the first engine can, as
+    its memory is what it would have to make free by itself.
+    """
+    needed = prompt.prompt_tokens + prompt.output_tokens
+    if needed <= spec.kv_tokens - SPARE_TOKENS:
+        return ()
+    left = needed - max(0, spec.kv_tokens - lead.kv_used - SPARE_TOKENS)
+    tickets = []
+    for state in sorted(others, key=lambda s: s.kv_used):
+        if left <= 0:
+            break
+        free = spec.kv_tokens - state.kv_used - SPARE_TOKENS
+        if free > 0:
+            tickets.append((state.endpoint, min(free, left)))
+            left -= free
+    return tuple(tickets) if left <= 0 else None
 
 
 def event_s(
@@ -232,7 +262,7 @@
     if state.running >= spec.slots:
         cost += OVERFULL_COST * prompt.value * (1 + state.running - spec.slots)
     needed = prompt.prompt_tokens + prompt.output_tokens
-    if state.kv_used + needed > spec.kv_tokens:
+    if state.kv_used + min(needed, spec.kv_tokens) > spec.kv_tokens:
         cost += OVERFULL_COST * prompt.value
     if not state.writers and prompt.prompt_tokens < MIN_SPLIT_TOKENS:
         cost += IDLE_ENGINE_COST
--- a/src/_coltsfootroad/core/workload.py
+++ b/src/_coltsfootroad/core/workload.py
@@ -15,6 +15,7 @@
         endpoint: Where it is.
         prompt_tokens: Tokens of the whole prompt.
         output_tokens: Tokens that it may write at most.
+        kv_tokens: Tokens of the endpoint's memory that it fills at most.
         parts: Engines among which the prompt is read.
         leads: Whether this endpoint writes the answer.
         sent_at: When it was sent, seconds of the local clock.
@@ -27,6 +28,7 @@
     endpoint: str
     prompt_tokens: int = 0
     output_tokens: int = 0
+    kv_tokens: int = 0
     parts: int = 1
     leads: bool = True
     sent_at: float = 0.0
--- a/src/_coltsfootroad/gateway/engines.py
+++ b/src/_coltsfootroad/gateway/engines.py
@@ -8,6 +8,7 @@
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import workload
+from _coltsfootroad.gateway import tickets
 
 
 @attrs.frozen(kw_only=True)
@@ -16,6 +17,7 @@
 
     endpoint: endpointset.KnownEndpoint
     helpers: tuple[endpointset.KnownEndpoint, ...] = ()
+    shares: tuple[tickets.Share, ...] = ()
     predicted_s: float = 0.0
     cost: float = 0.0
     load: int = 0
@@ -90,6 +92,10 @@
         return Choice(
             endpoint=by_name[placement.lead],
             helpers=tuple(by_name[name] for name in placement.helpers),
+            shares=tuple(
+                tickets.Share(endpoint=by_name[name], tokens=tokens)
+                for name, tokens in placement.tickets
+            ),
             predicted_s=placement.first_event_s,
             cost=placement.cost,
             load=len(works.get(placement.lead, ())),
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -15,6 +15,7 @@
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.gateway import names as names_lib
+from _coltsfootroad.gateway import tickets as tickets_lib
 from _coltsfootroad.gateway import upstream
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import logs
@@ -33,6 +34,9 @@
 SERVER_FAULT = 500
 DEFAULT_DEADLINE_S = 30.0
 RETRY_AFTER_S = 0.2
+# Pause before memory is asked for again, drawn so that two long prompts
+# that met at the same engines do not meet again.
+MEMORY_PAUSE_S = (0.05, 0.2)
 
 
 class Outcome(enum.Enum):
@@ -42,6 +46,7 @@
     NOT_RUN = "not_run"
     LOST = "lost"
     FAULT = "fault"
+    NO_MEMORY = "no_memory"
 
 
 @attrs.define
@@ -141,12 +146,13 @@
     main_key: int = 0
     last_event_at: float = 0.0
     held: HeldAnswer | None = None
+    tickets: tickets_lib.TicketSet | None = None
     finished: bool = False
 
     @property
     def names(self) -> names_lib.HeaderNames:
         """Return the header names in use."""
-        return self.gateway.names
+        return self.gateway.dialect.names
 
     # --- admission -------------------------------------------------------
 
@@ -249,6 +255,9 @@
             outcome = await self.attempt(choice)
             if outcome is Outcome.ANSWERED:
                 return
+            if outcome is Outcome.NO_MEMORY:
+                self.tried.clear()
+                await asyncio.sleep(self.gateway.rng.uniform(*MEMORY_PAUSE_S))
             reason = self.stop_reason(outcome)
             if reason:
                 self.give_up(reason)
@@ -264,8 +273,29 @@
             self.service, self.prompt(), self.tried, now
         )
 
+    async def reserve(self, choice: engines.Choice) -> bool:
+        """Set memory aside for a prompt above one engine's memory."""
+        self.tickets = tickets_lib.TicketSet(
+            self.gateway,
+            self.request_id,
+            self.gateway.next_ticket(),
+            choice.shares,
+        )
+        granted = await self.tickets.reserve()
+        if not granted:
+            self.tickets = None
+        return granted
+
+    def free_tickets(self) -> None:
+        """Free the memory that was set aside, without waiting for it."""
+        if self.tickets is not None:
+            self.gateway.spawn(self.tickets.release())
+            self.tickets = None
+
     def stop_reason(self, outcome: Outcome) -> str:
         """Return why no further endpoint is tried, empty to go on."""
+        if outcome is Outcome.NO_MEMORY:
+            return ""
         if outcome is not Outcome.NOT_RUN and not self.route.idempotent:
             return "it may have run and must not run twice"
         if self.runs >= self.route.attempts:
@@ -298,13 +328,18 @@
             predicted_s=round(choice.predicted_s, 3),
             helpers=[known.name for known in choice.helpers],
         )
-        self.sends += 1
         try:
+            if choice.shares and not await self.reserve(choice):
+                return Outcome.NO_MEMORY
+            self.sends += 1
             end = await pool.call(
-                self.upstream_request(choice, now), sink, self.route.idempotent
+                self.upstream_request(choice, clocks.boot_time()),
+                sink,
+                self.route.idempotent,
             )
         finally:
             self.end_work()
+            self.free_tickets()
         outcome = self.judge(end, sink)
         self.note_health(choice, outcome, end, sink)
         LOG.info(
@@ -348,9 +383,7 @@
         if self.workspace:
             headers[names.workspace] = self.workspace
         if choice.helpers:
-            headers[names.helpers] = ",".join(
-                known.announcement.address for known in choice.helpers
-            )
+            headers[names.helpers] = ",".join(self.helper_words(choice))
         if self.last_event is not None:
             headers[names.last_event_id] = str(self.last_event)
         return upstream.UpstreamRequest(
@@ -360,6 +393,17 @@
             body=self.request.body,
         )
 
+    def helper_words(self, choice: engines.Choice) -> list[str]:
+        """Return the helpers, each with the ticket that it holds memory by."""
+        holding = {share.endpoint.name for share in choice.shares}
+        words = []
+        for known in choice.helpers:
+            word = known.announcement.address
+            if known.name in holding:
+                word += f"/{self.tickets.ticket}"
+            words.append(word)
+        return words
+
     def is_genuine(self, status: int, headers) -> bool:
         """Return whether an answer is the endpoint's own, to this request."""
         if headers.get(self.names.request_id, "") != self.request_id:
@@ -433,6 +477,7 @@
         prompt = self.prompt()
         load = self.gateway.load
         known = (choice.endpoint, *choice.helpers)
+        held = {share.endpoint.name: share.tokens for share in choice.shares}
         for place, endpoint in enumerate(known):
             work = workload.Work(endpoint=endpoint.name, sent_at=now)
             if prompt is not None:
@@ -442,6 +487,10 @@
                 work.gap_target_s = prompt.gap_target_s
                 work.value = prompt.value
             work.leads = place == 0
+            work.kv_tokens = held.get(endpoint.name, 0)
+            if work.leads and prompt is not None:
+                whole = prompt.prompt_tokens + prompt.output_tokens
+                work.kv_tokens = whole - sum(held.values())
             self.work_keys.append(load.add(work))
         self.main_key = self.work_keys[0]
         self.gateway.tell_peers()
@@ -465,8 +514,7 @@
         if not work.writing:
             work.writing = True
             for key in self.work_keys[1:]:
-                load.remove(key)
-            del self.work_keys[1:]
+                load.own[key].writing = True
             load.touch()
             self.gateway.note_first_event(now - self.request.arrived_at)
             self.gateway.tell_peers()
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -11,11 +11,11 @@
 from _coltsfootroad.core import routeview
 from _coltsfootroad.core import windowbudget
 from _coltsfootroad.core import workload
+from _coltsfootroad.gateway import dialect as dialect_lib
 from _coltsfootroad.gateway import directory
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.gateway import front as front_lib
 from _coltsfootroad.gateway import gossip as gossip_lib
-from _coltsfootroad.gateway import names as names_lib
 from _coltsfootroad.gateway import upstream
 from _coltsfootroad.gateway import watch as watch_lib
 from _coltsfootroad.shell import clocks
@@ -37,6 +37,8 @@
 ACCEPT_WHILE_STOPPING_S = 3.0
 # Left of the grace period when the process must be done.
 STOP_MARGIN_S = 0.6
+# A stopping gateway waits this long for its last orders to engines.
+LAST_ORDERS_S = 0.2
 
 
 class Gateway:
@@ -45,11 +47,14 @@
     def __init__(
         self,
         settings: settings_lib.GatewaySettings,
-        names: names_lib.HeaderNames,
+        dialect: dialect_lib.Dialect,
         metrics: metrics_lib.Metrics,
     ):
         self.settings = settings
-        self.names = names
+        self.dialect = dialect
+        self.rng = random.Random()
+        self.tasks: set[asyncio.Task] = set()
+        self.last_ticket = 0
         self.metrics = metrics
         # Summaries of an earlier process must not hide those of this one.
         self.incarnation = time.time_ns()
@@ -60,7 +65,7 @@
             self.endpoints,
             self.load,
             settings.availability_zone,
-            random.Random(),
+            self.rng,
         )
         self.pools: dict[str, upstream.EndpointPool] = {}
         self.budgets: dict[str, windowbudget.WindowBudget] = {}
@@ -133,6 +138,8 @@
         await self.front.close()
         while self.running and clocks.boot_time() < end + STOP_MARGIN_S / 2:
             await asyncio.sleep(0.02)
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=LAST_ORDERS_S)
         LOG.info("stopped", running=len(self.running))
         self.ticker.cancel()
         self.gossip.close()
@@ -205,6 +212,17 @@
             self.pools[address] = upstream.EndpointPool(address)
         return self.pools[address]
 
+    def next_ticket(self) -> str:
+        """Return a ticket that no other send has ever had."""
+        self.last_ticket += 1
+        return f"{self.settings.gateway}-{self.incarnation}-{self.last_ticket}"
+
+    def spawn(self, work) -> None:
+        """Run something that nobody waits for."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     def tell_peers(self) -> None:
         """Let the other gateways know that own work has changed."""
         self.gossip.plan()
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -189,6 +189,8 @@
         share = max(0.05, min(left_s, max(0.5, left_s / 2)))
         try:
             data = await method(CALLS.encode(message), timeout=share)
+        except grpc.aio.UsageError:
+            return "the channel is closed"
         except grpc.aio.AioRpcError as error:
             if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 await self.forget_channel(address)
@@ -245,7 +247,9 @@
                 LOG.debug(
                     "peer stream to {} ended: {}", self.address, error.code()
                 )
-            except grpc.aio.UsageError:
+            except (grpc.aio.UsageError, asyncio.InvalidStateError):
+                # A write to a stream that has ended already, as when the
+                # other process restarted.
                 LOG.debug("peer stream to {} broke", self.address)
             while not self.queue.empty():
                 self.queue.get_nowait()
