Turn from silent endpoints; tell other gateways only what changed

Ruled out: resting an endpoint after one lost answer, which takes sound engines from everybody when answers are lost at random.

Change: silence for half of what a caller bears turns to another endpoint where the route allows it; endpoints rest when they cannot be reached or lose two answers in a row; datagrams hold changes, and all work every 0.8 s; messages between our processes are compressed.

--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -93,6 +93,21 @@
       | 4     | 5       | dropped |
       | 4     | 4       | dropped |
 
+  Scenario Outline: Lost datagrams are healed by the next full summary
+    Then after the datagrams <datagrams> the work known is <known>
+
+    Examples:
+      | datagrams            | known |
+      | new:1 new:2          | 1,2   |
+      | new:1 end:1          | none  |
+      | new:1 all:2,3        | 2,3   |
+      | new:1 all:           | none  |
+      | new:1 restart:7      | 7     |
+      | all:1 new:2 end:1    | 2     |
+
+  Scenario: Own work is told as it changes
+    Then own work is told once when it changes and whole when asked for
+
   Scenario Outline: What a silent gateway had sent is forgotten
     Then a gateway that is silent for <seconds> s counts <count> pieces
 
@@ -100,3 +115,12 @@
       | seconds | count |
       | 1.0     | 1     |
       | 3.0     | 0     |
+
+  Scenario Outline: An endpoint rests when it cannot be reached or loses two
+    Then <kind> failures <count> in a row make an endpoint <state>
+
+    Examples:
+      | kind        | count | state   |
+      | unreachable | 1     | resting |
+      | lost        | 1     | used    |
+      | lost        | 2     | resting |
--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -28,6 +28,14 @@
       | safe   | fail         | fail   | 500    | whole | 2     |
       | safe   | reset        | reset  | 502    | whole | 2     |
 
+    Examples: an endpoint that falls silent
+      | kind   | first | second | status | whole | sends |
+      | safe   | hang  | answer | 200    | whole | 2     |
+      | unsafe | hang  | answer | 504    | whole | 1     |
+      | safe   | hang  | hang   | 504    | whole | 2     |
+      | stream | hang  | stream | 200    | whole | 2     |
+      | stream | hang  | hang   | 504    | whole | 2     |
+
     Examples: odd but whole answers
       | kind   | first    | second | status | whole | sends |
       | safe   | unframed | answer | 200    | whole | 1     |
@@ -45,6 +53,8 @@
       | die in event | stream       | whole  | 1 2 3 4 |
       | reset        | stream       | whole  | 1 2 3 4 |
       | die in event | reset        | broken | 1 2     |
+      | stall        | stream       | whole  | 1 2 3 4 |
+      | stall        | hang         | broken | 1 2     |
 
   Scenario Outline: A <kind> request with <fault> is refused at once
     When a <kind> request comes with <fault>
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -16,6 +16,7 @@
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import windowbudget
 from _coltsfootroad.core import workload
+from _coltsfootroad.gateway import gossip
 from features.support import gatewaybed
 
 # An engine of the size that the platform's deployments state: a pass of 46
@@ -428,30 +429,86 @@
 # --- workload ------------------------------------------------------------
 
 
+def told(seq: int, *changes, full: bool = False, incarnation: int = 1):
+    """Return a summary as it comes off the wire."""
+    summary = workload.Summary(
+        gateway="g",
+        incarnation=incarnation,
+        seq=seq,
+        full=full,
+        changes=tuple(changes),
+    )
+    return gossip.decode(gossip.encode(summary))
+
+
 @then("a summary numbered {later:d} after {earlier:d} is {taken}")
 def summary(context, later, earlier, taken):
     load = workload.Workload()
     for seq in (earlier, later):
-        works = (workload.Work(endpoint=f"e{seq}"),)
-        told = workload.WorkSummary(
-            gateway="g", incarnation=1, seq=seq, works=works, ages=(0.5,)
-        )
-        result = load.take(told, 10.0)
+        change = workload.Change(seq, f"e{seq}", age_ms=500)
+        result = load.take(told(seq, change), 10.0)
     assert result == (taken == "taken")
-    work = load.foreign["g"].works[0]
+    work = load.foreign["g"].works[earlier]
     assert work.sent_at == 9.5, work
 
 
 @then("a gateway that is silent for {seconds:g} s counts {count:d} pieces")
 def silent(context, seconds, count):
     load = workload.Workload()
-    told = workload.WorkSummary(
-        gateway="g",
-        incarnation=1,
-        seq=1,
-        works=(workload.Work(endpoint="e"),),
-        ages=(0.0,),
-    )
-    load.take(told, 10.0)
+    load.take(told(1, workload.Change(1, "e")), 10.0)
     load.expire(10.0 + seconds)
     assert len(load.by_endpoint().get("e", [])) == count
+
+
+@then("after the datagrams {text} the work known is {wanted}")
+def datagrams(context, text, wanted):
+    load = workload.Workload()
+    for seq, word in enumerate(text.split()):
+        kind, _, keys = word.partition(":")
+        ends = kind == "end"
+        changes = [
+            workload.Change(int(k), "" if ends else "e")
+            for k in keys.split(",")
+            if k
+        ]
+        starts_anew = kind == "restart"
+        load.take(
+            told(
+                seq + 1,
+                *changes,
+                full=kind == "all",
+                incarnation=2 if starts_anew else 1,
+            ),
+            10.0,
+        )
+    known = sorted(load.foreign["g"].works)
+    assert known == [int(k) for k in wanted.split(",") if k != "none"], known
+
+
+@then("own work is told once when it changes and whole when asked for")
+def own_work(context):
+    load = workload.Workload()
+    first = load.add(workload.Work(endpoint="a", sent_at=1.0))
+    second = load.add(workload.Work(endpoint="b", sent_at=1.0))
+    told_first = load.take_changes(False, 2.0)
+    assert [c.key for c in told_first] == [first, second]
+    assert told_first[0].age_ms == 1000
+    assert load.take_changes(False, 2.0) == ()
+    load.remove(first)
+    assert load.take_changes(False, 2.0) == (workload.Change(first),)
+    assert [c.key for c in load.take_changes(True, 2.0)] == [second]
+
+
+@then("{kind} failures {count:d} in a row make an endpoint {state}")
+def rests(context, kind, count, state):
+    endpoints = endpointset.EndpointSet()
+    for name in ("e", "other"):
+        endpoints.learn(
+            registry.Announcement(
+                endpoint=name, incarnation=1, seq=1, service="s"
+            )
+        )
+    for _ in range(count):
+        endpoints.on_failure("e", 10.0, kind == "unreachable")
+    usable = [known.name for known in endpoints.usable("s", 10.1)]
+    assert ("e" in usable) == (state == "used"), usable
--- a/features/support/gatewaybed.py
+++ b/features/support/gatewaybed.py
@@ -164,6 +164,13 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    async def do_stall(self, headers, reader, writer) -> bool:
+        """Send two events and fall silent."""
+        writer.write(self.head(headers, "Transfer-Encoding: chunked"))
+        write_chunk(writer, event(1))
+        write_chunk(writer, event(2))
+        return await self.do_hang(headers, reader, writer)
+
     async def do_die_in_event(self, headers, _, writer) -> bool:
         """Send two events and half of the third, then break off."""
         writer.write(self.head(headers, "Transfer-Encoding: chunked"))
@@ -241,6 +248,7 @@
             prefix=f"/{name}/",
             kind=kind,
             timeout_s=2.0,
+            target_s=0.2,
             attempts=2,
             resumable=True,
             splits=(routes.Split(service="shop", weight=1),),
--- a/src/_coltsfootroad/core/endpointset.py
+++ b/src/_coltsfootroad/core/endpointset.py
@@ -8,6 +8,8 @@
 # doubled with each failure in a row up to the longest.
 REST_S = 0.7
 MAX_REST_S = 5.0
+# Answers lost in a row after which an endpoint rests.
+LOST_TO_REST = 2
 # Gone endpoints that are remembered; a late announcement revives none.
 MAX_BURIED = 4_096
 
@@ -85,12 +87,19 @@
         rested = [known for known in found if known.rest_until <= now]
         return rested or found
 
-    def on_failure(self, name: str, now: float) -> float:
-        """Rest an endpoint that failed; return for how long."""
+    def on_failure(self, name: str, now: float, unreachable: bool) -> float:
+        """Rest an endpoint that failed; return for how long.
+
+        One lost answer proves little, and resting for it would take a sound
+        engine from the rest of its callers; one that cannot be reached, or
+        loses two answers in a row, rests.
+        """
         known = self.known.get(name)
         if known is None:
             return 0.0
         known.failures += 1
+        if not unreachable and known.failures < LOST_TO_REST:
+            return 0.0
         rest_s = min(MAX_REST_S, REST_S * 2 ** (known.failures - 1))
         known.rest_until = now + rest_s
         return rest_s
--- a/src/_coltsfootroad/core/workload.py
+++ b/src/_coltsfootroad/core/workload.py
@@ -4,7 +4,8 @@
 
 # A gateway that has been silent this long is dead or cut off; what it had
 # sent has ended with it or will not be heard of again.
-SUMMARY_BELIEF_S = 2.5
+BELIEF_S = 2.5
+MS = 1000
 
 
 @attrs.define
@@ -37,29 +38,46 @@
     value: float = 1.0
 
 
-@attrs.frozen(kw_only=True)
-class WorkSummary:
-    """All work of one gateway; each summary replaces the one before.
+@attrs.frozen
+class Change:
+    """Work that has begun, changed or ended, as other gateways learn of it.
 
-    `ages` holds the seconds since each piece of work was sent, as clocks
-    differ between VMs.
+    Encoded as a list, as field names would be most of the bytes. The age
+    is told in place of the time, since clocks differ between VMs. An empty
+    endpoint says that the work has ended.
     """
 
+    key: int
+    endpoint: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    kv_tokens: int = 0
+    parts: int = 1
+    leads: bool = True
+    age_ms: int = 0
+    writing: bool = False
+    gap_target_ms: int = 0
+    value: float = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Summary:
+    """Changes of one gateway's work, or all of it if `full`."""
+
     gateway: str
     incarnation: int
     seq: int
-    works: tuple[Work, ...] = ()
-    ages: tuple[float, ...] = ()
-    faulty: tuple[str, ...] = ()
+    full: bool
+    changes: tuple[Change, ...] = ()
 
 
 @attrs.define
 class ForeignWork:
-    """The newest summary of another gateway."""
+    """What is known of another gateway's work."""
 
     mark: tuple[int, int]
     heard_at: float
-    works: tuple[Work, ...]
+    works: dict[int, Work]
 
 
 @attrs.define
@@ -68,41 +86,75 @@
 
     own: dict[int, Work] = attrs.Factory(dict)
     foreign: dict[str, ForeignWork] = attrs.Factory(dict)
+    changed: dict[int, None] = attrs.Factory(dict)
     next_key: int = 1
-    version: int = 0
 
     def add(self, work: Work) -> int:
         """Record work that is about to be sent; return its key."""
         key = self.next_key
         self.next_key += 1
         self.own[key] = work
-        self.version += 1
+        self.changed[key] = None
         return key
 
     def remove(self, key: int) -> None:
         """Forget work that has ended."""
         if self.own.pop(key, None) is not None:
-            self.version += 1
+            self.changed[key] = None
 
-    def touch(self) -> None:
+    def touch(self, key: int) -> None:
         """Note that own work has changed in place."""
-        self.version += 1
+        self.changed[key] = None
+
+    def take_changes(self, full: bool, now: float) -> tuple[Change, ...]:
+        """Return what the others do not know yet, or all work."""
+        keys = list(self.own if full else self.changed)
+        self.changed.clear()
+        return tuple(self.change(key, now) for key in keys)
+
+    def change(self, key: int, now: float) -> Change:
+        """Return what others are told of one piece of work."""
+        work = self.own.get(key)
+        if work is None:
+            return Change(key)
+        return Change(
+            key,
+            work.endpoint,
+            work.prompt_tokens,
+            work.output_tokens,
+            work.kv_tokens,
+            work.parts,
+            work.leads,
+            int((now - work.sent_at) * MS),
+            work.writing,
+            int(work.gap_target_s * MS),
+            round(work.value, 1),
+        )
 
-    def take(self, summary: WorkSummary, now: float) -> bool:
-        """Take a summary unless a later one is known."""
-        known = self.foreign.get(summary.gateway)
+    def take(self, summary: Summary, now: float) -> bool:
+        """Take another gateway's summary unless a later one is known.
+
+        A lost datagram leaves work unknown or forgotten too late, until the
+        next full summary.
+        """
         mark = (summary.incarnation, summary.seq)
+        known = self.foreign.get(summary.gateway)
         if known is not None and known.mark >= mark:
             return False
-        for work, age_s in zip(summary.works, summary.ages, strict=False):
-            work.sent_at = now - age_s
-        self.foreign[summary.gateway] = ForeignWork(mark, now, summary.works)
+        restarted = known is None or known.mark[0] != mark[0]
+        works = {} if restarted or summary.full else known.works
+        for change in summary.changes:
+            if change.endpoint:
+                works[change.key] = work_of(change, now)
+            else:
+                works.pop(change.key, None)
+        self.foreign[summary.gateway] = ForeignWork(mark, now, works)
         return True
 
     def expire(self, now: float) -> None:
         """Forget gateways that have been silent for long."""
         for name, known in list(self.foreign.items()):
-            if now - known.heard_at > SUMMARY_BELIEF_S:
+            if now - known.heard_at > BELIEF_S:
                 del self.foreign[name]
 
     def by_endpoint(self) -> dict[str, list[Work]]:
@@ -111,19 +163,22 @@
         for work in self.own.values():
             found.setdefault(work.endpoint, []).append(work)
         for known in self.foreign.values():
-            for work in known.works:
+            for work in known.works.values():
                 found.setdefault(work.endpoint, []).append(work)
         return found
 
-    def summary(
-        self, gateway: str, incarnation: int, seq: int, now: float
-    ) -> WorkSummary:
-        """Return what the other gateways are told."""
-        works = tuple(self.own.values())
-        return WorkSummary(
-            gateway=gateway,
-            incarnation=incarnation,
-            seq=seq,
-            works=works,
-            ages=tuple(round(now - work.sent_at, 4) for work in works),
-        )
+
+def work_of(change: Change, now: float) -> Work:
+    """Return the work that a change tells of."""
+    return Work(
+        endpoint=change.endpoint,
+        prompt_tokens=change.prompt_tokens,
+        output_tokens=change.output_tokens,
+        kv_tokens=change.kv_tokens,
+        parts=change.parts,
+        leads=change.leads,
+        sent_at=now - change.age_ms / MS,
+        writing=change.writing,
+        gap_target_s=change.gap_target_ms / MS,
+        value=change.value,
+    )
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -10,6 +10,7 @@
 
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import eventstream
+from _coltsfootroad.core import patience
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import workload
@@ -147,6 +148,7 @@
     last_event_at: float = 0.0
     held: HeldAnswer | None = None
     tickets: tickets_lib.TicketSet | None = None
+    patience: asyncio.Timeout | None = None
     finished: bool = False
 
     @property
@@ -273,6 +275,43 @@
             self.service, self.prompt(), self.tried, now
         )
 
+    async def call_with_patience(
+        self,
+        choice: engines.Choice,
+        pool: upstream.EndpointPool,
+        sink: HeldAnswer,
+    ) -> upstream.CallEnd:
+        """Send, and turn to another endpoint while the caller still waits.
+
+        An endpoint may fall silent without a reset. Where nothing else may
+        be tried, its silence is waited out until the deadline.
+        """
+        request = self.upstream_request(choice, clocks.boot_time())
+        try:
+            async with asyncio.timeout(None) as self.patience:
+                self.wait_for_next(choice.predicted_s)
+                return await pool.call(request, sink, self.route.idempotent)
+        except TimeoutError:
+            if not self.patience.expired():
+                raise
+            return upstream.CallEnd.SILENT
+
+    def wait_for_next(self, expected_s: float = 0.0) -> None:
+        """Be patient until the next sign of life."""
+        if not self.may_switch():
+            self.patience.reschedule(None)
+            return
+        seconds = patience.switch_after_s(self.route, expected_s)
+        loop = asyncio.get_running_loop()
+        self.patience.reschedule(loop.time() + seconds)
+
+    def may_switch(self) -> bool:
+        """Return whether another endpoint could take over."""
+        if not self.route.idempotent or self.runs + 1 >= self.route.attempts:
+            return False
+        others = self.gateway.endpoints.of_service(self.service.name)
+        return any(known.name not in self.tried for known in others)
+
     async def reserve(self, choice: engines.Choice) -> bool:
         """Set memory aside for a prompt above one engine's memory."""
         self.tickets = tickets_lib.TicketSet(
@@ -332,11 +371,7 @@
             if choice.shares and not await self.reserve(choice):
                 return Outcome.NO_MEMORY
             self.sends += 1
-            end = await pool.call(
-                self.upstream_request(choice, clocks.boot_time()),
-                sink,
-                self.route.idempotent,
-            )
+            end = await self.call_with_patience(choice, pool, sink)
         finally:
             self.end_work()
             self.free_tickets()
@@ -458,8 +493,9 @@
                 for known in choice.helpers
                 if known.announcement.address == address
             ]
+            unreachable = end is upstream.CallEnd.NOT_SENT
             for failed in faulty or [name]:
-                rest_s = endpoints.on_failure(failed, now)
+                rest_s = endpoints.on_failure(failed, now, unreachable)
                 LOG.info(
                     "endpoint rests",
                     endpoint=failed,
@@ -512,17 +548,15 @@
         if work is None:
             return
         if not work.writing:
-            work.writing = True
-            for key in self.work_keys[1:]:
+            for key in self.work_keys:
                 load.own[key].writing = True
-            load.touch()
+                load.touch(key)
             self.gateway.note_first_event(now - self.request.arrived_at)
             self.gateway.tell_peers()
         elif now - self.last_event_at > work.gap_target_s > 0:
             # Late already; nothing more is lost by further pauses.
             work.gap_target_s = 0.0
-            load.touch()
-            self.gateway.tell_peers()
+            load.touch(self.main_key)
         self.last_event_at = now
 
     # --- the caller's answer ---------------------------------------------
@@ -551,6 +585,7 @@
         if not data:
             return None
         self.note_event()
+        self.wait_for_next()
         written = self.connection.write(data)
         written.add_done_callback(upstream.forget_failure)
         return written
--- a/src/_coltsfootroad/gateway/gossip.py
+++ b/src/_coltsfootroad/gateway/gossip.py
@@ -1,11 +1,13 @@
 """Tells other gateways by datagram what this one has sent where.
 
-Each datagram holds all of the sender's work, so a lost one costs nothing
-that the next does not bring, and none has to arrive in order.
+A datagram holds what has changed; all of the sender's work follows every
+0.8 s, which heals whatever a lost datagram left out. Bytes between zones are
+dear: telling all work with each change took 0.27 MB/s on ten gateways.
 """
 
 import asyncio
 
+import attrs
 import msgspec
 
 from _coltsfootroad.core import workload
@@ -20,9 +22,68 @@
 # Sent without a change, so that receivers can tell a quiet sender from a
 # dead one within `workload.SUMMARY_BELIEF_S`.
 REFRESH_S = 0.8
-# Most work that fits into one datagram.
-MAX_WORKS = 400
-DECODER = msgspec.msgpack.Decoder(workload.WorkSummary)
+# Most changes of one datagram: 60 bytes each, 65,000 in all.
+MAX_CHANGES = 800
+
+
+class WireChange(msgspec.Struct, array_like=True):
+    """A change as a list, its fields in the order of `workload.Change`."""
+
+    key: int
+    endpoint: str
+    prompt_tokens: int
+    output_tokens: int
+    kv_tokens: int
+    parts: int
+    leads: bool
+    age_ms: int
+    writing: bool
+    gap_target_ms: int
+    value: float
+
+
+class WireSummary(msgspec.Struct, array_like=True):
+    """A summary as a list of values; each change is a list as well."""
+
+    gateway: str
+    incarnation: int
+    seq: int
+    full: bool
+    changes: tuple[WireChange, ...]
+
+
+DECODER = msgspec.msgpack.Decoder(WireSummary)
+ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode(summary: workload.Summary) -> bytes:
+    """Return the bytes of a summary."""
+    return ENCODER.encode(
+        WireSummary(
+            summary.gateway,
+            summary.incarnation,
+            summary.seq,
+            summary.full,
+            tuple(
+                WireChange(*attrs.astuple(change)) for change in summary.changes
+            ),
+        )
+    )
+
+
+def decode(data: bytes) -> workload.Summary:
+    """Return the summary in a datagram; raises msgspec.MsgspecError."""
+    wire = DECODER.decode(data)
+    return workload.Summary(
+        gateway=wire.gateway,
+        incarnation=wire.incarnation,
+        seq=wire.seq,
+        full=wire.full,
+        changes=tuple(
+            workload.Change(*msgspec.structs.astuple(change))
+            for change in wire.changes
+        ),
+    )
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -33,7 +94,7 @@
         self.transport = None
         self.seq = 0
         self.planned = False
-        self.sent_at = 0.0
+        self.full_at = 0.0
         self.dropped = 0
 
     async def start(self, address: str) -> None:
@@ -50,7 +111,7 @@
     def datagram_received(self, data, addr):
         """Take another gateway's summary."""
         try:
-            summary = DECODER.decode(data)
+            summary = decode(data)
         except msgspec.MsgspecError as error:
             self.dropped += 1
             LOG.warning("datagram dropped", sender=str(addr), fault=str(error))
@@ -69,25 +130,35 @@
             asyncio.get_running_loop().call_later(COALESCE_S, self.send)
 
     def refresh(self) -> None:
-        """Send if nothing was sent for a while."""
-        if clocks.boot_time() - self.sent_at >= REFRESH_S:
-            self.send()
+        """Send everything if that was not done for a while."""
+        if clocks.boot_time() - self.full_at >= REFRESH_S:
+            self.full_at = clocks.boot_time()
+            self.send_summary(full=True)
 
     def send(self) -> None:
-        """Send a summary to every other gateway."""
+        """Send what has changed."""
         self.planned = False
+        if self.gateway.load.changed:
+            self.send_summary(full=False)
+
+    def send_summary(self, full: bool) -> None:
+        """Send a summary to every other gateway."""
         if self.transport is None or self.transport.is_closing():
             return
-        now = clocks.boot_time()
-        self.sent_at = now
         self.seq += 1
         settings = self.gateway.settings
-        summary = self.gateway.load.summary(
-            settings.gateway, self.gateway.incarnation, self.seq, now
+        changes = self.gateway.load.take_changes(full, clocks.boot_time())
+        if len(changes) > MAX_CHANGES:
+            LOG.warning("summary cut", changes=len(changes))
+        data = encode(
+            workload.Summary(
+                gateway=settings.gateway,
+                incarnation=self.gateway.incarnation,
+                seq=self.seq,
+                full=full,
+                changes=changes[:MAX_CHANGES],
+            )
         )
-        if len(summary.works) > MAX_WORKS:
-            LOG.warning("summary cut", works=len(summary.works))
-        data = msgspec.msgpack.encode(summary)
         for member in self.gateway.view.members.values():
             if member.entry != settings.gateway and member.peer_address:
                 self.transport.sendto(
--- a/src/_coltsfootroad/gateway/upstream.py
+++ b/src/_coltsfootroad/gateway/upstream.py
@@ -38,6 +38,7 @@
     COMPLETE = "complete"
     NOT_SENT = "not_sent"
     LOST = "lost"
+    SILENT = "silent"
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -228,7 +228,9 @@
         )
         self.queue: asyncio.Queue = asyncio.Queue(MAX_QUEUED)
         self.channel = grpc.aio.insecure_channel(
-            target(address), options=OPTIONS
+            target(address),
+            options=OPTIONS,
+            compression=grpc.Compression.Gzip,
         )
         self.task = asyncio.ensure_future(self.run())
 
@@ -286,7 +288,8 @@
             on_peer(sender, address, request)
         return b""
 
-    server = grpc.aio.server(options=OPTIONS)
+    # A version of the routes shrinks to a tenth; bytes between zones are dear.
+    server = grpc.aio.server(options=OPTIONS, compression=grpc.Compression.Gzip)
     handlers = {
         "Call": grpc.unary_unary_rpc_method_handler(call),
         "Peer": grpc.stream_unary_rpc_method_handler(peer),
