--- a/src/_coltsfootroad/commands/common.py
+++ b/src/_coltsfootroad/commands/common.py
@@ -21,8 +21,19 @@
 VERSION = flags.DEFINE_bool("version", False, "Show the version and stop.")
 
 
-def start(main: Callable[[list[str]], int]) -> None:
-    """Parse the command line and run a program."""
+HELP_WORDS = ("-h", "--help", "-help")
+
+
+def start(main: Callable[[list[str]], int], usage: str = "") -> None:
+    """Parse the command line and run a program.
+
+    `usage` says what the program does; it is shown by `--help`, above the
+    flags.
+    """
+    if usage and any(word in HELP_WORDS for word in sys.argv[1:]):
+        print(usage.strip())
+        print(flags_help())
+        sys.exit(EXIT_OK)
 
     def guarded(arguments: list[str]) -> int:
         if VERSION.value:
@@ -33,6 +44,13 @@
     app.run(guarded, flags_parser=parse_flags)
 
 
+def flags_help() -> str:
+    """Return the help of the project's own flags."""
+    known = flags.FLAGS.flags_by_module_dict()
+    own = [name for name in known if name.startswith("_coltsfootroad")]
+    return "\n".join(flags.FLAGS.module_help(name) for name in sorted(own))
+
+
 def parse_flags(arguments: list[str]) -> list[str]:
     """Parse flags; a wrong one gets one line, not a traceback."""
     try:
--- a/src/_coltsfootroad/commands/control.py
+++ b/src/_coltsfootroad/commands/control.py
@@ -93,7 +93,7 @@
 
 def run() -> None:
     """Run the program."""
-    common.start(main)
+    common.start(main, __doc__)
 
 
 if __name__ == "__main__":
--- a/src/_coltsfootroad/commands/ctl.py
+++ b/src/_coltsfootroad/commands/ctl.py
@@ -407,7 +407,7 @@
 
 def run() -> None:
     """Run the program."""
-    common.start(main)
+    common.start(main, USAGE)
 
 
 if __name__ == "__main__":
--- a/src/_coltsfootroad/commands/gateway.py
+++ b/src/_coltsfootroad/commands/gateway.py
@@ -63,7 +63,7 @@
 
 def run() -> None:
     """Run the program."""
-    common.start(main)
+    common.start(main, __doc__)
 
 
 if __name__ == "__main__":
--- a/src/_coltsfootroad/commands/replay.py
+++ b/src/_coltsfootroad/commands/replay.py
@@ -69,7 +69,7 @@
 
 def run() -> None:
     """Run the program."""
-    common.start(main)
+    common.start(main, __doc__)
 
 
 if __name__ == "__main__":
