Split the exchange by job; never pass on an old "not run" after a lost send

A rejection by the first endpoint was kept and given to the caller after a second endpoint had lost the request: the caller was told "not run" of what may have run.

--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -27,6 +27,9 @@
       | unsafe | fail         | answer | 500    | whole | 1     |
       | safe   | fail         | fail   | 500    | whole | 2     |
       | safe   | reset        | reset  | 502    | whole | 2     |
+      | safe   | reject       | reset  | 502    | whole | 3     |
+      | unsafe | reject       | reset  | 502    | whole | 2     |
+      | unsafe | reject       | truncate | 502  | whole | 2     |
 
     Examples: an endpoint that falls silent
       | kind   | first | second | status | whole | sends |
--- /dev/null
+++ b/src/_coltsfootroad/gateway/forwarding.py
@@ -0,0 +1,61 @@
+"""Makes the request that an endpoint gets from the one that came in."""
+
+from tornado import httputil
+
+from _coltsfootroad.core import urgency
+from _coltsfootroad.gateway import engines
+from _coltsfootroad.gateway import names as names_lib
+from _coltsfootroad.gateway import upstream
+
+MS = 1000
+BODY_METHODS = ("POST", "PUT")
+
+
+def upstream_request(
+    exchange, choice: engines.Choice, now: float
+) -> upstream.UpstreamRequest:
+    """Return the request as the endpoint gets it."""
+    names = exchange.names
+    headers = httputil.HTTPHeaders()
+    hidden = names.overridden() | names_lib.HOP_BY_HOP | {"content-length"}
+    for name, value in exchange.request.headers.get_all():
+        if name.lower() not in hidden:
+            headers.add(name, value)
+    # What the caller named as hop-by-hop ends here as well.
+    for name in exchange.request.headers.get("Connection", "").split(","):
+        if name.strip() and name.strip() in headers:
+            del headers[name.strip()]
+    if exchange.request.body or exchange.request.start.method in BODY_METHODS:
+        headers["Content-Length"] = str(len(exchange.request.body))
+    left_ms = int((exchange.deadline - now) * MS)
+    headers[names.deadline_ms] = str(max(1, left_ms))
+    headers[names.expected_endpoint] = choice.endpoint.name
+    if exchange.workspace:
+        headers[names.workspace] = exchange.workspace
+    if exchange.prompt() is not None:
+        waited_s = now - exchange.request.arrived_at
+        headers[names.urgency] = str(
+            urgency.of(exchange.route, waited_s, choice.predicted_s)
+        )
+    if choice.helpers:
+        headers[names.helpers] = ",".join(helper_words(choice, exchange.ticket))
+    if exchange.reply.last_event is not None:
+        headers[names.last_event_id] = str(exchange.reply.last_event)
+    return upstream.UpstreamRequest(
+        method=exchange.request.start.method,
+        target=exchange.request.start.path,
+        headers=headers,
+        body=exchange.request.body,
+    )
+
+
+def helper_words(choice: engines.Choice, ticket: str) -> list[str]:
+    """Return the helpers, each with the ticket that it holds memory by."""
+    holding = {share.endpoint.name for share in choice.shares}
+    words = []
+    for known in choice.helpers:
+        word = known.announcement.address
+        if known.name in holding:
+            word += f"/{ticket}"
+        words.append(word)
+    return words
--- a/src/_coltsfootroad/gateway/front.py
+++ b/src/_coltsfootroad/gateway/front.py
@@ -1,6 +1,7 @@
 """The listener for callers: tornado parses, an exchange serves."""
 
 import asyncio
+import traceback
 
 from tornado import httpserver
 from tornado import httputil
@@ -78,7 +79,7 @@
             LOG.error(
                 "exchange failed",
                 request=exchange.request_id,
-                fault=repr(fault),
+                fault="".join(traceback.format_exception(fault)),
             )
             self.connection.close()
 
--- /dev/null
+++ b/src/_coltsfootroad/gateway/watchdog.py
@@ -0,0 +1,62 @@
+"""Ends sends whose endpoint has fallen silent."""
+
+import asyncio
+
+import attrs
+
+from _coltsfootroad.core import patience
+from _coltsfootroad.gateway import engines
+from _coltsfootroad.shell import clocks
+
+# How soon to look again whether another endpoint could take over.
+LOOK_AGAIN_S = 0.2
+
+
+@attrs.define(eq=False)
+class Watchdog:
+    """Ends a send whose endpoint has been silent for too long.
+
+    Looks again whenever the time may be over, as events reset it and as
+    prompts that the engine has been sent meanwhile explain a pause.
+    """
+
+    exchange: object
+    choice: engines.Choice
+    started_at: float = attrs.Factory(clocks.boot_time)
+    timeout: asyncio.Timeout | None = None
+    timer: asyncio.TimerHandle | None = None
+
+    def start(self, timeout: asyncio.Timeout) -> None:
+        """Begin to watch."""
+        self.timeout = timeout
+        self.look()
+
+    def look(self) -> None:
+        """End the send, or look again when its time may be over."""
+        now = clocks.boot_time()
+        loop = asyncio.get_running_loop()
+        silent_s = now - max(self.started_at, self.exchange.reply.last_event_at)
+        left_s = self.allowed_s(now) - silent_s
+        if left_s > 0:
+            self.timer = loop.call_later(left_s, self.look)
+        elif self.exchange.may_switch():
+            self.timeout.reschedule(loop.time())
+        else:
+            self.timer = loop.call_later(LOOK_AGAIN_S, self.look)
+
+    def allowed_s(self, now: float) -> float:
+        """Return how much silence has a reason that is known."""
+        expected_s = 0.0
+        if self.exchange.reply.last_event_at < self.started_at:
+            expected_s = self.choice.predicted_s
+        engine = self.exchange.service.engine
+        if engine is not None:
+            chooser = self.exchange.gateway.chooser
+            name = self.choice.endpoint.name
+            expected_s = max(expected_s, chooser.reading_s(name, engine, now))
+        return patience.switch_after_s(self.exchange.route, expected_s)
+
+    def stop(self) -> None:
+        """Watch no longer."""
+        if self.timer is not None:
+            self.timer.cancel()
