--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -96,3 +96,4 @@
       | 0.3   | the routes and endpoints | 200    | 0.3   | 1.0  |
       | 0.3   | the routes alone         | 200    | 1.0   | 1.5  |
       | 9.0   | the routes and endpoints | 503    | 1.4   | 2.2  |
+      | 9.0   | anything, within 0.6 s   | 503    | 0.2   | 0.6  |
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -204,7 +204,10 @@
 
         learning = asyncio.ensure_future(learn())
         began = clocks.boot_time()
-        context.answer = await bed.ask("/safe/x")
+        options = {}
+        if what == "anything, within 0.6 s":
+            options["deadline_ms"] = 600
+        context.answer = await bed.ask("/safe/x", **options)
         context.took_s = clocks.boot_time() - began
         learning.cancel()
 
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -31,6 +31,7 @@
 EXTRA_UNRUN_SENDS = 2
 SERVER_FAULT = 500
 DEFAULT_DEADLINE_S = 30.0
+MS = 1000
 RETRY_AFTER_S = 0.2
 # A gateway without routes has just started, often with all others: replicas
 # elect a leader within 1.2 s of their start and gateways hear of it at once.
@@ -114,7 +115,9 @@
 
     async def run(self) -> None:
         """Serve the request until its final answer."""
-        await self.gateway.start_up.wait(self.request.arrived_at)
+        await self.gateway.start_up.wait(
+            self.request.arrived_at, self.stated_s()
+        )
         refusal = self.admit()
         if refusal is not None:
             self.refuse(refusal)
@@ -178,12 +181,15 @@
         self.workspace = workspace
         return None
 
+    def stated_s(self) -> float:
+        """Return for how long the caller says that it will wait."""
+        text = self.request.headers.get(self.names.deadline_ms, "")
+        return int(text) / MS if text.isdigit() else DEFAULT_DEADLINE_S
+
     def set_deadline(self) -> None:
         """Take the earlier of the caller's deadline and the route's."""
-        text = self.request.headers.get(self.names.deadline_ms, "")
-        stated_s = int(text) / 1000 if text.isdigit() else DEFAULT_DEADLINE_S
         arrived = self.request.arrived_at
-        self.caller_deadline = arrived + stated_s
+        self.caller_deadline = arrived + self.stated_s()
         latest = self.caller_deadline - RETURN_MARGIN_S
         self.deadline = min(latest, arrived + self.route.timeout_s)
 
--- a/src/_coltsfootroad/gateway/startup.py
+++ b/src/_coltsfootroad/gateway/startup.py
@@ -20,6 +20,8 @@
 # Endpoints announce themselves each 1.2 s: by then two thirds are known, and
 # the first ones known are not handed everybody's requests.
 SETTLE_S = 0.8
+# Part of a caller's stated time that a request may be held.
+PATIENCE_SHARE = 0.5
 LOOK_EVERY_S = 0.02
 # Requests that wait at a time; more are refused at once.
 MAX_HELD = 300
@@ -47,13 +49,18 @@
         self.done = known and now - since >= SETTLE_S
         return self.done
 
-    async def wait(self, arrived_at: float) -> None:
-        """Hold a request until it can be served or its caller would leave."""
+    async def wait(self, arrived_at: float, patience_s: float) -> None:
+        """Hold a request until it can be served or its caller would leave.
+
+        `patience_s` is the time that the caller stated; half of it is left
+        for the answer.
+        """
         if self.is_settled(clocks.boot_time()) or self.held >= MAX_HELD:
             return
         self.held += 1
         try:
-            while clocks.boot_time() < arrived_at + HOLD_S:
+            hold_s = min(HOLD_S, PATIENCE_SHARE * patience_s)
+            while clocks.boot_time() < arrived_at + hold_s:
                 await asyncio.sleep(LOOK_EVERY_S)
                 if self.is_settled(clocks.boot_time()):
                     return
