Keep the platform's names out of its tests' steps and the product's defaults

Cause: the product's default name of one header was the platform's, and the steps of the adapter's tests spelled out its fields.

Ruled out: a change for the platform itself, which passes its own names.

--- a/features/platform/decode.feature
+++ b/features/platform/decode.feature
@@ -4,17 +4,22 @@
     When the platform's sample configuration is decoded
     Then its routes, engine, keys and limits hold what the sample says
 
-  Scenario Outline: A configuration with <fault> is refused
-    When the platform's sample configuration has <fault>
+  Scenario: A configuration that was cut short is refused
+    When the platform's sample configuration is cut in half
+    Then the platform is told cannot be read
+
+  Scenario Outline: A configuration whose <path> is <value> is refused
+    When the platform's sample configuration has <path> as <value>
     Then the platform is told <words>
 
     Examples:
-      | fault             | words               |
-      | half its bytes    | cannot be read      |
-      | an unknown kind   | is not known        |
-      | a shared key      | share a key         |
-      | no timeout        | timeout is 0        |
-      | a text as version | cannot be read      |
+      | path               | value  | words          |
+      | routes.0.kind      | "odd"  | is not known   |
+      | tenants.1.apiKeys  | ["k1"] | share a key    |
+      | routes.0.timeoutMs | 0      | timeout is 0   |
+      | routes.1.service   | "no"   | 'no' is not known |
+      | version            | "7"    | cannot be read |
+      | routes             | null   | cannot be read |
 
   Scenario Outline: A heartbeat in state <state> is <meaning>
     Then the platform's heartbeat in state <state> is <meaning>
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -161,7 +161,7 @@
             extra={
                 "X-Workspace": "somebody-else",
                 "X-Expected-Endpoint": "other",
-                "X-Helpers": "10.0.0.1:1",
+                "X-Reading-Helpers": "10.0.0.1:1",
                 "X-Custom": "kept",
                 "Connection": "x-private",
                 "X-Private": "dropped",
@@ -180,7 +180,7 @@
     assert seen.headers["x-workspace"] == "acme"
     assert seen.headers["x-expected-endpoint"] == "e1"
     assert seen.headers["x-custom"] == "kept"
-    for name in ("x-api-key", "x-helpers", "x-private"):
+    for name in ("x-api-key", "x-reading-helpers", "x-private"):
         assert name not in seen.headers, name
     left_ms = int(seen.headers["x-deadline-ms"])
     # The route's timeout of 2 s is below the caller's deadline.
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -12,6 +12,7 @@
 # The adapter lies in a folder that shares its name with a standard module,
 # so it is not a package itself.
 sys.path.insert(0, str(pathlib.Path("platform").resolve()))
+FOLDER = pathlib.Path("features/platform")
 
 from coltsplatform import configuration  # noqa: E402
 from coltsplatform import instances  # noqa: E402
@@ -19,68 +20,15 @@
 
 def sample() -> dict:
     """Return a configuration as the operator sends it."""
-    return {
-        "version": 7,
-        "routes": [
-            {
-                "name": "r1",
-                "host": "a.example",
-                "pathPrefix": "/x/",
-                "kind": "streaming",
-                "timeoutMs": 10000,
-                "targetLatencyMs": 300,
-                "priority": 1,
-                "trafficSplit": [
-                    {"service": "s1", "weight": 90},
-                    {"service": "s2", "weight": 10},
-                ],
-                "attempts": 2,
-                "public": False,
-                "stickySessions": True,
-                "resumable": True,
-                "gapTargetMs": 200,
-            },
-            {
-                "name": "r2",
-                "host": "a.example",
-                "pathPrefix": "/y/",
-                "kind": "unsafe",
-                "timeoutMs": 800,
-                "service": "s2",
-                "attempts": 1,
-            },
-        ],
-        "services": [
-            {
-                "name": "s1",
-                "healthPath": "/health",
-                "connectionLimit": 294,
-                "engine": {
-                    "slots": 8,
-                    "cacheTokens": 450000,
-                    "stride": 46,
-                    "step_ms": 0.925,
-                    "per_seq_ms": 0.01,
-                    "context_per_k": 0.002,
-                    "read_per_s": 256000.0,
-                    "pairs_per_m": 0.0917,
-                    "chunk": 2048,
-                    "hopMs": 0.1,
-                },
-            },
-            {"name": "s2", "healthPath": "/health", "connectionLimit": 54},
-        ],
-        "limits": {
-            "headerBytes": 1,
-            "bodyBytes": 2,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-        "tenants": [
-            {"name": "t1", "apiKeys": ["k1", "k2"]},
-            {"name": "t2", "apiKeys": ["k3"]},
-        ],
-    }
+    return json.loads((FOLDER / "sample.json").read_bytes())
+
+
+def change(document, path: str, value) -> None:
+    """Set the value at a path of keys and places, joined by dots."""
+    *parents, last = path.split(".")
+    for word in parents:
+        document = document[int(word) if word.isdigit() else word]
+    document[last] = value
 
 
 def decode(body: bytes):
@@ -115,21 +63,17 @@
     assert config.limits.idle_timeout_s == 15.0
 
 
-@when("the platform's sample configuration has {fault}")
-def faulty(context, fault):
+@when("the platform's sample configuration has {path} as {value}")
+def faulty(context, path, value):
     document = sample()
-    if fault == "an unknown kind":
-        document["routes"][0]["kind"] = "odd"
-    elif fault == "a shared key":
-        document["tenants"][1]["apiKeys"] = ["k1"]
-    elif fault == "no timeout":
-        document["routes"][0]["timeoutMs"] = 0
-    elif fault == "a text as version":
-        document["version"] = "7"
-    body = json.dumps(document).encode()
-    if fault == "half its bytes":
-        body = body[: len(body) // 2]
-    context.decoded = decode(body)
+    change(document, path, json.loads(value))
+    context.decoded = decode(json.dumps(document).encode())
+
+
+@when("the platform's sample configuration is cut in half")
+def cut_short(context):
+    body = json.dumps(sample()).encode()
+    context.decoded = decode(body[: len(body) // 2])
 
 
 @then("the platform is told {words}")
@@ -140,15 +84,8 @@
 
 @then("the platform's heartbeat in state {state} is {meaning}")
 def heartbeat(context, state, meaning):
-    body = {
-        "service": "s1",
-        "address": "10.0.0.1:80",
-        "zone": "z",
-        "state": state,
-        "sequence": 4,
-        "slots": 8,
-        "unknown": 1,
-    }
+    body = json.loads((FOLDER / "heartbeat.json").read_bytes())
+    body["state"] = state
     found = instances.decode("i-1", json.dumps(body).encode())
     if meaning == "refused":
         assert found.is_error()
--- a/src/_coltsfootroad/gateway/names.py
+++ b/src/_coltsfootroad/gateway/names.py
@@ -44,7 +44,7 @@
     not_run: str = "X-Not-Run"
     expected_endpoint: str = "X-Expected-Endpoint"
     urgency: str = "X-Urgency"
-    helpers: str = "X-Helpers"
+    helpers: str = "X-Reading-Helpers"
     faulty_peer: str = "X-Faulty-Peer"
     last_event_id: str = "Last-Event-Id"
     retry_after: str = "Retry-After"
