Let control run on VMs without a disk, where it only shows the way

Weighed: an idle process (callers of control would have to try the next one), one replica a zone by count (three voters bear one loss, the grown deployments ask for two). Change: without a data folder the program names the leader to whoever asks and passes the platform's calls on to it. Where seeds have no disk, the first one in order that has begins the system, once those before it have said what they are. Tests: features/control/relay.feature with processes: relays before replicas among the seeds, none, and a relay alone. All three seeds without a disk remain unserved, as nothing else tells where disks are. `sent` lines name the prompt's tokens.

--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,115 @@
+"""Steps on control processes that have no disk."""
+
+import asyncio
+import json
+import sys
+import time
+
+from behave import given
+from behave import then
+
+from _coltsfootroad.control import messages
+from _coltsfootroad.fakes import ports
+from _coltsfootroad.shell import controlrelay
+from _coltsfootroad.shell import links
+from features.soak import fleet as fleet_lib
+from features.support import gatewaybed
+
+TOKEN = "soak-token"
+SEEDS = 3
+
+
+@given("{replicas:d} replicas and {relays:d} relays in processes of their own")
+def control_processes(context, replicas, relays):
+    count = replicas + relays
+    # In order of their addresses, so that relays come first among the seeds.
+    found = sorted(ports.free_ports(count))
+    context.addresses = [f"127.0.0.1:{port}" for port in found]
+    context.relays = context.addresses[:relays]
+    context.programs = []
+    for place, address in enumerate(context.addresses):
+        settings = {
+            "replica": f"r{place}",
+            "listen": address,
+            "admin_listen": f"127.0.0.1:{ports.free_port()}",
+            "admin_token": TOKEN,
+            "data_folder": "",
+            "seeds": context.addresses[:SEEDS],
+            "first_start": True,
+            "lost_at_once": 1 if replicas >= SEEDS else 0,
+            "structured_logs": True,
+        }
+        if address not in context.relays:
+            settings["data_folder"] = str(context.folder / f"data-{place}")
+        path = context.folder / f"control-{place}.json"
+        path.write_text(json.dumps(settings))
+        module = "_coltsfootroad.commands.control"
+        command = [sys.executable, "-m", module, "--settings", str(path)]
+        program = fleet_lib.Program(
+            f"control {place}", command, context.folder / f"{place}.log"
+        )
+        program.start()
+        context.programs.append(program)
+    context.add_cleanup(end_all, context.programs)
+
+
+def end_all(programs) -> None:
+    """End what was started."""
+    for program in programs:
+        if program.is_running:
+            program.kill()
+
+
+def ask(address: str, message: object, seconds: float) -> object:
+    """Return the leader's answer by way of one process; None without one."""
+
+    async def run():
+        link = links.GrpcControlLink((address,))
+        end = time.monotonic() + seconds
+        try:
+            while time.monotonic() < end:
+                answer = await link.call(message, 1.0)
+                if answer.is_ok() and isinstance(
+                    answer.ok, messages.RoutesCopy
+                ):
+                    return answer.ok
+            return None
+        finally:
+            await link.close()
+
+    return asyncio.run(run())
+
+
+@then("a version is taken within {seconds:g} s by way of each of them")
+def taken(context, seconds):
+    for number, address in enumerate(context.addresses):
+        put = messages.PutRoutes(
+            config=gatewaybed.config(number + 1), source=b"%d" % number
+        )
+        found = ask(address, put, seconds)
+        assert found is not None, address
+        assert found.version == number + 1, found
+
+
+@then("it is read back by way of each of them")
+def read_back(context):
+    wanted = len(context.addresses)
+    for address in context.addresses:
+        found = ask(address, messages.ReadRoutes(), 5.0)
+        assert found is not None and found.version == wanted, found
+
+
+@then("the relay names no leader and ends well when told to stop")
+def alone(context):
+    async def hello():
+        link = links.GrpcControlLink(tuple(context.relays))
+        answer = await link.call(messages.ReplicaHello(), 10.0)
+        await link.close()
+        return answer.ok
+
+    (program,) = context.programs
+    info = asyncio.run(hello())
+    assert info.role == controlrelay.ROLE, info
+    assert info.leader == ""
+    code, _ = asyncio.run(program.stop())
+    assert code == 0, code
--- a/src/_coltsfootroad/commands/control.py
+++ b/src/_coltsfootroad/commands/control.py
@@ -6,14 +6,17 @@
 from absl import flags
 
 from _coltsfootroad.commands import common
+from _coltsfootroad.shell import controlrelay
 from _coltsfootroad.shell import controlserver
 from _coltsfootroad.shell import disk as disk_lib
+from _coltsfootroad.shell import links
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import metrics
 from _coltsfootroad.shell import settings as settings_lib
 
 LOG = logs.logger("main")
-Adapt = Callable[[controlserver.ControlServer], None]
+# Adds a platform's own calls at an address, passed on by a way to the leader.
+Adapt = Callable[[links.ControlLink, str], None]
 BOOTSTRAP = flags.DEFINE_bool(
     "bootstrap",
     False,
@@ -33,11 +36,13 @@
     )
 
 
-def no_adapter(_: controlserver.ControlServer) -> None:
+def no_adapter(_link: links.ControlLink, _address: str) -> None:
     """Add no calls of a platform."""
 
 
-def reload(server: controlserver.ControlServer) -> None:
+def reload(
+    server: controlserver.ControlServer | controlrelay.ControlRelay,
+) -> None:
     """Read the settings again; only seeds may change while it runs."""
     loaded = settings_lib.load(
         common.SETTINGS.value, settings_lib.ControlSettings
@@ -65,7 +70,7 @@
         )
         return common.EXIT_USAGE
     await server.start()
-    adapt(server)
+    adapt(controlserver.LeaderLink(server), settings.api_listen)
     common.on_reload(lambda: reload(server))
     # They may have changed between the first reading and now.
     reload(server)
@@ -74,6 +79,19 @@
     return common.EXIT_OK if went_well else common.EXIT_FAILED
 
 
+async def serve_relay(
+    settings: settings_lib.ControlSettings, adapt: Adapt
+) -> int:
+    """Run a process without a disk until it is told to stop."""
+    relay = controlrelay.ControlRelay(settings)
+    await relay.start()
+    adapt(relay.link, settings.api_listen)
+    common.on_reload(lambda: reload(relay))
+    went_well = await common.wait_for_stop([], relay.dump)
+    await relay.stop()
+    return common.EXIT_OK if went_well else common.EXIT_FAILED
+
+
 def main(_: list[str]) -> int:
     """Run a replica."""
     return main_with(no_adapter)
@@ -83,6 +101,8 @@
     """Run a replica to which a platform's calls are added."""
     settings = common.read_settings(settings_lib.ControlSettings)
     logs.start(settings.log_level, structured=settings.structured_logs)
+    if not settings.data_folder:
+        return common.run_loop(lambda: serve_relay(settings, adapt))
     try:
         return common.run_loop(lambda: serve(settings, BOOTSTRAP.value, adapt))
     except disk_lib.DiskError as error:
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -94,6 +94,11 @@
         """Return the service that the admitted request goes to."""
         return self.admitted.service
 
+    def prompt_tokens(self) -> int:
+        """Return the length of the prompt, 0 for plain requests."""
+        prompt = self.admitted.prompt
+        return prompt.prompt_tokens if prompt is not None else 0
+
     @property
     def deadline(self) -> float:
         """Return the boot clock seconds by which it must be answered."""
@@ -265,6 +270,7 @@
             request=self.request_id,
             endpoint=endpoint.name,
             send=self.sends + 1,
+            tokens=self.prompt_tokens(),
             version=self.gateway.view.version,
             proof_age_s=round(self.gateway.view.age_s(now), 3),
             load=choice.load,
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.control import replicas
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import clocks
+from _coltsfootroad.shell import controlrelay
 from _coltsfootroad.shell import disk as disk_lib
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import links
@@ -133,12 +134,30 @@
             voters = {r.identity for r in raft.replica_set.voters}
             if raft.identity in voters:
                 continue
+            if not voters and await self.stands_first():
+                LOG.info("begins the system", replica=raft.identity)
+                self.bootstrap()
+                continue
             self.link.learn(self.node.replica_addresses())
             answer = await self.link.call(
                 messages.JoinReplica(replica=self.node.replica), JOIN_TIMEOUT_S
             )
             LOG.info("asked for a vote", replica=raft.identity, got=str(answer))
 
+    async def stands_first(self) -> bool:
+        """Return whether the seeds before this one cannot begin the system."""
+        before = self.settings.seeds_before()
+        if before is None:
+            return False
+        for address in before:
+            found = await self.link.call_one(
+                address, messages.ReplicaHello(), JOIN_TIMEOUT_S
+            )
+            role = getattr(found, "role", "")
+            if role != controlrelay.ROLE:
+                return False
+        return True
+
     def guard(self, function, *arguments) -> None:
         """Run a step; a broken invariant ends the process."""
         try:
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -161,7 +161,8 @@
             `listen` if empty.
         admin_listen: `ip:port` of operators, dump and metrics.
         admin_token: Secret of operators.
-        data_folder: Folder that holds all durable state.
+        data_folder: Folder that holds all durable state; empty on a VM
+            without a disk, where the process only shows the way.
         log_level: Least severe level that is logged.
         seeds: `ip:port` of some replicas, whatever they listen there for;
             empty where operators add replicas themselves.
@@ -179,7 +180,7 @@
     advertise: str = ""
     admin_listen: str = attrs.field(**LISTEN)
     admin_token: str = attrs.field(validator=check_token)
-    data_folder: str
+    data_folder: str = ""
     log_level: str = "INFO"
     seeds: tuple[str, ...] = ()
     peer_port: int = 0
@@ -207,6 +208,16 @@
         peers = sorted(self.peers())
         return self.first_start and bool(peers) and peers[0] == self.address
 
+    def seeds_before(self) -> tuple[str, ...] | None:
+        """Return the seeds that would begin the system before this one.
+
+        None if this replica is no seed or does not start for the first time.
+        """
+        peers = sorted(self.peers())
+        if not self.first_start or self.address not in peers:
+            return None
+        return tuple(peers[: peers.index(self.address)])
+
 
 @attrs.frozen(kw_only=True)
 class CtlSettings:
