Notice a silent stream between replicas within 1.5 s, not a minute

Cause: gRPC's keepalive timeout does not cover pings sent while data is on its way; `ping_timeout_ms` does, and is a minute unless set. A stream between replicas whose path had swallowed bytes stayed in use for longer than the 6 s that were watched, so its messages were lost and followers elected. Found by going through bounds by removal: pings could be switched off and links.feature stayed green. The scenario written for that failed with pings on. Tests: 2 scenarios of links.feature; rows for the longest rest and for gone endpoints, whose removal nothing noticed.

--- a/features/gateway/parts.feature
+++ b/features/gateway/parts.feature
@@ -124,3 +124,11 @@
       | unreachable | 1     | resting |
       | lost        | 1     | used    |
       | lost        | 2     | resting |
+
+  Scenario Outline: What is remembered of endpoints is bounded
+    Then <what> stays at or below <most>
+
+    Examples:
+      | what                                  | most |
+      | the rest after 30 failures in a row   | 5    |
+      | the number of gone endpoints of 9000  | 4096 |
--- a/features/shell/links.feature
+++ b/features/shell/links.feature
@@ -20,3 +20,13 @@
       | silence  | 2    |
       | drop_out | 2    |
       | drop_in  | 4    |
+
+  Scenario Outline: A stream between replicas that goes silent is replaced
+    Given a replica that gets messages over a path
+    When the path is <way> for 1 s and whole from then on
+    Then messages arrive again within 5 s
+
+    Examples:
+      | way     |
+      | silence |
+      | drop_in |
--- a/features/steps/bounds_steps.py
+++ b/features/steps/bounds_steps.py
@@ -12,7 +12,9 @@
 
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import storage
+from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import outliers
+from _coltsfootroad.core import registry
 from _coltsfootroad.core import retries
 from _coltsfootroad.shell import disk
 
@@ -101,3 +103,37 @@
 @then('the help names "{words}"')
 def help_names(context, words):
     assert words in context.help, context.help
+
+
+def rest_after_failures() -> float:
+    """Return how long an endpoint rests that fails again and again."""
+    endpoints = endpointset.EndpointSet()
+    endpoints.learn(announcement("e1"))
+    return max(endpoints.on_failure("e1", 0.0, True) for _ in range(30))
+
+
+def gone_endpoints() -> int:
+    """Return how many gone endpoints are remembered of many."""
+    endpoints = endpointset.EndpointSet()
+    for number in range(9_000):
+        endpoints.bury(f"e{number}")
+    return len(endpoints.buried)
+
+
+def announcement(name: str) -> registry.Announcement:
+    """Return what an endpoint says of itself."""
+    return registry.Announcement(
+        endpoint=name, incarnation=1, seq=1, service="s"
+    )
+
+
+BOUNDED = {
+    "the rest after 30 failures in a row": rest_after_failures,
+    "the number of gone endpoints of 9000": gone_endpoints,
+}
+
+
+@then("{what} stays at or below {most:g}")
+def stays_below(context, what, most):
+    found = BOUNDED[what]()
+    assert 0 < found <= most, found
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -8,9 +8,13 @@
 from behave import when
 
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import peers
 from _coltsfootroad.shell import links
 from features.soak import proxy as proxy_lib
 
+# How long messages are sent once a path is whole.
+MESSAGES_S = 6.0
+
 
 @given("a replica that answers a call after {seconds:g} s")
 def slow_replica(context, seconds):
@@ -114,3 +118,51 @@
 def answered_within(context, seconds):
     assert context.answer.is_ok(), context.answer
     assert context.took_s <= seconds, context.took_s
+
+
+@given("a replica that gets messages over a path")
+def gets_messages(context):
+    context.got = []
+
+
+@when("the path is {way} for {seconds:g} s and whole from then on")
+def path_bent(context, way, seconds):
+    async def run():
+        server = links.make_server(
+            None, lambda *_: context.got.append(time.monotonic())
+        )
+        port = server.add_insecure_port("127.0.0.1:0")
+        await server.start()
+        proxy = proxy_lib.Proxy(("127.0.0.1", port))
+        await proxy.start()
+        link = links.PeerLink(proxy.address, "r1", "127.0.0.1:1")
+        vote = peers.VoteReply(
+            term=1, sender="r1", pre=False, granted=False, asked_term=1
+        )
+        await send_for(link, vote, seconds)
+        proxy.set_way(way)
+        await send_for(link, vote, seconds)
+        proxy.set_way("")
+        context.whole_at = time.monotonic()
+        await send_for(link, vote, MESSAGES_S)
+        await link.close()
+        await proxy.close()
+        await server.stop(grace=0)
+
+    asyncio.run(run())
+
+
+async def send_for(link, message, seconds: float) -> None:
+    """Send a message each tenth of a second."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        link.send(message)
+        await asyncio.sleep(0.1)
+
+
+@then("messages arrive again within {seconds:g} s")
+def arrive_again(context, seconds):
+    assert any(at < context.whole_at for at in context.got), "none before"
+    after = [at for at in context.got if at > context.whole_at]
+    assert after, "none after"
+    assert after[0] - context.whole_at <= seconds, after[0] - context.whole_at
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -31,6 +31,9 @@
     # and the servers must not take the pings for abuse.
     ("grpc.keepalive_time_ms", 1_000),
     ("grpc.keepalive_timeout_ms", 1_500),
+    # Where data is on its way, an answer to a ping is waited for this long,
+    # and for a minute if it is left alone.
+    ("grpc.http2.ping_timeout_ms", 1_500),
     ("grpc.http2.min_ping_interval_without_data_ms", 500),
     ("grpc.http2.max_ping_strikes", 0),
     ("grpc.keepalive_permit_without_calls", 1),
