Test ten limits that nothing missed when they were taken away

Cause: of 30 bounds, caps and time-outs of gateway, core and shell that were taken away one by one, 11 left their features green: pings (a fault, mended before), longest rest, buried endpoints, use of kept connections, time to connect, sends that did not run, requests held after a start, size of a summary, leases of watchers and announcements, spare memory. The grace of a closed channel is the eleventh; what it saves is a second try, no answer. Change: a scenario for each. Tests only; the programs are unchanged.

--- a/features/core/bounds.feature
+++ b/features/core/bounds.feature
@@ -39,3 +39,35 @@
       | colts-entry      | --settings     |
       | colts-standalone | --settings     |
       | colts-replay     | --settings     |
+
+  Scenario: A connection that nobody accepts is given up
+    Given an endpoint whose queue of new connections is full
+    Then a connection to it is given up within 0.3 to 1 s
+
+  Scenario: A kept connection is not used late in the time promised for it
+    Given an endpoint that keeps connections for 1 s
+    Then a request 0.2 s later uses the kept one, and 0.7 s later a new one
+
+  Scenario: Endpoints that run nothing are not tried without end
+    Given 9 endpoints that all say that they did not run a request
+    Then a route of 2 attempts sends it 4 times
+
+  Scenario: A gateway that has just started holds so many requests and no more
+    Given a gateway that has just started and holds as many as it may
+    Then one more is not held
+
+  Scenario: A summary of much work fits a datagram
+    Given a gateway with 2000 pieces of work
+    Then what it tells has 800 pieces and less than 65000 bytes
+
+  Scenario Outline: A <who> that is not heard of any more is dropped
+    Given a leader that hears of a <who>
+    Then it is known for <known> s and dropped after <dropped> s
+
+    Examples:
+      | who      | known | dropped |
+      | gateway  | 1.5   | 1.7     |
+      | endpoint | 7.9   | 8.1     |
+
+  Scenario: A prompt that would fill an engine to the last token is shared
+    Then a prompt that leaves 10000 tokens free is held by two engines
--- /dev/null
+++ b/features/steps/limits_steps.py
@@ -0,0 +1,230 @@
+"""Steps on limits of time, number and size in gateways and the leader."""
+
+import asyncio
+import socket
+import time
+
+import attrs
+from behave import given
+from behave import then
+
+from _coltsfootroad.control import hub as hub_lib
+from _coltsfootroad.control import messages
+from _coltsfootroad.control import state as state_lib
+from _coltsfootroad.core import addresses
+from _coltsfootroad.core import registry
+from _coltsfootroad.core import spread
+from _coltsfootroad.core import workload
+from _coltsfootroad.gateway import gossip
+from _coltsfootroad.gateway import startup
+from _coltsfootroad.gateway import upstream
+from benchmarks import placement
+from features.support import gatewaybed
+
+# Connections that fill a queue of length 0 and what the system adds to it.
+FILLERS = 4
+
+
+@given("an endpoint whose queue of new connections is full")
+def full_queue(context):
+    context.listener = socket.socket()
+    context.listener.bind(("127.0.0.1", 0))
+    context.listener.listen(0)
+    context.add_cleanup(context.listener.close)
+    for _ in range(FILLERS):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(context.listener.getsockname())
+        context.add_cleanup(filler.close)
+    time.sleep(0.1)
+
+
+@then("a connection to it is given up within {least:g} to {most:g} s")
+def given_up(context, least, most):
+    host, port = context.listener.getsockname()
+    pool = upstream.EndpointPool(f"{host}:{port}")
+    began = time.monotonic()
+    assert asyncio.run(pool.connect()) is None
+    took_s = time.monotonic() - began
+    assert least <= took_s <= most, took_s
+
+
+class CountingEndpoint(gatewaybed.ScriptedEndpoint):
+    """Keeps connections for a second by its word, and counts them."""
+
+    connections = 0
+
+    async def serve(self, reader, writer):
+        """Count a connection."""
+        self.connections += 1
+        await super().serve(reader, writer)
+
+    def answer(self, headers):
+        """Return a whole answer that promises to keep the connection."""
+        body = self.body(headers)
+        return (
+            self.head(
+                headers,
+                "Keep-Alive: timeout=1",
+                f"Content-Length: {len(body)}",
+            )
+            + body
+        )
+
+
+@given("an endpoint that keeps connections for 1 s")
+def keeps_connections(context):
+    context.endpoint = CountingEndpoint("e1", ["answer"])
+
+
+@then(
+    "a request {soon:g} s later uses the kept one, and {late:g} s later a new"
+    " one"
+)
+def uses_kept(context, soon, late):
+    endpoint = context.endpoint
+
+    async def story():
+        bed = gatewaybed.Bed()
+        try:
+            await bed.take(endpoint)
+            await bed.ask("/safe/x")
+            await asyncio.sleep(soon)
+            await bed.ask("/safe/x")
+            assert endpoint.connections == 1, endpoint.connections
+            await asyncio.sleep(late)
+            await bed.ask("/safe/x")
+            assert endpoint.connections == 2, endpoint.connections
+        finally:
+            await bed.close()
+
+    asyncio.run(story())
+
+
+@given("{count:d} endpoints that all say that they did not run a request")
+def all_reject(context, count):
+    context.count = count
+
+
+@then("a route of 2 attempts sends it {times:d} times")
+def sent_times(context, times):
+    async def story():
+        bed = gatewaybed.Bed()
+        try:
+            for number in range(context.count):
+                await bed.add(f"e{number}", "reject")
+            await bed.ask("/safe/x")
+            return sum(len(endpoint.seen) for endpoint in bed.endpoints)
+        finally:
+            await bed.close()
+
+    found = asyncio.run(story())
+    assert found == times, found
+
+
+@given("a gateway that has just started and holds as many as it may")
+def holds_many(context):
+    gateway = gatewaybed.Bed.without_sockets("g1")
+    context.start_up = gateway.start_up
+    context.start_up.held = startup.MAX_HELD
+
+
+@then("one more is not held")
+def not_held(context):
+    began = time.monotonic()
+    now = time.clock_gettime(time.CLOCK_BOOTTIME)
+    asyncio.run(context.start_up.wait(now, 10.0))
+    assert time.monotonic() - began < 0.2
+
+
+@given("a gateway with {count:d} pieces of work")
+def much_work(context, count):
+    context.gateway = gatewaybed.Bed.without_sockets("g1")
+    for _ in range(count):
+        context.gateway.load.add(
+            workload.Work(endpoint="i-0123456789", prompt_tokens=1_000_000)
+        )
+
+
+@then("what it tells has {pieces:d} pieces and less than {most:d} bytes")
+def fits(context, pieces, most):
+    sent = []
+
+    class Socket:
+        """Keeps what is sent."""
+
+        def is_closing(self):
+            """Return that the socket is open."""
+            return False
+
+        def sendto(self, data, _address):
+            """Keep a datagram."""
+            sent.append(data)
+
+        def close(self):
+            """Close nothing."""
+
+    context.gateway.view.member_view.learn(
+        (
+            addresses.Member(
+                entry="g2",
+                incarnation=1,
+                address="127.0.0.1:1",
+                peer_address="127.0.0.1:2",
+            ),
+        ),
+        (),
+        True,
+    )
+    teller = gossip.Gossip(context.gateway)
+    teller.transport = Socket()
+    teller.send_summary(full=True)
+    (data,) = sent
+    assert len(gossip.decode(data).changes) == pieces
+    assert len(data) < most, len(data)
+
+
+@given("a leader that hears of a {who}")
+def leader_hears(context, who):
+    hub = hub_lib.Hub(epoch="e", state=state_lib.ControlState(), started_at=0.0)
+    member = addresses.Member(entry="g1", incarnation=1, address="127.0.0.1:1")
+    announcement = registry.Announcement(
+        endpoint="e1", incarnation=1, seq=1, service="s"
+    )
+    hub.on_watch(
+        messages.Watch(
+            member=member,
+            routes_version=-1,
+            announcements=(announcement,),
+            wait_s=0.4,
+        ),
+        0.0,
+    )
+    context.hub = hub
+    context.known = {
+        "gateway": lambda: "g1" in hub.members,
+        "endpoint": lambda: "e1" in hub.registry.registrations,
+    }[who]
+
+
+@then("it is known for {known:g} s and dropped after {dropped:g} s")
+def dropped_after(context, known, dropped):
+    context.hub.expire(known)
+    assert context.known()
+    context.hub.expire(dropped)
+    assert not context.known()
+
+
+@then("a prompt that leaves {left:d} tokens free is held by two engines")
+def shared(context, left):
+    spec = placement.spec(8, 450_000, 46)
+    prompt = spread.Prompt(
+        prompt_tokens=spec.kv_tokens - left,
+        output_tokens=0,
+        target_s=15.0,
+        gap_target_s=0.8,
+    )
+    states = [spread.engine_state(f"e{n}", [], spec, 0.0) for n in range(3)]
+    found = spread.place(prompt, states, spec)
+    assert len(found.tickets) == 1, found
+    assert attrs.asdict(found)["lead"] not in dict(found.tickets)
--- a/features/support/gatewaybed.py
+++ b/features/support/gatewaybed.py
@@ -307,12 +307,15 @@
 
     async def add(self, name: str, *script: str) -> ScriptedEndpoint:
         """Start an endpoint and announce it."""
-        endpoint = ScriptedEndpoint(name, list(script))
+        return await self.take(ScriptedEndpoint(name, list(script)))
+
+    async def take(self, endpoint: ScriptedEndpoint) -> ScriptedEndpoint:
+        """Start an endpoint of the test's own and announce it."""
         await endpoint.start()
         self.endpoints.append(endpoint)
         self.gateway.learn_endpoint(
             registry.Announcement(
-                endpoint=name,
+                endpoint=endpoint.name,
                 incarnation=1,
                 seq=1,
                 service="shop",
