--- a/features/core/bounds.feature
+++ b/features/core/bounds.feature
@@ -53,7 +53,7 @@
     Then a route of 2 attempts sends it 4 times
 
   Scenario: A gateway that has just started holds so many requests and no more
-    Given a gateway that has just started and holds as many as it may
+    Given a gateway that has just started and holds 300 requests
     Then one more is not held
 
   Scenario: A summary of much work fits a datagram
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -16,7 +16,6 @@
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import gossip
-from _coltsfootroad.gateway import startup
 from _coltsfootroad.gateway import upstream
 from benchmarks import placement
 from features.support import gatewaybed
@@ -122,11 +121,11 @@
     assert found == times, found
 
 
-@given("a gateway that has just started and holds as many as it may")
-def holds_many(context):
+@given("a gateway that has just started and holds {count:d} requests")
+def holds_many(context, count):
     gateway = gatewaybed.Bed.without_sockets("g1")
     context.start_up = gateway.start_up
-    context.start_up.held = startup.MAX_HELD
+    context.start_up.held = count
 
 
 @then("one more is not held")
