Take the circle out of the entry's core; test which module imports which

Cause: attempts, claiming, dispatcher, roster and syncing each named the whole entry, which names them (a debt of the issue on the platform). Ruled out: moving all state into one object that every part holds, which would only rename the entry. Change: core/hosts.py says what each part needs of the others, in abstract classes; the parts are typed by these and the entry implements them. Counters and faults have modules of their own. Test: features/imports.feature: no circles in the product, layers that do not know each other, no platform's words outside its folder. The first scenario failed before: entry -> attempts -> claiming -> entry.

--- a/src/_coltsfootroad/core/attempts.py
+++ b/src/_coltsfootroad/core/attempts.py
@@ -1,8 +1,5 @@
 """What becomes of attempts: progress, failure, retry, the end."""
 
-import enum
-import typing
-
 import attrs
 
 from _coltsfootroad.core import actions
@@ -10,33 +7,23 @@
 from _coltsfootroad.core import claiming
 from _coltsfootroad.core import endpoints
 from _coltsfootroad.core import errors
+from _coltsfootroad.core import faults
 from _coltsfootroad.core import flights as flights_lib
+from _coltsfootroad.core import hosts
 from _coltsfootroad.core import request as request_lib
 from _coltsfootroad.core import retries
 
-if typing.TYPE_CHECKING:
-    from _coltsfootroad.core import entry
-
 STREAM_IDLE_S = 20.0
 
 
-class Fault(enum.Enum):
-    """How an attempt failed, by what it proves.
-
-    NOT_SENT: no byte left this process. NOT_RUN: the endpoint says so.
-    LOST: anything else; the work may have happened.
-    """
-
-    NOT_SENT = "not_sent"
-    NOT_RUN = "not_run"
-    LOST = "lost"
+Fault = faults.Fault
 
 
 @attrs.define
-class Attempts:
+class Attempts(hosts.Ending):
     """The part of the entry core from the first chunk to the end."""
 
-    core: "entry.EntryCore"
+    core: hosts.AttemptHost
 
     def note_progress(self, flight: flights_lib.Flight, now: float) -> None:
         """Learn from a chunk's timing and push the timeout back."""
--- a/src/_coltsfootroad/core/claiming.py
+++ b/src/_coltsfootroad/core/claiming.py
@@ -1,17 +1,13 @@
 """Takes the durable claim of a non-idempotent request before dispatch."""
 
-import typing
-
 from _coltsfootroad.control import messages
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import admission
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import flights
+from _coltsfootroad.core import hosts
 from _coltsfootroad.core import request as request_lib
 
-if typing.TYPE_CHECKING:
-    from _coltsfootroad.core import entry
-
 CLAIM_RETRY_S = 0.5
 MAX_CLAIM_TRIES = 6
 # Content type under which the joined text of an engine's answer is stored.
@@ -53,7 +49,7 @@
 }
 
 
-def begin(core: "entry.EntryCore", flight: flights.Flight, now: float) -> None:
+def begin(core: hosts.ClaimHost, flight: flights.Flight, now: float) -> None:
     """Ask for the claim and wait for its answer."""
     flight.state = flights.FlightState.CLAIMING
     flight.claim_tries += 1
@@ -61,7 +57,7 @@
     core.flights.arm(flight, now + CLAIM_RETRY_S)
 
 
-def retry(core: "entry.EntryCore", flight: flights.Flight, now: float) -> None:
+def retry(core: hosts.ClaimHost, flight: flights.Flight, now: float) -> None:
     """Ask again, with the same token, or give up."""
     if flight.claim_tries < MAX_CLAIM_TRIES:
         begin(core, flight, now)
@@ -75,7 +71,7 @@
 
 
 def on_answer(
-    core: "entry.EntryCore",
+    core: hosts.ClaimHost,
     flight: flights.Flight,
     answer: messages.ClaimAnswer,
     now: float,
@@ -102,7 +98,7 @@
 
 
 def give_stored(
-    core: "entry.EntryCore",
+    core: hosts.ClaimHost,
     flight: flights.Flight,
     answer: request_lib.Answer,
     now: float,
--- a/src/_coltsfootroad/core/dispatcher.py
+++ b/src/_coltsfootroad/core/dispatcher.py
@@ -1,7 +1,5 @@
 """Queues, routes and sends; reserves groups for the longest prompts."""
 
-import typing
-
 import attrs
 
 from _coltsfootroad.control import messages
@@ -11,15 +9,13 @@
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import fairqueue
 from _coltsfootroad.core import flights
+from _coltsfootroad.core import hosts
 from _coltsfootroad.core import lengths
 from _coltsfootroad.core import placement
 from _coltsfootroad.core import policies as policies_lib
 from _coltsfootroad.core import pool as pool_lib
 from _coltsfootroad.core import request as request_lib
 
-if typing.TYPE_CHECKING:
-    from _coltsfootroad.core import entry
-
 # Heads that are tried in vain per pump before the rest must wait.
 MAX_VAIN_TRIES = 16
 # Choices made to get away from where a request failed before.
@@ -33,10 +29,10 @@
 
 
 @attrs.define
-class Dispatcher:
+class Dispatcher(hosts.Dispatching):
     """The part of the entry core between admission and endpoint."""
 
-    core: "entry.EntryCore"
+    core: hosts.DispatchHost
     queues: dict[str, fairqueue.FairQueue] = attrs.Factory(dict)
     bands_by_service: dict[str, lengths.LengthBands] = attrs.Factory(dict)
     policies: dict[str, tuple] = attrs.Factory(dict)
--- a/src/_coltsfootroad/core/entry.py
+++ b/src/_coltsfootroad/core/entry.py
@@ -12,11 +12,13 @@
 from _coltsfootroad.core import attempts as attempts_lib
 from _coltsfootroad.core import claiming
 from _coltsfootroad.core import config as config_lib
+from _coltsfootroad.core import counters as counters_lib
 from _coltsfootroad.core import dispatcher as dispatcher_lib
 from _coltsfootroad.core import endpoints
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import flights as flights_lib
 from _coltsfootroad.core import freshness as freshness_lib
+from _coltsfootroad.core import hosts
 from _coltsfootroad.core import limits as limits_lib
 from _coltsfootroad.core import policies
 from _coltsfootroad.core import pool as pool_lib
@@ -45,21 +47,13 @@
 
 
 @attrs.define
-class Counters:
-    """Counts for metrics; they only grow."""
-
-    admitted: int = 0
-    refused: int = 0
-    finished: int = 0
-    failed: int = 0
-    retries: int = 0
-    resumed: int = 0
-    late_chunks: int = 0
-    cancels: int = 0
-
-
-@attrs.define
-class EntryCore:
+class EntryCore(
+    hosts.AttemptHost,
+    hosts.ClaimHost,
+    hosts.DispatchHost,
+    hosts.RosterHost,
+    hosts.SyncHost,
+):
     """Admits, queues, routes and finishes requests; does no I/O.
 
     Every method takes `now` in seconds of one steady clock and returns the
@@ -76,7 +70,7 @@
     flights: flights_lib.FlightTable = attrs.Factory(flights_lib.FlightTable)
     limits: limits_lib.LimitTable = attrs.Factory(limits_lib.LimitTable)
     budget: retries.RetryBudget = attrs.Factory(retries.RetryBudget)
-    counters: Counters = attrs.Factory(Counters)
+    counters: counters_lib.Counters = attrs.Factory(counters_lib.Counters)
     pools: dict[str, pool_lib.ServicePool] = attrs.Factory(dict)
     endpoint_service: dict[str, str] = attrs.Factory(dict)
     draining: bool = False
--- a/src/_coltsfootroad/core/roster.py
+++ b/src/_coltsfootroad/core/roster.py
@@ -1,24 +1,20 @@
 """The endpoints that an entry knows: coming, reporting, going."""
 
-import typing
-
 import attrs
 
-from _coltsfootroad.core import attempts as attempts_lib
 from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import faults
+from _coltsfootroad.core import hosts
 from _coltsfootroad.core import registry
 
-if typing.TYPE_CHECKING:
-    from _coltsfootroad.core import entry
-
-Fault = attempts_lib.Fault
+Fault = faults.Fault
 
 
 @attrs.define
-class Roster:
+class Roster(hosts.Following):
     """The part of the entry core that follows endpoints."""
 
-    core: "entry.EntryCore"
+    core: hosts.RosterHost
 
     def take_announcement(
         self, announcement: registry.Announcement, now: float
--- a/src/_coltsfootroad/core/syncing.py
+++ b/src/_coltsfootroad/core/syncing.py
@@ -1,7 +1,5 @@
 """Heartbeats of an entry: what it tells the leader and what it learns."""
 
-import typing
-
 import attrs
 
 from _coltsfootroad.control import configstore
@@ -9,25 +7,23 @@
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import config as config_lib
 from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import hosts
 from _coltsfootroad.core import registry
 
-if typing.TYPE_CHECKING:
-    from _coltsfootroad.core import entry
-
 # Shortest time between two heartbeats that go out before their time.
 MIN_HURRY_S = 0.1
 LOAD_DIGITS = 4
 
 
 @attrs.define
-class Syncing:
+class Syncing(hosts.Hurrying):
     """The part of the entry core that talks to the leader.
 
     `announced` and `reported` hold what endpoints told this entry and the
     leader has not confirmed to have heard.
     """
 
-    core: "entry.EntryCore"
+    core: hosts.SyncHost
     wants_sync: bool = False
     hurried_at: float = float("-inf")
     registry_epoch: str = ""
--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -10,6 +10,7 @@
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import calls
+from _coltsfootroad.core import counters as counters_lib
 from _coltsfootroad.core import entry as entry_lib
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import request as request_lib
@@ -448,7 +449,7 @@
     def add_metrics(self) -> None:
         """Register the metrics of this entry."""
         core = self.core
-        for field in attrs.fields(entry_lib.Counters):
+        for field in attrs.fields(counters_lib.Counters):
             self.metrics.counter(
                 f"colts_entry_{field.name}",
                 f"Requests or events: {field.name.replace('_', ' ')}",
@@ -488,6 +489,6 @@
         self.send_value({"draining": True, "accepts_for_s": validity})
 
 
-def counter_reader(counters: entry_lib.Counters, name: str):
+def counter_reader(counters: counters_lib.Counters, name: str):
     """Return a function that reads one counter."""
     return lambda: getattr(counters, name)
