--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,7 @@
       | 4    | 20      | 500    | a timed-out call cancelled the others     |
       | 12   | 20      | 500    | an attempt to connect held on for 20 s     |
       | 14   | 20      | 500    | SIGHUP ended a process that was stopping  |
+      | 3009 | 20      | 500    | a second SIGTERM ended a stopping process |
 
   Scenario Outline: A seed draws the same faults, and bearable ones
     Then seeds 0 to <most> draw the same faults twice
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -92,3 +92,28 @@
         if process.poll() is None:
             process.kill()
         process.wait()
+
+
+@when("it runs and gets SIGTERM without pause until it is gone")
+def stopped_again_and_again(context):
+    context.process = subprocess.Popen(
+        context.command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
+    )
+    wait_until_prepared(context.process)
+    # Before it runs, the signal ends it at once, which is no harm.
+    time.sleep(SENDING_S)
+    end = time.monotonic() + STOP_S
+    while time.monotonic() < end and context.process.poll() is None:
+        context.process.send_signal(signal.SIGTERM)
+        time.sleep(GAP_S)
+
+
+@then("it has ended with exit code 0")
+def ended_well(context):
+    process = context.process
+    try:
+        assert process.poll() == 0, process.returncode
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait()
--- a/src/_coltsfootroad/commands/common.py
+++ b/src/_coltsfootroad/commands/common.py
@@ -104,9 +104,12 @@
     done, _ = await asyncio.wait(
         [stop, *broken], return_when=asyncio.FIRST_COMPLETED
     )
-    # A process that stops reads no settings. Ignored, and not only handled,
-    # as the interpreter takes handlers away when it ends.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # A process that stops reads no settings, and being told twice changes
+    # nothing. Ignored, and not only handled, as loop and interpreter take
+    # handlers away when they end.
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
     failed = [future for future in done if future is not stop]
     for future in failed:
         LOG.critical("stopping: {!r}", future.exception())
