Keep the mixes apart from the play; one copy of the engine's figures

benchmarks/placement.py held loads and play in 450 lines, with the patience of callers and the engine of gateway_steps.py written a second time. Loads stand in benchmarks/mixes.py, patience comes from core/patience.py. Tests and benchmarks only.

--- /dev/null
+++ b/benchmarks/mixes.py
@@ -0,0 +1,188 @@
+"""Loads of prompts whose mix swings between long and short ones.
+
+The sizes, rates and aims are those that two deployments state, small and
+grown; every ten seconds one kind of prompt comes 2.4 to 2.8 times as often and
+the other a third or a twentieth as often.
+"""
+
+import attrs
+
+from _coltsfootroad.core import routes
+
+
+@attrs.frozen(kw_only=True)
+class Length:
+    """One class of prompts; sizes are drawn log-normally."""
+
+    name: str
+    per_s: float
+    prompt: float
+    prompt_spread: float
+    prompt_max: float
+    events: float
+    events_spread: float
+    target_s: float
+    gap_s: float
+    deadline_s: float
+    value: float
+    late_value: float
+
+
+@attrs.frozen(kw_only=True)
+class Load:
+    """A deployment, its mix, and how often each class comes in each phase."""
+
+    name: str
+    engines: int
+    spec: routes.EngineSpec
+    lengths: tuple[Length, ...]
+    phases: tuple[tuple[float, tuple[float, ...]], ...]
+
+
+def spec(slots: int, kv_tokens: int, stride: int) -> routes.EngineSpec:
+    """Return an engine with the speeds that both deployments state."""
+    return routes.EngineSpec(
+        slots=slots,
+        kv_tokens=kv_tokens,
+        stride=stride,
+        step_s=0.000925,
+        per_sequence_s=0.00000966,
+        context_s_per_token=0.00000000254,
+        read_tokens_per_s=256_000.0,
+        pair_s=0.0917e-9,
+        chunk_tokens=2_048,
+        hop_s=0.0001,
+    )
+
+
+def lengths(rates, longest, values, late) -> tuple[Length, ...]:
+    """Return the three classes of a deployment."""
+    return (
+        Length(
+            name="short",
+            per_s=rates[0],
+            prompt=4_960,
+            prompt_spread=0.9,
+            prompt_max=23_800,
+            events=34,
+            events_spread=0.7,
+            target_s=0.3,
+            gap_s=0.2,
+            deadline_s=10.0,
+            value=values[0],
+            late_value=late[0],
+        ),
+        Length(
+            name="middle",
+            per_s=rates[1],
+            prompt=45_000,
+            prompt_spread=0.5,
+            prompt_max=110_000,
+            events=20,
+            events_spread=0.6,
+            target_s=1.5,
+            gap_s=0.5,
+            deadline_s=10.0,
+            value=values[1],
+            late_value=late[1],
+        ),
+        Length(
+            name="long",
+            per_s=rates[2],
+            prompt=longest[0],
+            prompt_spread=0.55,
+            prompt_max=1_000_000,
+            events=17,
+            events_spread=0.5,
+            target_s=longest[1],
+            gap_s=0.8,
+            deadline_s=15.0,
+            value=values[2],
+            late_value=late[2],
+        ),
+    )
+
+
+SMALL = lengths(
+    (15.4, 1.12, 0.462), (210_000, 3.0), (1.3, 3.1, 22.0), (0.33, 0.79, 5.4)
+)
+GROWN = lengths(
+    (38.3, 3.51, 1.04), (300_000, 4.0), (1.4, 2.6, 30.0), (0.34, 0.66, 7.5)
+)
+# How often each class comes, short, middle and long, against its mean.
+SHORT_HEAVY = (2.45, 0.5, 0.05)
+LONG_HEAVY = (0.34, 1.3, 2.7)
+EVEN = (1.0, 1.0, 1.0)
+# Seconds of each phase, and the mix in it.
+SWING = (
+    (2.0, EVEN),
+    (10.0, SHORT_HEAVY),
+    (10.5, LONG_HEAVY),
+    (10.0, SHORT_HEAVY),
+    (3.0, EVEN),
+)
+SWING_BACK = (
+    (2.0, EVEN),
+    (10.0, LONG_HEAVY),
+    (10.5, SHORT_HEAVY),
+    (10.0, LONG_HEAVY),
+    (3.0, EVEN),
+)
+
+
+def heavier(phases, factor: float):
+    """Return phases with more of everything."""
+    return tuple((s, tuple(factor * x for x in xs)) for s, xs in phases)
+
+
+ALL_LOADS = (
+    Load(
+        name="small",
+        engines=14,
+        spec=spec(8, 450_000, 46),
+        lengths=SMALL,
+        phases=SWING,
+    ),
+    Load(
+        name="small-back",
+        engines=14,
+        spec=spec(8, 450_000, 46),
+        lengths=SMALL,
+        phases=SWING_BACK,
+    ),
+    Load(
+        name="small-busy",
+        engines=11,
+        spec=spec(8, 450_000, 46),
+        lengths=SMALL,
+        phases=heavier(SWING_BACK, 1.25),
+    ),
+    Load(
+        name="grown",
+        engines=45,
+        spec=spec(6, 382_500, 52),
+        lengths=GROWN,
+        phases=SWING,
+    ),
+    Load(
+        name="grown-back",
+        engines=45,
+        spec=spec(6, 382_500, 52),
+        lengths=GROWN,
+        phases=SWING_BACK,
+    ),
+    Load(
+        name="grown-lost",
+        engines=36,
+        spec=spec(6, 382_500, 52),
+        lengths=GROWN,
+        phases=SWING,
+    ),
+    Load(
+        name="grown-busy",
+        engines=38,
+        spec=spec(6, 382_500, 52),
+        lengths=GROWN,
+        phases=heavier(SWING_BACK, 1.25),
+    ),
+)
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -13,202 +13,31 @@
 import attrs
 import numpy
 
+from _coltsfootroad.core import patience
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import shedding
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import urgency
 from _coltsfootroad.core import workload
 from _coltsfootroad.replay import batchengine
+from benchmarks import mixes
 
 PLAYS = flags.DEFINE_integer("plays", 4, "Plays of each load.")
 LOADS = flags.DEFINE_list("loads", [], "Loads to play; all if none.")
+# The value of one prompt grows with its size up to this many times the mean.
 MAX_SIZE_VALUE = 4.0
+# Played on after the last arrival, beyond the longest deadline.
+DRAIN_S = 20.0
 # Callers try once more after a refusal.
 MAX_TRIES = 2
 
 
-@attrs.frozen(kw_only=True)
-class Length:
-    """One class of prompts; sizes are drawn log-normally."""
-
-    name: str
-    per_s: float
-    prompt: float
-    prompt_spread: float
-    prompt_max: float
-    events: float
-    events_spread: float
-    target_s: float
-    gap_s: float
-    deadline_s: float
-    value: float
-    late_value: float
-
-
-@attrs.frozen(kw_only=True)
-class Load:
-    """A deployment, its mix, and how often each class comes in each phase."""
-
-    name: str
-    engines: int
-    spec: routes.EngineSpec
-    lengths: tuple[Length, ...]
-    phases: tuple[tuple[float, tuple[float, ...]], ...]
-
-
-def spec(slots: int, kv_tokens: int, stride: int) -> routes.EngineSpec:
-    """Return an engine with the speeds that both deployments state."""
-    return routes.EngineSpec(
-        slots=slots,
-        kv_tokens=kv_tokens,
-        stride=stride,
-        step_s=0.000925,
-        per_sequence_s=0.00000966,
-        context_s_per_token=0.00000000254,
-        read_tokens_per_s=256_000.0,
-        pair_s=0.0917e-9,
-        chunk_tokens=2_048,
-        hop_s=0.0001,
-    )
-
-
-def lengths(rates, longest, values, late) -> tuple[Length, ...]:
-    """Return the three classes of a deployment."""
-    return (
-        Length(
-            name="short",
-            per_s=rates[0],
-            prompt=4_960,
-            prompt_spread=0.9,
-            prompt_max=23_800,
-            events=34,
-            events_spread=0.7,
-            target_s=0.3,
-            gap_s=0.2,
-            deadline_s=10.0,
-            value=values[0],
-            late_value=late[0],
-        ),
-        Length(
-            name="middle",
-            per_s=rates[1],
-            prompt=45_000,
-            prompt_spread=0.5,
-            prompt_max=110_000,
-            events=20,
-            events_spread=0.6,
-            target_s=1.5,
-            gap_s=0.5,
-            deadline_s=10.0,
-            value=values[1],
-            late_value=late[1],
-        ),
-        Length(
-            name="long",
-            per_s=rates[2],
-            prompt=longest[0],
-            prompt_spread=0.55,
-            prompt_max=1_000_000,
-            events=17,
-            events_spread=0.5,
-            target_s=longest[1],
-            gap_s=0.8,
-            deadline_s=15.0,
-            value=values[2],
-            late_value=late[2],
-        ),
-    )
-
-
-SMALL = lengths(
-    (15.4, 1.12, 0.462), (210_000, 3.0), (1.3, 3.1, 22.0), (0.33, 0.79, 5.4)
-)
-GROWN = lengths(
-    (38.3, 3.51, 1.04), (300_000, 4.0), (1.4, 2.6, 30.0), (0.34, 0.66, 7.5)
-)
-SHORT_HEAVY = (2.45, 0.5, 0.05)
-LONG_HEAVY = (0.34, 1.3, 2.7)
-EVEN = (1.0, 1.0, 1.0)
-SWING = (
-    (2.0, EVEN),
-    (10.0, SHORT_HEAVY),
-    (10.5, LONG_HEAVY),
-    (10.0, SHORT_HEAVY),
-    (3.0, EVEN),
-)
-SWING_BACK = (
-    (2.0, EVEN),
-    (10.0, LONG_HEAVY),
-    (10.5, SHORT_HEAVY),
-    (10.0, LONG_HEAVY),
-    (3.0, EVEN),
-)
-
-
-def heavier(phases, factor: float):
-    """Return phases with more of everything."""
-    return tuple((s, tuple(factor * x for x in xs)) for s, xs in phases)
-
-
-ALL_LOADS = (
-    Load(
-        name="small",
-        engines=14,
-        spec=spec(8, 450_000, 46),
-        lengths=SMALL,
-        phases=SWING,
-    ),
-    Load(
-        name="small-back",
-        engines=14,
-        spec=spec(8, 450_000, 46),
-        lengths=SMALL,
-        phases=SWING_BACK,
-    ),
-    Load(
-        name="small-busy",
-        engines=11,
-        spec=spec(8, 450_000, 46),
-        lengths=SMALL,
-        phases=heavier(SWING_BACK, 1.25),
-    ),
-    Load(
-        name="grown",
-        engines=45,
-        spec=spec(6, 382_500, 52),
-        lengths=GROWN,
-        phases=SWING,
-    ),
-    Load(
-        name="grown-back",
-        engines=45,
-        spec=spec(6, 382_500, 52),
-        lengths=GROWN,
-        phases=SWING_BACK,
-    ),
-    Load(
-        name="grown-lost",
-        engines=36,
-        spec=spec(6, 382_500, 52),
-        lengths=GROWN,
-        phases=SWING,
-    ),
-    Load(
-        name="grown-busy",
-        engines=38,
-        spec=spec(6, 382_500, 52),
-        lengths=GROWN,
-        phases=heavier(SWING_BACK, 1.25),
-    ),
-)
-
-
 @attrs.define(eq=False)
 class Arrival:
     """A request, when it comes, and what became of it."""
 
     at: float
-    length: Length
+    length: mixes.Length
     job: batchengine.Job
     weight: float
     keys: list[int] = attrs.Factory(list)
@@ -216,14 +45,26 @@
     tries: int = 0
     predicted_s: float = 0.0
 
+    def route(self) -> routes.Route:
+        """Return the route that a request of this class takes."""
+        return routes.Route(
+            name=self.length.name,
+            host="",
+            prefix="/",
+            kind=routes.RequestKind.STREAM,
+            timeout_s=self.length.deadline_s,
+            splits=(),
+            target_s=self.length.target_s,
+            gap_target_s=self.length.gap_s,
+        )
+
     def gained(self) -> float:
         """Return the value that the caller got."""
         times = self.job.event_times
         if not self.job.done or times[-1] > self.at + self.length.deadline_s:
             return 0.0
-        patience = max(2.0, 4 * self.length.target_s, 8 * self.length.gap_s)
         gaps = numpy.diff([self.at, *times])
-        if gaps.max() > patience:
+        if gaps.max() > patience.caller_patience_s(self.route()):
             return 0.0
         late = times[0] - self.at > self.length.target_s
         late = late or (len(gaps) > 1 and gaps[1:].max() > self.length.gap_s)
@@ -232,7 +73,7 @@
         )
 
 
-def draw(load: Load, seed: int) -> list[Arrival]:
+def draw(load: mixes.Load, seed: int) -> list[Arrival]:
     """Return the arrivals of one play in order of time."""
     rng = numpy.random.default_rng(seed)
     found = []
@@ -265,7 +106,7 @@
 class Play:
     """One load played against the placement in `core/spread.py`."""
 
-    load: Load
+    load: mixes.Load
     rng: random.Random
     works: workload.Workload = attrs.Factory(workload.Workload)
     engines: list[batchengine.BatchEngine] = attrs.Factory(list)
@@ -288,7 +129,7 @@
             arrival.tries += 1
             if again_s is not None and arrival.tries < MAX_TRIES:
                 heapq.heappush(waiting, (at + again_s, number, arrival))
-        self.advance(arrivals[-1].at + 20.0)
+        self.advance(arrivals[-1].at + DRAIN_S)
 
     def advance(self, until: float) -> None:
         """Run the passes that begin before a time."""
@@ -355,16 +196,9 @@
         arrival.parts = 1 + len(placement.helpers)
         job = arrival.job
         job.unread = arrival.parts
-        route = routes.Route(
-            name="r",
-            host="",
-            prefix="/",
-            kind=routes.RequestKind.STREAM,
-            timeout_s=arrival.length.deadline_s,
-            splits=(),
-            target_s=arrival.length.target_s,
+        job.rank = urgency.of(
+            arrival.route(), now - arrival.at, placement.first_event_s
         )
-        job.rank = urgency.of(route, now - arrival.at, placement.first_event_s)
         late = job.rank == urgency.LATE_RANK
         names = [placement.lead, *placement.helpers]
         for number, name in enumerate(names):
@@ -396,7 +230,7 @@
             heapq.heappush(self.due, (now, place))
 
 
-def gains(load: Load, seeds: int) -> dict[str, float]:
+def gains(load: mixes.Load, seeds: int) -> dict[str, float]:
     """Return what callers gained of what they could, whole and by class."""
     sums = {name: [0.0, 0.0] for name in ("whole", *names_of(load))}
     for seed in range(seeds):
@@ -409,14 +243,14 @@
     return {name: got / max(1e-9, owed) for name, (got, owed) in sums.items()}
 
 
-def names_of(load: Load) -> tuple[str, ...]:
+def names_of(load: mixes.Load) -> tuple[str, ...]:
     """Return the names of a load's classes."""
     return tuple(length.name for length in load.lengths)
 
 
 def main(_: list[str]) -> None:
     """Play the loads."""
-    for load in ALL_LOADS:
+    for load in mixes.ALL_LOADS:
         if not LOADS.value or load.name in LOADS.value:
             found = gains(load, PLAYS.value)
             words = [f"{name} {share:.3f}" for name, share in found.items()]
--- a/features/steps/batchengine_steps.py
+++ b/features/steps/batchengine_steps.py
@@ -11,9 +11,10 @@
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import workload
 from _coltsfootroad.replay import batchengine
+from benchmarks import mixes
 from benchmarks import placement
 
-SPEC = placement.spec(8, 450_000, 46)
+SPEC = mixes.spec(8, 450_000, 46)
 LONG_VALUE = 22.0
 PLENTY = 100_000
 
@@ -174,7 +175,7 @@
 
 @given('the load "{name}" of seeds 0 and 1')
 def load_named(context, name):
-    (load,) = [one for one in placement.ALL_LOADS if one.name == name]
+    (load,) = [one for one in mixes.ALL_LOADS if one.name == name]
     context.gains = placement.gains(load, 2)
 
 
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -19,20 +19,12 @@
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import gossip
 from _coltsfootroad.shell import clocks
+from benchmarks import mixes
 from features.support import gatewaybed
 
 # An engine of the size that the platform's deployments state: a pass of 46
 # steps with writers takes 45 ms, and 256,000 prompt tokens a second are read.
-ENGINE = routes.EngineSpec(
-    slots=8,
-    kv_tokens=450_000,
-    stride=46,
-    step_s=0.000925,
-    per_sequence_s=0.00000966,
-    context_s_per_token=0.00000000254,
-    read_tokens_per_s=256_000.0,
-    pair_s=0.0917e-9,
-)
+ENGINE = mixes.spec(8, 450_000, 46)
 SHORT = spread.Prompt(
     prompt_tokens=5_000, output_tokens=1_600, target_s=0.3, gap_target_s=0.2
 )
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -17,7 +17,7 @@
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import gossip
 from _coltsfootroad.gateway import upstream
-from benchmarks import placement
+from benchmarks import mixes
 from features.support import gatewaybed
 
 # Connections that fill a queue of length 0 and what the system adds to it.
@@ -216,7 +216,7 @@
 
 @then("a prompt that leaves {left:d} tokens free is held by two engines")
 def shared(context, left):
-    spec = placement.spec(8, 450_000, 46)
+    spec = mixes.spec(8, 450_000, 46)
     prompt = spread.Prompt(
         prompt_tokens=spec.kv_tokens - left,
         output_tokens=0,
