Give each run of the soak a loopback address of its own

Its log says that its address was in use; callers of the other run had meanwhile been told addresses of this one. A port of a program that is down is free to whoever looks for one. Ruled out: the gateway's watch (it never got that far). Change: the soak listens on an address in 127.0.0.0/8 drawn from its process id. Tests and their ports only.

--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -16,6 +16,7 @@
 
 LAUNCHER = pathlib.Path(__file__).with_name("launch.py")
 TOKEN = "soak-token"
+HOST = ports_lib.own_host()
 STOP_WAIT_S = 12.0
 
 
@@ -77,9 +78,9 @@
 
     async def start(self, replicas: int, gateways: int) -> None:
         """Write the settings and start everything."""
-        ports = ports_lib.free_ports(replicas)
+        ports = ports_lib.free_ports(replicas, HOST)
         for port in ports:
-            proxy = proxy_lib.Proxy(("127.0.0.1", port))
+            proxy = proxy_lib.Proxy((HOST, port))
             await proxy.start()
             self.proxies.append(proxy)
         for place, port in enumerate(ports):
@@ -99,9 +100,9 @@
             f"replica-{place}",
             {
                 "replica": f"r{place}",
-                "listen": f"127.0.0.1:{port}",
+                "listen": f"{HOST}:{port}",
                 "advertise": self.proxies[place].address,
-                "admin_listen": f"127.0.0.1:{ports_lib.free_port()}",
+                "admin_listen": f"{HOST}:{ports_lib.free_port(HOST)}",
                 "admin_token": TOKEN,
                 "data_folder": str(self.data(place)),
                 "seeds": self.seeds(),
@@ -118,9 +119,9 @@
     def add_gateway(self, place: int) -> None:
         """Write the settings of a gateway."""
         names = ("listen", "ready_listen", "directory_listen", "peer_listen")
-        found = ports_lib.free_ports(len(names))
+        found = ports_lib.free_ports(len(names), HOST)
         ports = {
-            name: f"127.0.0.1:{port}"
+            name: f"{HOST}:{port}"
             for name, port in zip(names, found, strict=True)
         }
         path = self.write(
--- a/src/_coltsfootroad/fakes/ports.py
+++ b/src/_coltsfootroad/fakes/ports.py
@@ -1,5 +1,6 @@
 """Picks ports for programs that tests and demos start on loopback."""
 
+import os
 import random
 import socket
 
@@ -12,23 +13,33 @@
 TRIES = 1_000
 
 
-def free_port() -> int:
+def own_host() -> str:
+    """Return a loopback address that this process alone hands out.
+
+    A program that is down for a moment leaves its port to whoever looks for
+    one; other runs on the same machine look at other addresses.
+    """
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 16) % 254}.{(pid >> 8) % 256}.{1 + pid % 254}"
+
+
+def free_port(host: str = HOST) -> int:
     """Return a port that nobody listens on; raises OSError if none is found."""
     draws = random.SystemRandom()
     for _ in range(TRIES):
         port = draws.randrange(LOWEST, HIGHEST)
         with socket.socket() as probe:
             try:
-                probe.bind((HOST, port))
+                probe.bind((host, port))
             except OSError:
                 continue
             return port
     raise OSError(f"no free port between {LOWEST} and {HIGHEST}")
 
 
-def free_ports(count: int) -> list[int]:
+def free_ports(count: int, host: str = HOST) -> list[int]:
     """Return as many different ports that nobody listens on."""
     found: set[int] = set()
     while len(found) < count:
-        found.add(free_port())
+        found.add(free_port(host))
     return list(found)
