--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -4,6 +4,7 @@
     When a <kind> request meets endpoints that <first> and then <second>
     Then the caller gets <status> and the answer is <whole>
     And <sends> sends were made
+    And at most 2 endpoints ran it
 
     Examples: what did not run may be sent again, at whatever kind
       | kind   | first  | second | status | whole | sends |
@@ -26,6 +27,8 @@
       | safe   | fail         | answer | 200    | whole | 2     |
       | unsafe | fail         | answer | 500    | whole | 1     |
       | safe   | fail         | fail   | 500    | whole | 2     |
+      | safe   | fail         | reset, then answer | 500 | whole | 2 |
+      | unsafe | reject       | fail   | 500    | whole | 2     |
       | safe   | reset        | reset  | 502    | whole | 2     |
       | safe   | reject       | reset  | 502    | whole | 3     |
       | unsafe | reject       | reset  | 502    | whole | 2     |
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,6 +1,7 @@
 """Steps of the gateway's features."""
 
 import asyncio
+import itertools
 
 import attrs
 from behave import given
@@ -51,20 +52,30 @@
 @when("a {kind} request meets endpoints that {first} and then {second}")
 def meets(context, kind, first, second):
     async def story(bed):
-        # Both endpoints are the same for the choice, so both act in turn.
-        acts = iter([first, second, second])
+        # All endpoints are the same for the choice, so they act in turn.
+        then_act, _, later = second.partition(", then ")
+        acts = itertools.chain(
+            [first, then_act], itertools.repeat(later or then_act)
+        )
         endpoints = [
             await bed.add("e1", "answer"),
             await bed.add("e2", "answer"),
+            await bed.add("e3", "answer"),
         ]
         for endpoint in endpoints:
             endpoint.serve_one = one_act(endpoint, acts)
         context.answer = await bed.ask(f"/{kind}/x")
         context.seen = [s for e in endpoints for s in e.seen]
+        context.ran_at = sum(e.ran for e in endpoints)
 
     play(context, story)
 
 
+@then("at most {count:d} endpoints ran it")
+def ran_at_most(context, count):
+    assert context.ran_at <= count, context.ran_at
+
+
 def one_act(endpoint, acts):
     """Return a `serve_one` that takes its act from a shared list."""
     plain = endpoint.serve_one
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -15,6 +15,7 @@
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
+from _coltsfootroad.core import sends
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import answers
 from _coltsfootroad.gateway import engines
@@ -236,7 +237,7 @@
     sink.status = status
     sink.genuine = status > 0
     choice = engines.Choice(endpoint=scene.earlier)
-    health.note(scene.endpoints, choice, answers.Outcome.LOST, end, sink, 3.2)
+    health.note(scene.endpoints, choice, sends.Outcome.LOST, end, sink, 3.2)
 
 
 @then("the failure that is late of the earlier start counts no more")
--- a/features/support/gatewaybed.py
+++ b/features/support/gatewaybed.py
@@ -37,6 +37,8 @@
         self.script = script
         self.seen: list[Seen] = []
         self.hung_up = asyncio.Event()
+        # Whether it did anything else than rejecting.
+        self.ran = False
         self.server = None
         self.address = ""
 
@@ -61,7 +63,9 @@
         seen = await self.read_request(reader)
         self.seen.append(seen)
         place = min(len(self.seen), len(self.script)) - 1
-        act = getattr(self, "do_" + self.script[place].replace(" ", "_"))
+        word = self.script[place]
+        self.ran = self.ran or word != "reject"
+        act = getattr(self, "do_" + word.replace(" ", "_"))
         return await act(seen.headers, reader, writer)
 
     async def read_request(self, reader) -> Seen:
--- a/src/_coltsfootroad/gateway/answers.py
+++ b/src/_coltsfootroad/gateway/answers.py
@@ -1,7 +1,5 @@
 """Takes endpoints' answers: whole, or event by event, and judges them."""
 
-import enum
-
 import attrs
 from tornado import httputil
 
@@ -15,16 +13,6 @@
 REDIRECTION = 300
 
 
-class Outcome(enum.Enum):
-    """What a send to one endpoint came to."""
-
-    ANSWERED = "answered"
-    NOT_RUN = "not_run"
-    LOST = "lost"
-    FAULT = "fault"
-    NO_MEMORY = "no_memory"
-
-
 @attrs.define
 class HeldAnswer(upstream.AnswerSink):
     """An answer that is collected whole before the caller gets any of it.
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -7,6 +7,7 @@
 
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import routes
+from _coltsfootroad.core import sends as sends_lib
 from _coltsfootroad.core import shedding
 from _coltsfootroad.core import urgency
 from _coltsfootroad.gateway import admission
@@ -27,9 +28,6 @@
 LOG = logs.logger("request")
 # A send with less time than this cannot come back in time.
 MIN_SEND_S = 0.02
-# Sends beyond the route's attempts when an endpoint proved that it did not
-# run the request: such a send costs a round trip and can run nothing twice.
-EXTRA_UNRUN_SENDS = 2
 SERVER_FAULT = 500
 # No endpoint could be reached: one that restarts announces itself within a
 # second, and callers come back only once.
@@ -54,10 +52,7 @@
     request: admission.CallerRequest
     request_id: str = ""
     admitted: admission.Admitted | None = None
-    may_have_run: bool = False
-    runs: int = 0
-    sends: int = 0
-    tried: set[str] = attrs.Factory(set)
+    sends: sends_lib.Sends | None = None
     fault: answers.HeldAnswer | None = None
     tickets: tickets_lib.TicketSet | None = None
     work: ownwork.OwnWork = attrs.field(init=False)
@@ -119,6 +114,9 @@
             self.reply.refuse(found.error.failure, found.error.route)
             return
         self.admitted = found.ok
+        self.sends = sends_lib.Sends(
+            attempts=self.route.attempts, idempotent=self.route.idempotent
+        )
         await start_up.wait(
             arrived_at, stated_s, self.has_room, startup.CHOOSE_EVERY_S
         )
@@ -159,10 +157,10 @@
                 self.turn_away(choice, again_s)
                 return
             outcome = await self.attempt(choice)
-            if outcome is answers.Outcome.ANSWERED:
+            if outcome is sends_lib.Outcome.ANSWERED:
                 return
-            if outcome is answers.Outcome.NO_MEMORY:
-                self.tried.clear()
+            if outcome is sends_lib.Outcome.NO_MEMORY:
+                self.sends.tried.clear()
                 await asyncio.sleep(self.gateway.rng.uniform(*MEMORY_PAUSE_S))
             reason = self.stop_reason(outcome)
             if reason:
@@ -177,7 +175,7 @@
     def come_back_s(self, choice: engines.Choice, now: float) -> float | None:
         """Return when to come back if the request is not to be sent now."""
         prompt = self.admitted.prompt
-        if prompt is None or self.sends:
+        if prompt is None or self.sends.count:
             return None
         candidate = shedding.Candidate(
             prompt_tokens=prompt.prompt_tokens,
@@ -193,7 +191,10 @@
     def choose(self, now: float) -> engines.Choice | None:
         """Return where to send next, None if that is nowhere."""
         return self.gateway.chooser.choose(
-            self.service, self.admitted.prompt, self.tried, now
+            self.service,
+            self.admitted.prompt,
+            self.sends.tried,
+            now,
         )
 
     def unfit_reason(self, now: float) -> str:
@@ -231,10 +232,10 @@
 
     def may_switch(self) -> bool:
         """Return whether another endpoint could take over."""
-        if not self.route.idempotent or self.runs + 1 >= self.route.attempts:
+        if not self.sends.may_switch():
             return False
         others = self.gateway.endpoints.of_service(self.service.name)
-        return any(known.name not in self.tried for known in others)
+        return any(known.name not in self.sends.tried for known in others)
 
     async def reserve(self, choice: engines.Choice) -> bool:
         """Set memory aside for a prompt above one engine's memory."""
@@ -255,28 +256,23 @@
             self.gateway.spawn(self.tickets.release())
             self.tickets = None
 
-    def stop_reason(self, outcome: answers.Outcome) -> str:
-        """Return why no further endpoint is tried, empty to go on."""
-        if outcome is answers.Outcome.NO_MEMORY:
-            return ""
-        if outcome is not answers.Outcome.NOT_RUN and not self.route.idempotent:
-            return "it may have run and must not run twice"
-        if self.runs >= self.route.attempts:
-            return f"{self.runs} endpoints of {self.route.attempts} were used"
-        if self.sends >= self.route.attempts + EXTRA_UNRUN_SENDS:
-            return f"it was sent {self.sends} times"
+    def stop_reason(self, outcome: sends_lib.Outcome) -> str:
+        """Return why nothing more is sent, empty to go on."""
+        reason = self.sends.stop_reason(outcome)
+        if reason or outcome is sends_lib.Outcome.NO_MEMORY:
+            return reason
         budget = self.gateway.budget(self.service.name)
-        if self.sends and not budget.take(
+        if self.sends.count and not budget.take(
             self.gateway.limit_share(), clocks.boot_time()
         ):
             return "the retry budget is used up"
         return ""
 
-    async def attempt(self, choice: engines.Choice) -> answers.Outcome:
+    async def attempt(self, choice: engines.Choice) -> sends_lib.Outcome:
         """Send to one endpoint and judge what came of it."""
         now = clocks.boot_time()
         endpoint = choice.endpoint
-        self.tried.add(endpoint.name)
+        self.sends.tried.add(endpoint.name)
         late = self.rank(choice, now) == urgency.LATE_RANK
         self.work.begin(choice, self.admitted.prompt, late, now)
         sink = self.make_sink()
@@ -285,7 +281,7 @@
             "sent",
             request=self.request_id,
             endpoint=endpoint.name,
-            send=self.sends + 1,
+            send=self.sends.count + 1,
             tokens=self.prompt_tokens(),
             version=self.gateway.view.version,
             proof_age_s=round(self.gateway.view.age_s(now), 3),
@@ -295,8 +291,8 @@
         )
         try:
             if choice.shares and not await self.reserve(choice):
-                return answers.Outcome.NO_MEMORY
-            self.sends += 1
+                return sends_lib.Outcome.NO_MEMORY
+            self.sends.count += 1
             end = await self.call_with_patience(choice, pool, sink)
         finally:
             self.work.end()
@@ -318,8 +314,12 @@
             end=end.value,
             status=sink.status,
             took_s=round(clocks.boot_time() - now, 3),
+            first_event_s=self.reply.first_event_s,
+            longest_pause_s=round(self.reply.longest_pause_s, 3),
+            target_s=self.route.target_s,
+            gap_target_s=self.route.gap_target_s,
         )
-        if outcome is answers.Outcome.ANSWERED:
+        if outcome is sends_lib.Outcome.ANSWERED:
             self.reply.complete(sink)
         return outcome
 
@@ -333,21 +333,20 @@
 
     def judge(
         self, end: upstream.CallEnd, sink: answers.HeldAnswer
-    ) -> answers.Outcome:
+    ) -> sends_lib.Outcome:
         """Return what a send came to."""
         if end is upstream.CallEnd.NOT_SENT:
-            return answers.Outcome.NOT_RUN
+            return sends_lib.Outcome.NOT_RUN
         if sink.genuine and sink.says_not_run():
-            return answers.Outcome.NOT_RUN
-        self.runs += 1
-        self.may_have_run = True
+            return sends_lib.Outcome.NOT_RUN
+        self.sends.runs += 1
         whole = end is upstream.CallEnd.COMPLETE and sink.ends_whole()
         if not whole or not sink.genuine:
-            return answers.Outcome.LOST
+            return sends_lib.Outcome.LOST
         if sink.status >= SERVER_FAULT and self.route.idempotent:
             self.fault = sink
-            return answers.Outcome.FAULT
-        return answers.Outcome.ANSWERED
+            return sends_lib.Outcome.FAULT
+        return sends_lib.Outcome.ANSWERED
 
     def give_up(self, reason: str) -> None:
         """Send the final failure; "not run" only when it is proved."""
@@ -361,7 +360,7 @@
                 reason=reason,
             )
             self.reply.complete(self.fault)
-        elif self.may_have_run:
+        elif self.sends.runs:
             self.refuse(
                 errors.Failure(
                     errors.ErrorCode.ENDPOINT_FAILED,
@@ -403,7 +402,7 @@
         if self.reply.streaming:
             self.reply.break_off("the time is over")
             return
-        if not self.sends:
+        if not self.sends.count:
             self.refuse(
                 admission.refusal(
                     errors.ErrorCode.UNAVAILABLE, "the time is over"
--- a/src/_coltsfootroad/gateway/front.py
+++ b/src/_coltsfootroad/gateway/front.py
@@ -69,7 +69,7 @@
             LOG.info(
                 "caller gone",
                 request=exchange.request_id,
-                sends=exchange.sends,
+                sends=exchange.sends.count if exchange.sends else 0,
                 after_s=round(clocks.boot_time() - self.arrived_at, 3),
             )
             self.gateway.note_failure(errors.ErrorCode.CALLER_GONE.value)
--- a/src/_coltsfootroad/gateway/health.py
+++ b/src/_coltsfootroad/gateway/health.py
@@ -1,6 +1,7 @@
 """Tells the endpoint set how the endpoints of a send did."""
 
 from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import sends
 from _coltsfootroad.gateway import answers
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.gateway import names as names_lib
@@ -9,13 +10,13 @@
 
 LOG = logs.logger("request")
 SERVER_FAULT = 500
-FAILURES = (answers.Outcome.LOST, answers.Outcome.NOT_RUN)
+FAILURES = (sends.Outcome.LOST, sends.Outcome.NOT_RUN)
 
 
 def note(
     endpoints: endpointset.EndpointSet,
     choice: engines.Choice,
-    outcome: answers.Outcome,
+    outcome: sends.Outcome,
     end: upstream.CallEnd,
     sink: answers.HeldAnswer,
     now: float,
@@ -39,7 +40,7 @@
                 outcome=outcome.value,
                 end=end.value,
             )
-    elif outcome is answers.Outcome.ANSWERED and sink.status < SERVER_FAULT:
+    elif outcome is sends.Outcome.ANSWERED and sink.status < SERVER_FAULT:
         endpoints.on_success(name)
 
 
--- a/src/_coltsfootroad/gateway/reply.py
+++ b/src/_coltsfootroad/gateway/reply.py
@@ -31,6 +31,9 @@
         streaming: Whether a stream has begun.
         last_event: Id of the last event that was passed on.
         last_event_at: When that was.
+        first_event_s: Seconds from the request's head to its first event,
+            None before it.
+        longest_pause_s: Seconds of the longest pause between two events.
     """
 
     gateway: object
@@ -41,6 +44,8 @@
     streaming: bool = False
     last_event: int | None = None
     last_event_at: float = 0.0
+    first_event_s: float | None = None
+    longest_pause_s: float = 0.0
 
     def open_stream(self, status: int, reason: str, headers) -> None:
         """Begin the caller's answer; a resumed stream keeps its first head."""
@@ -66,11 +71,20 @@
         if not data:
             return None
         self.on_event()
-        self.last_event_at = clocks.boot_time()
+        self.note_time(clocks.boot_time())
         written = self.connection.write(data)
         written.add_done_callback(upstream.forget_failure)
         return written
 
+    def note_time(self, now: float) -> None:
+        """Note when an event is passed on."""
+        if self.first_event_s is None:
+            self.first_event_s = round(now - self.arrived_at, 3)
+        else:
+            pause_s = now - self.last_event_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.last_event_at = now
+
     def write_head(self, status: int, reason: str, headers, body=None):
         """Write status and headers, and say when the connection closes."""
         if self.gateway.closes_connections():
