Send callers of zones with few gateways to some of other zones as well

While one is frozen or gone, half of the zone's callers try it first, for a second each, until their address answer is renewed. Change: fewer than four gateways in a zone are filled up to four from other zones, by a hash that differs between zones. On the deployments where bytes between zones are dear it is still to be measured.

--- a/src/_coltsfootroad/gateway/directory.py
+++ b/src/_coltsfootroad/gateway/directory.py
@@ -4,11 +4,15 @@
 
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import errors
+from _coltsfootroad.core import hashing
 from _coltsfootroad.shell import web
 
-# Callers of a zone are given that zone's gateways if there are this many:
-# near ones save bytes between zones, and a single one could be lost.
-ENOUGH_NEAR = 2
+# Callers of a zone are given that zone's gateways, which saves bytes between
+# zones, and where these are fewer than this, some of other zones as well. A
+# gateway that is lost or frozen costs its callers a second for each connection
+# until their answer is renewed: with two gateways, half of a zone.
+ENOUGH_NEAR = 4
+SPREAD_KEY = "directory"
 MAX_ADDRESSES = 64
 MAX_QUERY_BODY = 1024
 
@@ -16,7 +20,10 @@
 def answer(members: tuple[addresses.Member, ...], zone: str) -> tuple[str, ...]:
     """Return the gateways for callers of a zone out of those in use."""
     near = [m for m in members if m.availability_zone == zone]
-    chosen = near if len(near) >= ENOUGH_NEAR else members
+    far = [m for m in members if m.availability_zone != zone]
+    # Zones that need others choose different ones.
+    far.sort(key=lambda m: hashing.stable_hash(m.entry, SPREAD_KEY + zone))
+    chosen = near + far[: max(0, ENOUGH_NEAR - len(near))]
     return tuple(member.address for member in chosen[:MAX_ADDRESSES])
 
 
