Check the optional fields of a heartbeat as well

Cause: reading. A heartbeat whose models or stage are of another type was taken, as neither is used; one that another writer made names no endpoint to use. Change: both are decoded into types; a wrong one is refused and named.

--- a/features/platform/decode.feature
+++ b/features/platform/decode.feature
@@ -56,6 +56,10 @@
       | slots             | true            | $.slots           |
       | version           | 1               | $.version         |
       | coldRemainingMs   | "soon"          | $.coldRemainingMs |
+      | stage             | 1               | $.stage           |
+      | models            | "m"             | $.models          |
+      | models            | [{"name": 1}]   | $.models[0].name  |
+      | models            | [{"name": "m", "version": "1"}] | $.models[0].version |
       | born              | 1.5             | $.born            |
       | born              | "1764720000000" | $.born            |
       | born              | null            | $.born            |
