Take what gateways remember of a sign-off literally

A gateway that remembers the end of a start that stated no time tells a new leader so; the leader took it for a sign-off of whatever start it knew, and a later start that states its time was out of use until it began anew. Ruled out: dropping what gateways remember (late heartbeats would revive endpoints that have left, at a new leader). Change: only the endpoint's own sign-off stands for the start that is known; what others remember names the start that it names.

--- a/features/core/restarts.feature
+++ b/features/core/restarts.feature
@@ -69,6 +69,11 @@
     And another leader hears 7.6 ready late and then the gateway
     Then the endpoint is unused at the other leader
 
+  Scenario: A gateway remembers the end of a start that stated nothing
+    When the leader hears 0.5 ready, off, 7.1 ready
+    And another leader hears 7.2 ready late and then the gateway
+    Then the endpoint is used at the other leader
+
   Scenario: What gateways remember settles no doubt about a sign-off
     When the leader hears 7.1 ready, 8.1 ready, off
     And gateways bring along 8.2 ready, 8.3 ready
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -128,9 +128,9 @@
     watch(context.other, 200.1, 0, brought)
 
 
-@then("the endpoint is unused at the other leader")
-def unused_there(context):
-    assert not is_used(context.other), context.other.registry
+@then("the endpoint is {state} at the other leader")
+def known_there(context, state):
+    assert is_used(context.other) == (state == "used"), context.other.registry
 
 
 @when("gateways bring along {words}")
--- a/src/_coltsfootroad/core/registry.py
+++ b/src/_coltsfootroad/core/registry.py
@@ -137,7 +137,7 @@
         name = announcement.endpoint
         known = self.registrations.get(name)
         if announcement.state is EndpointState.GONE:
-            return self.sign_off(announcement, known, now)
+            return self.sign_off(announcement, known, now, first_hand)
         if self.has_ended(announcement):
             return Change.NONE
         if known is not None and not is_newer(announcement, known.announcement):
@@ -188,30 +188,40 @@
         announcement: Announcement,
         known: Registration | None,
         now: float,
+        first_hand: bool,
     ) -> Change:
-        """Take a sign-off; one without an incarnation is the known start's."""
+        """Take a sign-off; one without an incarnation is the known start's.
+
+        Others who remember it mean the start that stated no incarnation.
+        """
         name = announcement.endpoint
         incarnation = announcement.incarnation
         latest = UNMARKED if known is None else known.announcement.incarnation
-        if incarnation == UNMARKED:
+        if incarnation == UNMARKED and first_hand:
             incarnation = latest
         if known is not None and incarnation < latest:
             return Change.NONE
-        if known is not None and self.is_doubtful(announcement, known, now):
+        if first_hand and self.is_doubtful(announcement, known, now):
             newest = known.announcement
             self.doubts[name] = Doubt(newest.incarnation, newest.seq)
             del self.registrations[name]
         else:
             self.bury(name, incarnation, now)
-        if known is None and announcement.incarnation == UNMARKED:
+        states_none = announcement.incarnation == UNMARKED
+        if first_hand and known is None and states_none:
             # Which start it ended is not known here.
             self.doubts[name] = Doubt()
         return Change.UPDATED
 
     def is_doubtful(
-        self, announcement: Announcement, known: Registration, now: float
+        self,
+        announcement: Announcement,
+        known: Registration | None,
+        now: float,
     ) -> bool:
         """Return whether an earlier start may have sent a sign-off."""
+        if known is None:
+            return False
         newest = known.announcement
         if announcement.incarnation != UNMARKED:
             return False
