Log each change of the replica set, and a quorum that is lost

Cause: the three hypotheses on the incident differ in what replicas believe of their set, and nothing of that was logged: neither a change of the set nor its reason nor who does not answer. Ruled out: nothing yet; logging each turn of the loop was left out, as finding the set walks the log. Change: control/quorum.py says how many more voters may be lost; shell/quorumlog.py logs each change of the set with before, after, reason and who was silent, and a quorum that is lost or regained with who is missing; the gauge colts_control_losses_borne shows it on the leader. Whether a replica asks for a vote is decided in the core.

--- a/features/support/controlmachine.py
+++ b/features/support/controlmachine.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from _coltsfootroad.control import fences
+from _coltsfootroad.control import membership
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import node as node_lib
 from _coltsfootroad.control import replicas
@@ -114,6 +115,7 @@
     """Replicas in virtual time, joined by a faulty network."""
 
     rng: random.Random
+    required_voters: int = 1
     now: float = 0.0
     queue: list = attrs.Factory(list)
     number: int = 0
@@ -180,6 +182,7 @@
             rng=random.Random(self.rng.random()),
             started_at=self.clock(replica),
             all_applied=self.applied,
+            membership=membership.Membership(self.required_voters),
         )
         replica.ticking = None
         self.plan_tick(replica)
--- /dev/null
+++ b/features/support/replacements.py
@@ -0,0 +1,207 @@
+"""Replicas that VMs come and go under, in virtual time, with their operators.
+
+A history is a line such as `follower gone; 1.5 s; d added; leader wiped`.
+"""
+
+import random
+import re
+
+import attrs
+
+from _coltsfootroad.control import membership
+from _coltsfootroad.control import messages
+from _coltsfootroad.control import quorum
+from _coltsfootroad.control import raft as raft_lib
+from features.support import controlmachine
+
+NAMES = "abcdefgh"
+# A program listens this long after its VM is back.
+START_S = 1.5
+RESTART_S = 1.0
+FORM_S = 12.0
+WRITE_EVERY_S = 0.8
+# Time from a loss, return or replacement until the next ones are borne.
+PROMISED_S = 2.5
+# Longest from the last event of a history to the end of what it leads to:
+# a start, the promised time and an election.
+CALM_S = START_S + PROMISED_S + raft_lib.ELECTION_MAX_S
+STEP = re.compile(r"(?P<who>\w+) (?P<verb>[a-z ]+?)(?: for (?P<s>[\d.]+) s)?$")
+WAIT = re.compile(r"(?P<s>[\d.]+) s$")
+
+
+@attrs.define(eq=False)
+class Site(controlmachine.Cluster):
+    """Replicas, an operator who writes all the time, and VMs that change."""
+
+    losses: int = 1
+    writes: int = 0
+    is_gone: set[str] = attrs.Factory(set)
+
+    def begin(self) -> None:
+        """Start all replicas with empty disks and wait until they vote."""
+        self.required_voters = 2 * self.losses + 1
+        first, *rest = NAMES[: self.required_voters]
+        self.add(first, bootstrap=True)
+        for name in rest:
+            self.add(name)
+        self.at(self.now, self.ask)
+        self.at(self.now, self.write)
+        self.run_until(self.now + FORM_S)
+        assert len(self.voters()) == self.required_voters, self.voters()
+
+    # --- what programs and operators do ----------------------------------
+
+    def ask(self) -> None:
+        """Let each replica without a vote ask the leader for one."""
+        for replica in list(self.replicas.values()):
+            node = replica.node
+            if node is None or self.now < replica.frozen_until:
+                continue
+            if node.asks_for_vote(self.clock(replica)):
+                self.ask_leader(replica)
+        self.at(self.now + membership.JOIN_EVERY_S, self.ask)
+
+    def ask_leader(self, replica: controlmachine.SimReplica) -> None:
+        """Ask the leader for a replica's vote, where it can be reached."""
+        leader = self.leader()
+        if leader is None or (replica.name, leader.name) in self.cuts:
+            return
+        message = messages.JoinReplica(replica=self.identity(replica))
+        self.call(leader.name, message, roam=False)
+
+    def write(self) -> None:
+        """Let the operator send a change, on what the leader holds."""
+        leader = self.leader()
+        if leader is not None:
+            self.patch(leader)
+        self.at(self.now + WRITE_EVERY_S, self.write)
+
+    def patch(self, leader: controlmachine.SimReplica):
+        """Send one change to a leader; return the operation."""
+        self.writes += 1
+        patch = b'{"fleet": {"address_validity_s": %d}}' % self.writes
+        command = messages.PatchConfig(
+            patch_id=f"w{self.writes}",
+            base_version=leader.node.state.configs.version,
+            patch=patch,
+        )
+        return self.call(leader.name, command, roam=False)
+
+    # --- what happens to VMs ---------------------------------------------
+
+    def gone(self, name: str, _=0.0) -> None:
+        """Take a VM away for good."""
+        self.crash(self.replicas[name])
+        self.is_gone.add(name)
+
+    def added(self, name: str, _=0.0) -> None:
+        """Start a replica on a new VM, with an empty disk."""
+        self.add(name)
+
+    def wiped(self, name: str, down_s: float) -> None:
+        """Take a VM's disk; the VM is back later, at its address."""
+        self.crash(self.replicas[name])
+        self.at(self.now + (down_s or START_S), self.add, name)
+
+    def restarted(self, name: str, down_s: float) -> None:
+        """Kill a replica; it starts again from its disk."""
+        replica = self.replicas[name]
+        self.crash(replica)
+        self.at(self.now + (down_s or RESTART_S), self.start, replica)
+
+    def frozen(self, name: str, for_s: float) -> None:
+        """Let a VM stand still."""
+        self.replicas[name].frozen_until = self.now + for_s
+
+    # --- histories -------------------------------------------------------
+
+    def play(self, history: str) -> None:
+        """Let a history happen, and what it leads to come to an end."""
+        for step in history.split("; "):
+            wait = WAIT.match(step)
+            if wait:
+                self.run_until(self.now + float(wait["s"]))
+                continue
+            found = STEP.match(step)
+            act = getattr(self, found["verb"])
+            for name in self.named(found["who"]):
+                act(name, float(found["s"] or 0.0))
+        self.run_until(self.now + CALM_S)
+
+    def named(self, who: str) -> list[str]:
+        """Return the replicas that a word stands for."""
+        if who == "all":
+            return [n for n in self.replicas if n not in self.is_gone]
+        if who == "leader":
+            return [self.leader().name]
+        if who == "follower":
+            return [self.follower()]
+        return [who]
+
+    def follower(self) -> str:
+        """Return a voter that runs and does not lead."""
+        leader = self.leader()
+        names = [n for n in self.voters() if self.is_up(n)]
+        return next(n for n in names if leader is None or n != leader.name)
+
+    def is_up(self, name: str) -> bool:
+        """Return whether a replica runs and is not frozen."""
+        replica = self.replicas[name]
+        return replica.node is not None and self.now >= replica.frozen_until
+
+    def voters(self) -> list[str]:
+        """Return the names of the voters, as the leader knows them."""
+        leader = self.leader()
+        if leader is None:
+            return []
+        return [r.name for r in leader.node.raft.replica_set.voters]
+
+    # --- what must hold after it -----------------------------------------
+
+    def faults(self) -> list[str]:
+        """Return what does not hold after a history, in words."""
+        leader = self.leader()
+        if leader is None:
+            return ["no leader"]
+        found = []
+        change = self.patch(leader)
+        last = self.call(leader.name, messages.ReadConfig(), roam=False)
+        self.run_until(self.now + 1.0)
+        if change.answer is None or last.answer is None:
+            found.append("no answer")
+        bears = self.bears()
+        if bears < self.losses:
+            found.append(f"bears {bears} losses, not {self.losses}")
+        running = {n for n in self.replicas if self.is_up(n)}
+        without = sorted(running - set(self.voters()))
+        if without:
+            found.append(f"{without} run without a vote")
+        controlmachine.check_history(self.operations)
+        return found
+
+    def bears(self) -> int:
+        """Return how many more losses the set bears in truth."""
+        leader = self.leader()
+        current = leader.node.raft.replica_set
+        silent = {
+            voter.identity
+            for voter in current.voters
+            if not self.votes_as(voter)
+        }
+        return quorum.losses_borne(current, silent)
+
+    def votes_as(self, voter) -> bool:
+        """Return whether a voter runs on the disk that it votes with."""
+        replica = self.replicas[voter.name]
+        return self.is_up(voter.name) and replica.disk_name == voter.disk
+
+
+def faults_after(history: str, losses: int, seed: int) -> list[str]:
+    """Play a history on a new site; return what does not hold after it."""
+    site = Site(random.Random(seed), losses=losses)
+    site.begin()
+    try:
+        site.play(history)
+    except StopIteration:
+        return ["no voter left to lose"]
+    return site.faults()
--- a/src/_coltsfootroad/control/membership.py
+++ b/src/_coltsfootroad/control/membership.py
@@ -15,6 +15,8 @@
 RETIRE_S = 10.0
 # A joining replica takes the place of one that is silent for this long.
 REPLACE_S = 4.0
+# How often a replica without a vote asks for one.
+JOIN_EVERY_S = 0.5
 
 
 @attrs.define
@@ -45,12 +47,17 @@
             return None
         if identity not in {r.identity for r in current.learners}:
             return messages.ChangeReplicas(
-                action=messages.ReplicaAction.LEARN, replica=replica
+                action=messages.ReplicaAction.LEARN,
+                replica=replica,
+                reason=f"{identity} asked for a vote and learns first",
             )
+        replaces = self.replaced_by(replica, current, silences)
         return messages.ChangeReplicas(
             action=messages.ReplicaAction.PROMOTE,
             replica=replica,
-            replaces=self.replaced_by(replica, current, silences),
+            replaces=replaces,
+            reason=f"{identity} has caught up, in place of"
+            f" {replaces or 'nobody'}",
         )
 
     def replaced_by(
@@ -81,7 +88,9 @@
             return None
         replica = current.everyone()[silent]
         return messages.ChangeReplicas(
-            action=messages.ReplicaAction.REMOVE, replica=replica
+            action=messages.ReplicaAction.REMOVE,
+            replica=replica,
+            reason=f"{silent} has been silent for {silences[silent]:.1f} s",
         )
 
 
--- a/src/_coltsfootroad/control/messages.py
+++ b/src/_coltsfootroad/control/messages.py
@@ -261,12 +261,14 @@
     """Change the set of replicas.
 
     `LEARN` adds `replica` without a vote, `PROMOTE` gives it one and takes
-    `replaces` out in the same step, `REMOVE` takes it out.
+    `replaces` out in the same step, `REMOVE` takes it out. `reason` is for
+    the log.
     """
 
     action: ReplicaAction
     replica: replicas.Replica
     replaces: str = ""
+    reason: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -15,6 +15,7 @@
 from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import peers
+from _coltsfootroad.control import quorum
 from _coltsfootroad.control import raft as raft_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import state as state_lib
@@ -27,6 +28,10 @@
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 FULL_DISK_RETRY_S = 1.0
 MAX_WAITING = 10_000
+# A voter that has not answered for this long counts as missing: it was asked
+# ten times by a leader, or at least once by a replica that wants votes.
+MISSING_AFTER_S = 1.0
+MISSING_WITHOUT_LEADER_S = 2 * raft_lib.ELECTION_MAX_S
 
 Reply = Callable[[object], None]
 Send = Callable[[str, peers.PeerMessage], None]
@@ -75,6 +80,8 @@
     syncs: int = 0
     in_process: bool = False
     log_bytes: int = 0
+    # Why this replica, as leader, changed the set last; for the log.
+    change_reason: str = ""
     membership: membership_lib.Membership = attrs.Factory(
         membership_lib.Membership
     )
@@ -352,6 +359,7 @@
         elif wanted.ok == current:
             reply(messages.Done())
         elif self.raft.change_replicas(wanted.ok, now):
+            self.change_reason = message.reason or "asked for by an operator"
             index = self.raft.log.last_index
             self.waiters[index] = Waiter(self.raft.term, reply)
             self.process(now)
@@ -394,8 +402,42 @@
             if identity != self.raft.identity
         }
 
+    def asks_for_vote(self, _now: float) -> bool:
+        """Return whether this replica should ask the leader for a vote."""
+        voters = {r.identity for r in self.raft.replica_set.voters}
+        return self.raft.identity not in voters
+
     # --- facts -----------------------------------------------------------
 
+    def quorum_view(self, now: float) -> quorum.QuorumView:
+        """Return which voters do not answer, and what may still be lost."""
+        raft = self.raft
+        if not raft.is_leader and raft.hears_leader(now):
+            return quorum.QuorumView(bears=None, missing={})
+        silences = self.silences(now) if raft.is_leader else self.unheard(now)
+        bound = (
+            MISSING_AFTER_S if raft.is_leader else MISSING_WITHOUT_LEADER_S
+        )
+        voters = raft.replica_set.voter_identities()
+        missing = {
+            identity: round(silence_s, 2) if silence_s < 1e9 else None
+            for identity, silence_s in silences.items()
+            if identity in voters and silence_s >= bound
+        }
+        return quorum.QuorumView(
+            bears=quorum.losses_borne(raft.replica_set, set(missing)),
+            missing=missing,
+        )
+
+    def unheard(self, now: float) -> dict[str, float]:
+        """Return how long ago others were heard; inf where never."""
+        raft = self.raft
+        # Nothing can be said of others before there was time to answer.
+        if now < raft.started_at + MISSING_WITHOUT_LEADER_S:
+            return {}
+        never = float("-inf")
+        return {i: now - raft.heard_at.get(i, never) for i in raft.others()}
+
     def replica_addresses(self) -> tuple[str, ...]:
         """Return the addresses of all replicas."""
         known = self.raft.replica_set.everyone().values()
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -135,6 +135,8 @@
     leader: str = ""
     commit: int = 0
     applied: int = 0
+    # When each other replica was last heard, in any role.
+    heard_at: dict[str, float] = attrs.Factory(dict)
     election_at: float = attrs.field(init=False)
     heard_leader_at: float = attrs.field(init=False)
     ticked: bool = False
@@ -182,6 +184,12 @@
         """
         return not self.is_leader and self.heard_leader_at <= self.started_at
 
+    def hears_leader(self, now: float) -> bool:
+        """Return whether it leads, or has heard its leader lately."""
+        return self.is_leader or bool(
+            self.leader and now < self.heard_leader_at + ELECTION_MAX_S
+        )
+
     def others(self) -> list[str]:
         """Return the identities of all other replicas."""
         return [i for i in self.replica_set.everyone() if i != self.identity]
@@ -264,6 +272,7 @@
 
     def step(self, message: peers.PeerMessage, now: float) -> None:
         """Take a message from another replica."""
+        self.heard_at[message.sender] = now
         if isinstance(message, peers.VoteRequest):
             self.on_vote_request(message, now)
             return
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -20,14 +20,13 @@
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import metrics as metrics_lib
 from _coltsfootroad.shell import operators
+from _coltsfootroad.shell import quorumlog
 from _coltsfootroad.shell import settings as settings_lib
 from _coltsfootroad.shell import web
 
 LOG = logs.logger("control")
 MAX_OPERATOR_BODY = 8 * 1024 * 1024
 MIN_WAKE_S = 0.005
-# How often a replica without a vote asks for one.
-JOIN_EVERY_S = 0.5
 JOIN_TIMEOUT_S = 2.0
 # A gateway may ask for its answer to be held back this long at most.
 MAX_WATCH_S = 5.0
@@ -71,6 +70,7 @@
             started_at=clocks.PROCESS_STARTED,
             membership=membership_lib.Membership(settings.required_voters),
         )
+        self.quorum_log = quorumlog.QuorumLog(self.node)
         self.add_metrics()
 
     # --- life ------------------------------------------------------------
@@ -129,12 +129,11 @@
     async def join(self) -> None:
         """Ask the leader for a vote whenever this replica has none."""
         while True:
-            await asyncio.sleep(JOIN_EVERY_S)
-            raft = self.node.raft
-            voters = {r.identity for r in raft.replica_set.voters}
-            if raft.identity in voters:
+            await asyncio.sleep(membership_lib.JOIN_EVERY_S)
+            if not self.node.asks_for_vote(self.clock()):
                 continue
-            if not voters and await self.stands_first():
+            raft = self.node.raft
+            if not raft.replica_set.voters and await self.stands_first():
                 LOG.info("begins the system", replica=raft.identity)
                 self.bootstrap()
                 continue
@@ -174,6 +173,7 @@
         self.timer = None
         self.guard(self.node.tick, self.clock())
         self.note_changes()
+        self.quorum_log.note(self.clock())
         self.plan_wake()
 
     def plan_wake(self) -> None:
@@ -342,6 +342,11 @@
         gauge, counter = self.metrics.gauge, self.metrics.counter
         gauge("colts_control_term", "Raft term", lambda: raft.term)
         gauge("colts_control_is_leader", "1 if leading", lambda: raft.is_leader)
+        gauge(
+            "colts_control_losses_borne",
+            "Voters that may still be lost with a quorum left, on the leader",
+            self.losses_borne,
+        )
         gauge("colts_control_commit", "Commit index", lambda: raft.commit)
         gauge(
             "colts_control_config_version",
@@ -360,6 +365,11 @@
         )
         counter("colts_control_syncs", "Syncs to disk", lambda: node.syncs)
 
+    def losses_borne(self) -> float:
+        """Return what the set bears; not a number where only a leader knows."""
+        bears = self.node.quorum_view(self.clock()).bears
+        return float("nan") if bears is None else bears
+
 
 async def wait_for_event(event: asyncio.Event, timeout_s: float) -> None:
     """Wait until an event is set or the time is over."""
