Take out silent voters where the set bears too little with them

Cause: a replica on a new VM was given a vote beside one that had been silent for less than 4 s, so four voters stood for three, and the dead one kept its vote for 10 s of the present leader's term; a disk lost meanwhile left two of four for good. The class: a repair that lowers for a while what the set bears, with nothing that bounds the while. Ruled out: voters that answer and refuse, and a leader nobody reaches: the played histories end with two voters asking two that are gone. Change: Membership takes out or swaps a voter silent for 1 s wherever the set bears fewer losses with it than it was made for; larger sets that bear enough wait 10 s as before. The leader promotes learners itself. A replica asks for a vote at once, and a voter that hears no leader for 1 s asks whether it is one still: a voter that had lost its vote while it stood still never came back (found by the same table). A leader that stood still judges nobody. Two rows with both a leader and a follower wiped asked for a follower when the leader was gone already, and could pass with no design; the follower now goes first, the losses are the same, and both fail on the code before. The row '4 voters, 5 s silent, stays' asserted the fault and is now two rows at 0.8 s and 1.1 s. The history on a swap cuts the learner off until the swap, as the leader would promote it by itself; the defect it is for is caught as before. Conclusion: mended for VMs that go without a word; a planned stop still costs a second in which the set bears less.

--- a/features/control/replacement.feature
+++ b/features/control/replacement.feature
@@ -34,8 +34,15 @@
       | 1     | a frozen for 6 s; 1.5 s; d added; 8 s; leader wiped                                |
       | 1     | d added; 3 s; a frozen for 15 s; 18 s; leader wiped                                |
       | 1     | follower wiped for 0.5 s; 3 s; leader wiped; 4 s; follower wiped                   |
-      | 2     | follower gone; leader gone; 1.5 s; f added; g added; 2.5 s; leader wiped; follower wiped |
-      | 2     | f added; 3 s; follower gone; 2.5 s; leader wiped; follower wiped                   |
+      | 2     | follower gone; leader gone; 1.5 s; f added; g added; 2.5 s; follower wiped; leader wiped |
+      | 2     | f added; 3 s; follower gone; 2.5 s; follower wiped; leader wiped                   |
 
   Scenario: Of 200 drawn histories none leaves a set that bears less
     Then 200 drawn histories end with a whole set that bears the losses it has to
+
+  Scenario: Every deliberate defect of replacing replicas is caught
+    Then each deliberate defect of replacing is caught by one of these histories
+      | bears | history                                              |
+      | 1     | d added; 3 s; follower gone; 2.5 s; leader wiped     |
+      | 1     | follower gone; 1.5 s; d added; 2.5 s; leader wiped   |
+      | 1     | d added; 3 s; a frozen for 15 s; 18 s; leader wiped  |
--- a/features/control/watch.feature
+++ b/features/control/watch.feature
@@ -43,6 +43,9 @@
       | learns, with a voter missing             | promoted              |
       | learns again with an empty disk          | promoted for itself   |
       | learns while a voter is silent for 5 s   | promoted for another  |
+      | learns while a voter is silent for 1.1 s | promoted for another  |
+      | learns while a voter is silent for 0.5 s | promoted              |
+      | learns and has not answered for 0.5 s    | left alone            |
       | learns while all voters live             | promoted              |
       | votes already                            | left alone            |
 
@@ -52,8 +55,11 @@
     Examples:
       | voters | seconds | fate     |
       | 3      | 60      | stays    |
-      | 4      | 5       | stays    |
+      | 4      | 0.8     | stays    |
+      | 4      | 1.1     | is retired |
       | 4      | 11      | is retired |
+      | 5      | 5       | stays    |
+      | 5      | 11      | is retired |
 
   Scenario: Nothing is acknowledged before enough replicas hold it
     Then a system of 1 replica that needs 3 refuses a version
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -2,6 +2,7 @@
 
 from behave import then
 
+from features.support import mutants
 from features.support import replacements
 
 SEEDS = range(4)
@@ -34,3 +35,24 @@
         if faults:
             broken.append((losses, history, seed, faults))
     assert not broken, "\n".join(str(item) for item in broken)
+
+
+@then("each deliberate defect of replacing is caught by one of these histories")
+def defects_caught(context):
+    missed = []
+    for label in mutants.REPLACING:
+        with mutants.planted(mutants.REPLACING, label):
+            caught = any(breaks(row) for row in context.table)
+        if not caught:
+            missed.append(label)
+    assert len(mutants.REPLACING) >= 5 and not missed, missed
+
+
+def breaks(row) -> bool:
+    """Return whether a history of a table shows a fault, or cannot begin."""
+    try:
+        return bool(
+            replacements.faults_after(row["history"], int(row["bears"]), 0)
+        )
+    except AssertionError:
+        return True
--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -203,21 +203,26 @@
     decide = membership_lib.Membership(required_voters=3)
     voters = [replica(n) for n in ("a", "b", "c")]
     new = replica("d")
-    silences = dict.fromkeys(("b#d", "c#d"), 0.1)
+    silences = dict.fromkeys(("b#d", "c#d", "d#d"), 0.1)
     learners: tuple = (new,)
-    if case == "is new":
+    if case in ("is new", "votes already"):
         learners = ()
-    elif case == "learns, with a voter missing":
+    if case == "learns, with a voter missing":
         voters = voters[:2]
     elif case == "learns again with an empty disk":
         new = replica("c", "empty")
         learners = (new,)
-    elif case == "learns while a voter is silent for 5 s":
-        silences["b#d"] = 5.0
+        silences[new.identity] = 0.1
+    elif case.startswith("learns while a voter is silent"):
+        silences["b#d"] = float(case.split()[-2])
+    elif case.startswith("learns and has not answered"):
+        silences["d#d"] = float(case.split()[-2])
     elif case == "votes already":
         new = voters[1]
     current = replicas.ReplicaSet(voters=tuple(voters), learners=learners)
-    change = decide.next_step(new, current, silences)
+    change = decide.to_learn(new, current)
+    if change is None:
+        change = decide.to_promote(current, silences)
     wanted = {
         "made a learner": (messages.ReplicaAction.LEARN, ""),
         "promoted": (messages.ReplicaAction.PROMOTE, ""),
@@ -233,11 +238,11 @@
 def fate_of(context, voters, seconds, fate):
     decide = membership_lib.Membership(required_voters=3)
     current = replicas.ReplicaSet(
-        voters=tuple(replica(n) for n in "abcd"[:voters])
+        voters=tuple(replica(n) for n in "abcde"[:voters])
     )
-    silences = {f"{n}#d": 0.1 for n in "bcd"[: voters - 1]}
+    silences = {f"{n}#d": 0.1 for n in "bcde"[: voters - 1]}
     silences["b#d"] = seconds
-    change = decide.to_retire(current, silences)
+    change = decide.to_remove(current, silences)
     assert (change is not None) == (fate == "is retired"), change
 
 
--- a/features/support/histories.py
+++ b/features/support/histories.py
@@ -489,8 +489,11 @@
     leader = cluster.leader().name
     out, stays = others_known(machine, leader)
     cluster.add("d")
+    # Left to itself the leader gives it a vote as soon as it answers.
+    cluster.cuts |= {("d", leader), (leader, "d")}
     machine.change(messages.ReplicaAction.LEARN, "d")
     pause(machine, 1.0)
+    cluster.cuts.clear()
     for one in (leader, "d"):
         for other in (out, stays):
             cluster.cuts |= {(one, other), (other, one)}
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -4,11 +4,13 @@
 from unittest import mock
 
 import attrs
+from expression import Ok
 
 from _coltsfootroad.control import claims
 from _coltsfootroad.control import configstore
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import groups
+from _coltsfootroad.control import membership
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import node
 from _coltsfootroad.control import raft
@@ -29,6 +31,7 @@
 
 REQUEST = {}
 CONTROL = {}
+REPLACING = {}
 
 
 def defect(table, owner, name):
@@ -477,3 +480,42 @@
         right(self, item)
 
     return wrong
+
+
+# --- replicas that come and go -----------------------------------------------
+
+Membership = membership.Membership
+
+
+@defect(REPLACING, membership, "SILENT_S")
+def replaces_silent_voters_late(_):
+    return 8.0
+
+
+@defect(REPLACING, Membership, "can_spare")
+def takes_out_silent_voters_late(right):
+    def wrong(self, identity, current, silences):
+        late = silences.get(identity, 0.0) >= membership.RETIRE_S
+        return late and right(self, identity, current, silences)
+
+    return wrong
+
+
+@defect(REPLACING, membership, "REJOIN_AFTER_S")
+def voters_that_lost_their_vote_never_ask(_):
+    return float("inf")
+
+
+@defect(REPLACING, node, "wanted_set")
+def removed_voters_still_count(right):
+    def wrong(current, message):
+        if message.action is messages.ReplicaAction.REMOVE:
+            return Ok(current)
+        return right(current, message)
+
+    return wrong
+
+
+@defect(REPLACING, Membership, "to_promote")
+def learners_wait_to_be_promoted_by_hand(_):
+    return lambda self, current, silences: None
--- a/src/_coltsfootroad/control/membership.py
+++ b/src/_coltsfootroad/control/membership.py
@@ -1,28 +1,41 @@
 """Which replicas get a vote, and which lose it, without an operator.
 
 A VM may lose its disk, be replaced at another address, or never come back.
-Each step is one change of the replica set, so two losses in a row never meet
-a set that is larger than what still lives.
+What is promised: two and a half seconds after the last loss, return or
+replacement, the set bears the next losses that it was made for. So no voter
+that is gone may stay beside a new one: four voters of which one is gone bear no
+loss at all, where three would bear one.
 """
 
 import attrs
 
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import quorum
 from _coltsfootroad.control import replicas
 
-# A replica that restarts or is frozen is back within a few seconds; taking
-# its vote earlier would only make it catch up as a learner again.
+# A voter that has not answered ten heartbeats in a row is lost for now. It
+# gives its place to a replica that has caught up, and is taken out where the
+# set bears too little with it. If it was only frozen it asks for a vote when
+# it is back, and has one about a second later, with all that it had stored.
+SILENT_S = 1.0
+# A learner has answered one of its last three heartbeats, or gets no vote.
+ANSWERED_S = 0.35
+# A voter without which the set bears as much is taken out after this long; it
+# costs no tolerance, and most that fall silent are back within seconds.
 RETIRE_S = 10.0
-# A joining replica takes the place of one that is silent for this long.
-REPLACE_S = 4.0
 # How often a replica without a vote asks for one.
 JOIN_EVERY_S = 0.5
+# A voter that hears no leader for this long asks whether it is one still: it
+# may have lost its vote while it stood still, and those left do not call it.
+REJOIN_AFTER_S = 1.0
 
 
 @attrs.define
 class Membership:
     """Decides changes of the replica set; only the leader asks.
 
+    Silences are seconds since each other replica answered, by identity.
+
     Attributes:
         required_voters: Voters that must exist before anything is
             acknowledged, and below which none is taken out: twice the
@@ -31,72 +44,98 @@
 
     required_voters: int = 1
 
+    @property
+    def losses(self) -> int:
+        """Return how many voters may be lost at once."""
+        return (self.required_voters - 1) // 2
+
     def is_complete(self, current: replicas.ReplicaSet) -> bool:
         """Return whether what a quorum holds survives the losses allowed."""
         return len(current.voters) >= self.required_voters
 
-    def next_step(
-        self,
-        replica: replicas.Replica,
-        current: replicas.ReplicaSet,
-        silences: dict[str, float],
+    def to_learn(
+        self, replica: replicas.Replica, current: replicas.ReplicaSet
     ) -> messages.ChangeReplicas | None:
-        """Return the next change that brings a replica in, None if none."""
-        identity = replica.identity
-        if identity in {r.identity for r in current.voters}:
+        """Return the change that lets a stranger learn, None if it is known."""
+        if replica.identity in current.everyone():
             return None
-        if identity not in {r.identity for r in current.learners}:
-            return messages.ChangeReplicas(
-                action=messages.ReplicaAction.LEARN,
-                replica=replica,
-                reason=f"{identity} asked for a vote and learns first",
-            )
-        replaces = self.replaced_by(replica, current, silences)
         return messages.ChangeReplicas(
-            action=messages.ReplicaAction.PROMOTE,
+            action=messages.ReplicaAction.LEARN,
             replica=replica,
-            replaces=replaces,
-            reason=f"{identity} has caught up, in place of"
-            f" {replaces or 'nobody'}",
+            reason=f"{replica.identity} asked for a vote and learns first",
         )
 
+    def to_promote(
+        self, current: replicas.ReplicaSet, silences: dict[str, float]
+    ) -> messages.ChangeReplicas | None:
+        """Return the change that gives a learner a vote, None for now."""
+        for learner in current.learners:
+            if silences.get(learner.identity, SILENT_S) >= ANSWERED_S:
+                continue
+            replaced = self.replaced_by(learner, current, silences)
+            return messages.ChangeReplicas(
+                action=messages.ReplicaAction.PROMOTE,
+                replica=learner,
+                replaces=replaced,
+                reason=f"{learner.identity} has caught up, in place of"
+                f" {replaced or 'nobody'}",
+            )
+        return None
+
     def replaced_by(
         self,
-        replica: replicas.Replica,
+        learner: replicas.Replica,
         current: replicas.ReplicaSet,
         silences: dict[str, float],
     ) -> str:
-        """Return the identity whose vote a new voter takes over, or none."""
+        """Return whose vote a learner takes over, empty if it gets one more.
+
+        Beside a voter that has just fallen silent it gets one more; if that
+        one is lost, it is taken out as soon as that shows.
+        """
         for voter in current.voters:
-            if voter.name == replica.name or voter.address == replica.address:
+            if voter.name == learner.name or voter.address == learner.address:
                 return voter.identity
-        if len(current.voters) < self.required_voters:
+        if not self.is_complete(current):
             return ""
-        silent = longest_silent(current, silences)
-        if silent and silences[silent] >= REPLACE_S:
-            return silent
-        return ""
+        silent = longest_silent(current.voters, silences)
+        return silent if silences.get(silent, 0.0) >= SILENT_S else ""
 
-    def to_retire(
+    def to_remove(
         self, current: replicas.ReplicaSet, silences: dict[str, float]
     ) -> messages.ChangeReplicas | None:
-        """Return the removal of a silent voter that can be spared."""
-        if current.is_joint or len(current.voters) <= self.required_voters:
-            return None
-        silent = longest_silent(current, silences)
-        if not silent or silences[silent] < RETIRE_S:
-            return None
-        replica = current.everyone()[silent]
+        """Return the removal of a silent replica that can be spared."""
+        identity = longest_silent(current.learners, silences)
+        if silences.get(identity, 0.0) < RETIRE_S:
+            identity = longest_silent(current.voters, silences)
+            if not self.can_spare(identity, current, silences):
+                return None
         return messages.ChangeReplicas(
             action=messages.ReplicaAction.REMOVE,
-            replica=replica,
-            reason=f"{silent} has been silent for {silences[silent]:.1f} s",
+            replica=current.everyone()[identity],
+            reason=f"{identity} has been silent for"
+            f" {silences[identity]:.1f} s",
         )
 
+    def can_spare(
+        self,
+        identity: str,
+        current: replicas.ReplicaSet,
+        silences: dict[str, float],
+    ) -> bool:
+        """Return whether a voter is silent and the set is better without."""
+        if not identity or len(current.voters) <= self.required_voters:
+            return False
+        silent = {i for i, s in silences.items() if s >= SILENT_S}
+        if identity not in silent:
+            return False
+        bears = quorum.losses_borne(current, silent)
+        return bears < self.losses or silences[identity] >= RETIRE_S
+
 
 def longest_silent(
-    current: replicas.ReplicaSet, silences: dict[str, float]
+    among: tuple[replicas.Replica, ...], silences: dict[str, float]
 ) -> str:
-    """Return the voter that has been silent longest, empty if none is."""
-    voters = [r.identity for r in current.voters if r.identity in silences]
-    return max(voters, key=silences.__getitem__, default="")
+    """Return the replica that has been silent longest, empty if none is."""
+    known = [r.identity for r in among if r.identity in silences]
+    return max(known, key=silences.__getitem__, default="")
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -28,11 +28,13 @@
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 FULL_DISK_RETRY_S = 1.0
 MAX_WAITING = 10_000
-# A voter that has not answered for this long counts as missing: it was asked
-# ten times by a leader, or at least once by a replica that wants votes.
-MISSING_AFTER_S = 1.0
+# A replica that wants votes has asked everybody at least once in this time.
 MISSING_WITHOUT_LEADER_S = 2 * raft_lib.ELECTION_MAX_S
 
+# A leader that was called this late has stood still; heartbeats, on which the
+# answers of others depend, are due five times as often.
+STALL_S = 0.5
+
 Reply = Callable[[object], None]
 Send = Callable[[str, peers.PeerMessage], None]
 
@@ -80,6 +82,8 @@
     syncs: int = 0
     in_process: bool = False
     log_bytes: int = 0
+    tended_at: float = float("-inf")
+    judges_since: float = float("-inf")
     # Why this replica, as leader, changed the set last; for the log.
     change_reason: str = ""
     membership: membership_lib.Membership = attrs.Factory(
@@ -130,7 +134,7 @@
         """Run the timers."""
         if not self.is_blocked:
             self.raft.tick(now)
-            self.retire_silent(now)
+            self.tend_replicas(now)
         self.process(now)
 
     def next_wake(self) -> float:
@@ -277,7 +281,7 @@
         elif isinstance(message, messages.ChangeReplicas):
             self.change_replicas(message, now, reply)
         elif isinstance(message, messages.JoinReplica):
-            self.join(message, now, reply)
+            self.join(message, reply, now)
         else:
             reply(self.read(message, now))
 
@@ -372,40 +376,53 @@
             )
 
     def join(
-        self, message: messages.JoinReplica, now: float, reply: Reply
+        self, message: messages.JoinReplica, reply: Reply, now: float
     ) -> None:
-        """Let a replica learn, then give it a vote once it has caught up."""
-        change = self.membership.next_step(
-            message.replica, self.raft.replica_set, self.silences(now)
+        """Let a replica learn; it gets a vote once it has caught up."""
+        change = self.membership.to_learn(
+            message.replica, self.raft.replica_set
         )
         if change is None:
             reply(messages.Done())
         else:
             self.change_replicas(change, now, reply)
 
-    def retire_silent(self, now: float) -> None:
-        """Take the vote from a replica that is silent and can be spared."""
-        if not self.raft.is_leader:
+    def tend_replicas(self, now: float) -> None:
+        """As leader, let learners vote and take out who has fallen silent."""
+        stalled = now > self.tended_at + STALL_S
+        self.tended_at = now
+        if stalled:
+            # This replica stood still, or has just begun to lead: that it
+            # has not taken an answer says nothing of the others.
+            self.judges_since = now
+        current = self.raft.replica_set
+        if not self.raft.has_lease(now) or current.is_joint:
             return
-        change = self.membership.to_retire(
-            self.raft.replica_set, self.silences(now)
-        )
+        silences = self.silences(now)
+        change = self.membership.to_promote(current, silences)
+        if change is None:
+            change = self.membership.to_remove(current, silences)
         if change is not None:
             self.change_replicas(change, now, ignore_reply)
 
     def silences(self, now: float) -> dict[str, float]:
         """Return for how many seconds each other replica has been silent."""
-        since = self.raft.led_since
+        since = max(self.raft.led_since, self.judges_since)
         return {
             identity: now - max(progress.acked_at, since)
             for identity, progress in self.raft.progress.items()
             if identity != self.raft.identity
         }
 
-    def asks_for_vote(self, _now: float) -> bool:
+    def asks_for_vote(self, now: float) -> bool:
         """Return whether this replica should ask the leader for a vote."""
-        voters = {r.identity for r in self.raft.replica_set.voters}
-        return self.raft.identity not in voters
+        raft = self.raft
+        if raft.identity not in raft.replica_set.voter_identities():
+            return True
+        unheard_s = now - raft.heard_leader_at
+        return not raft.is_leader and (
+            unheard_s >= membership_lib.REJOIN_AFTER_S
+        )
 
     # --- facts -----------------------------------------------------------
 
@@ -415,7 +432,11 @@
         if not raft.is_leader and raft.hears_leader(now):
             return quorum.QuorumView(bears=None, missing={})
         silences = self.silences(now) if raft.is_leader else self.unheard(now)
-        bound = MISSING_AFTER_S if raft.is_leader else MISSING_WITHOUT_LEADER_S
+        bound = (
+            membership_lib.SILENT_S
+            if raft.is_leader
+            else MISSING_WITHOUT_LEADER_S
+        )
         voters = raft.replica_set.voter_identities()
         missing = {
             identity: round(silence_s, 2) if silence_s < 1e9 else None
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -129,19 +129,22 @@
     async def join(self) -> None:
         """Ask the leader for a vote whenever this replica has none."""
         while True:
+            if self.node.asks_for_vote(self.clock()):
+                await self.ask_for_vote()
             await asyncio.sleep(membership_lib.JOIN_EVERY_S)
-            if not self.node.asks_for_vote(self.clock()):
-                continue
-            raft = self.node.raft
-            if not raft.replica_set.voters and await self.stands_first():
-                LOG.info("begins the system", replica=raft.identity)
-                self.bootstrap()
-                continue
-            self.link.learn(self.node.replica_addresses())
-            answer = await self.link.call(
-                messages.JoinReplica(replica=self.node.replica), JOIN_TIMEOUT_S
-            )
-            LOG.info("asked for a vote", replica=raft.identity, got=str(answer))
+
+    async def ask_for_vote(self) -> None:
+        """Ask the leader for a vote, or begin the system as its first."""
+        raft = self.node.raft
+        if not raft.replica_set.voters and await self.stands_first():
+            LOG.info("begins the system", replica=raft.identity)
+            self.bootstrap()
+            return
+        self.link.learn(self.node.replica_addresses())
+        answer = await self.link.call(
+            messages.JoinReplica(replica=self.node.replica), JOIN_TIMEOUT_S
+        )
+        LOG.info("asked for a vote", replica=raft.identity, got=str(answer))
 
     async def stands_first(self) -> bool:
         """Return whether the seeds before this one cannot begin the system."""
