Play replicas that are told to stop, red

Cause: a replica that stops on SIGTERM only falls silent: its vote counts until that shows, 1 s later, and a leader lets everybody wait for an election. Ruled out: that the second between is harmless: when a VM is replaced with notice, its successor has been there for long, so the next loss may follow at once. An empty replica no longer logs that a quorum is lost that it never knew.

--- a/features/control/replacement.feature
+++ b/features/control/replacement.feature
@@ -46,3 +46,14 @@
       | 1     | d added; 3 s; follower gone; 2.5 s; leader wiped     |
       | 1     | follower gone; 1.5 s; d added; 2.5 s; leader wiped   |
       | 1     | d added; 3 s; a frozen for 15 s; 18 s; leader wiped  |
+
+  Scenario: A replica that is told to stop leaves a whole set before it ends
+    Then these histories end with a whole set that bears the losses it has to
+      | bears | history                                                              |
+      | 1     | d added; 3 s; follower stopped; 0.6 s; leader wiped                  |
+      | 1     | d added; 3 s; leader stopped; 0.6 s; follower wiped                  |
+      | 1     | d added; 3 s; leader stopped; 0.6 s; leader wiped                    |
+      | 2     | f added; 3 s; leader stopped; 0.6 s; follower wiped; leader wiped    |
+
+  Scenario: A leader that is told to stop hands over
+    Then in 20 plays of "leader stopped" nobody leads for 0.15 s at most
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -56,3 +56,11 @@
         )
     except AssertionError:
         return True
+
+
+@then('in {count:d} plays of "{history}" nobody leads for {most:g} s at most')
+def hands_over(context, count, history, most):
+    times = [
+        replacements.time_without_leader(history, seed) for seed in range(count)
+    ]
+    assert max(times) <= most, sorted(times)
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -18,6 +18,8 @@
 # A program listens this long after its VM is back.
 START_S = 1.5
 RESTART_S = 1.0
+# From SIGTERM to the end of a program that has nothing to wait for.
+STOP_S = 0.5
 FORM_S = 12.0
 WRITE_EVERY_S = 0.8
 # Time from a loss, return or replacement until the next ones are borne.
@@ -98,6 +100,10 @@
         self.crash(self.replicas[name])
         self.is_gone.add(name)
 
+    def stopped(self, name: str, _=0.0) -> None:
+        """Tell a replica to stop; its VM goes for good after that."""
+        self.at(self.now + STOP_S, self.gone, name)
+
     def added(self, name: str, _=0.0) -> None:
         """Start a replica on a new VM, with an empty disk."""
         self.add(name)
@@ -122,16 +128,20 @@
     def play(self, history: str) -> None:
         """Let a history happen, and what it leads to come to an end."""
         for step in history.split("; "):
-            wait = WAIT.match(step)
-            if wait:
-                self.run_until(self.now + float(wait["s"]))
-                continue
-            found = STEP.match(step)
-            act = getattr(self, found["verb"])
-            for name in self.named(found["who"]):
-                act(name, float(found["s"] or 0.0))
+            self.take_step(step)
         self.run_until(self.now + CALM_S)
 
+    def take_step(self, step: str) -> None:
+        """Let one step of a history happen."""
+        wait = WAIT.match(step)
+        if wait:
+            self.run_until(self.now + float(wait["s"]))
+            return
+        found = STEP.match(step)
+        act = getattr(self, found["verb"])
+        for name in self.named(found["who"]):
+            act(name, float(found["s"] or 0.0))
+
     def named(self, who: str) -> list[str]:
         """Return the replicas that a word stands for."""
         if who == "all":
@@ -220,6 +230,19 @@
     return site.faults()
 
 
+def time_without_leader(history: str, seed: int) -> float:
+    """Return for how many seconds nobody leads in 3 s after a history."""
+    site = Site(random.Random(seed))
+    site.begin()
+    for step in history.split("; "):
+        site.take_step(step)
+    without = 0
+    for _ in range(300):
+        site.run_until(site.now + 0.01)
+        without += site.leader() is None
+    return without / 100
+
+
 def draw(seed: int) -> tuple[int, str]:
     """Return losses to be borne at once, and a history within them.
 
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -427,9 +427,13 @@
     # --- facts -----------------------------------------------------------
 
     def quorum_view(self, now: float) -> quorum.QuorumView:
-        """Return which voters do not answer, and what may still be lost."""
+        """Return which voters do not answer, and what may still be lost.
+
+        A replica that follows, or has not heard of any voter yet, cannot say.
+        """
         raft = self.raft
-        if not raft.is_leader and raft.hears_leader(now):
+        follows = not raft.is_leader and raft.hears_leader(now)
+        if follows or not raft.replica_set.voters:
             return quorum.QuorumView(bears=None, missing={})
         silences = self.silences(now) if raft.is_leader else self.unheard(now)
         bound = (
