Replace replicas in the soak, and wipe others soon afterwards

Cause: the soak restarted, froze and wiped replicas, but a VM that goes for good while another comes at a new address was not among its faults. Ruled out: adding it to the drawn faults: each kept seed would then draw other faults than those that failed.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -15,6 +15,15 @@
       | 14   | 20      | 500    | SIGHUP ended a process that was stopping  |
       | 3009 | 20      | 500    | a second SIGTERM ended a stopping process |
 
+  Scenario Outline: Of <count> replicas some are replaced, then others wiped
+    When replicas, <count> of them, are replaced in a soak of seed <seed>
+    Then no promise is broken and at least <served> requests are served
+
+    Examples:
+      | count | seed | served |
+      | 3     | 2    | 300    |
+      | 5     | 1    | 300    |
+
   Scenario Outline: A seed draws the same faults, and bearable ones
     Then seeds 0 to <most> draw the same faults twice
     And no disk is lost within <clear> s of another fault of the replicas
--- a/features/soak/driver.py
+++ b/features/soak/driver.py
@@ -129,6 +129,20 @@
         await asyncio.sleep(fault.for_s)
         self.restart(program)
 
+    async def do_replace_replica(self, fault):
+        """Take a replica's VM for good; another one comes at a new address."""
+        self.disturb(audit.EVERY_GATEWAY, fault, CONTROL_AFTER_S)
+        if fault.way == "planned":
+            old = await self.fleet.replace(fault.target)
+            await asyncio.sleep(fault.for_s)
+            code, took_s = await old.stop()
+            self.book.exits.append((old.name, code, took_s))
+        else:
+            self.fleet.replicas[fault.target].kill()
+            await asyncio.sleep(fault.for_s)
+            await self.fleet.replace(fault.target)
+        self.link.learn(tuple(self.fleet.seeds()))
+
     async def do_storage(self, fault):
         """Let a replica's disk be slow or full for some time."""
         self.disturb(audit.EVERY_GATEWAY, fault, CONTROL_AFTER_S)
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -72,6 +72,12 @@
     replicas: list[Program] = attrs.Factory(list)
     gateways: list[Program] = attrs.Factory(list)
     proxies: list[proxy_lib.Proxy] = attrs.Factory(list)
+    # Replicas that were replaced, with their proxies, and the folders of
+    # those that took their places.
+    left: list[Program] = attrs.Factory(list)
+    left_proxies: list[proxy_lib.Proxy] = attrs.Factory(list)
+    folders: dict[int, str] = attrs.Factory(dict)
+    replaced: int = 0
     addresses: list[str] = attrs.Factory(list)
     ready: list[str] = attrs.Factory(list)
     directory: list[str] = attrs.Factory(list)
@@ -84,7 +90,8 @@
             await proxy.start()
             self.proxies.append(proxy)
         for place, port in enumerate(ports):
-            self.add_replica(place, port)
+            program = self.make_replica(place, port, f"r{place}")
+            self.replicas.append(program)
         for place in range(gateways):
             self.add_gateway(place)
         for program in self.replicas + self.gateways:
@@ -94,12 +101,32 @@
         """Return the addresses of the replicas, as others reach them."""
         return [proxy.address for proxy in self.proxies]
 
-    def add_replica(self, place: int, port: int) -> None:
-        """Write the settings of a replica."""
+    async def replace(self, place: int) -> Program:
+        """Start a replica at a new address, with an empty disk.
+
+        Returns the one that was there before, which runs on if it did.
+        """
+        old = self.replicas[place]
+        (port,) = ports_lib.free_ports(1, HOST)
+        proxy = proxy_lib.Proxy((HOST, port))
+        await proxy.start()
+        self.left_proxies.append(self.proxies[place])
+        self.proxies[place] = proxy
+        self.replaced += 1
+        self.folders[place] = f"data-{place}-{self.replaced}"
+        name = f"r{place}-{self.replaced}"
+        self.replicas[place] = self.make_replica(place, port, name)
+        self.later_start(place)
+        self.replicas[place].start()
+        self.left.append(old)
+        return old
+
+    def make_replica(self, place: int, port: int, name: str) -> Program:
+        """Write the settings of a replica; return its program."""
         path = self.write(
             f"replica-{place}",
             {
-                "replica": f"r{place}",
+                "replica": name,
                 "listen": f"{HOST}:{port}",
                 "advertise": self.proxies[place].address,
                 "admin_listen": f"{HOST}:{ports_lib.free_port(HOST)}",
@@ -107,14 +134,14 @@
                 "data_folder": str(self.data(place)),
                 "seeds": self.seeds(),
                 "first_start": True,
-                "lost_at_once": 1,
+                "lost_at_once": (len(self.proxies) - 1) // 2,
                 "structured_logs": True,
             },
         )
         command = [sys.executable, str(LAUNCHER), "--settings", str(path)]
         command += ["--faults", str(self.faults(place))]
         log = self.folder / f"replica-{place}.log"
-        self.replicas.append(Program(f"replica {place}", command, log))
+        return Program(f"replica {name}", command, log)
 
     def add_gateway(self, place: int) -> None:
         """Write the settings of a gateway."""
@@ -144,7 +171,7 @@
 
     def data(self, place: int) -> pathlib.Path:
         """Return the data folder of a replica."""
-        return self.folder / f"data-{place}"
+        return self.folder / self.folders.get(place, f"data-{place}")
 
     def faults(self, place: int) -> pathlib.Path:
         """Return the file that says how a replica misbehaves."""
@@ -172,9 +199,9 @@
 
     async def close(self) -> None:
         """End what was started, by its ids."""
-        for program in self.replicas + self.gateways:
+        for program in self.replicas + self.left + self.gateways:
             if program.is_running:
                 program.signal(signal.SIGCONT)
                 program.kill()
-        for proxy in self.proxies:
+        for proxy in self.proxies + self.left_proxies:
             await proxy.close()
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -15,6 +15,8 @@
 # a time, and a replica counts as lost until it has caught up.
 WIPE_CLEAR_S = 8.0
 KEY_COUNT = 6
+# A replica on a new VM has started and votes this long after it was begun.
+VOTES_AFTER_S = 4.0
 
 
 class Kind(enum.Enum):
@@ -29,6 +31,7 @@
     STOP_REPLICA = "stop replica"
     KILL_ALL_REPLICAS = "kill all replicas"
     WIPE_REPLICA = "wipe replica"
+    REPLACE_REPLICA = "replace replica"
     STORAGE = "storage of replica"
     WALL_CLOCK = "wall clock of replica"
     REPLICA_LINK = "link to replica"
@@ -58,6 +61,8 @@
     Kind.WALL_CLOCK,
     Kind.REPLICA_LINK,
 )
+# Drawn with the others; a VM is replaced only in `draw_replacements`.
+DRAWN_KINDS = tuple(kind for kind in Kind if kind is not Kind.REPLACE_REPLICA)
 ENDPOINT_KINDS = (
     Kind.ENDPOINT_LINK,
     Kind.CRASH_ENDPOINT,
@@ -70,6 +75,7 @@
     Kind.WALL_CLOCK: ("forward", "back"),
     Kind.REPLICA_LINK: ("delay", "reset", "drop_in", "drop_out", "silence"),
     Kind.ENDPOINT_LINK: ("delay", "reset", "drop_in", "drop_out", "silence"),
+    Kind.REPLACE_REPLICA: ("without a word", "planned"),
     Kind.MISBEHAVE: (
         "fail",
         "reject",
@@ -90,6 +96,7 @@
 
     Attributes:
         seconds: Of faults, quiet times not counted.
+        replacing: Whether replicas are replaced, and nothing else is done.
     """
 
     replicas: int = 3
@@ -97,6 +104,7 @@
     endpoints: int = 5
     callers: int = 8
     seconds: float = 20.0
+    replacing: bool = False
 
     @property
     def end_s(self) -> float:
@@ -130,7 +138,7 @@
 
 def draw_one(rng: random.Random, at: float, size: Size) -> Fault:
     """Return a fault that begins at a time."""
-    kind = rng.choice(list(Kind))
+    kind = rng.choice(DRAWN_KINDS)
     target = 0
     if kind in GATEWAY_KINDS:
         target = rng.randrange(size.gateways)
@@ -149,6 +157,37 @@
     )
 
 
+def draw_replacements(seed: int, size: Size) -> list[Fault]:
+    """Return faults in which replicas are replaced and others then wiped.
+
+    As many as may be lost at once are replaced, and a moment after their
+    successors vote as many others lose their disk; an operator sends versions
+    all the time.
+    """
+    rng = random.Random(seed)
+    losses = (size.replicas - 1) // 2
+    found = []
+    at = QUIET_S
+    while at < QUIET_S + size.seconds:
+        places = rng.sample(range(size.replicas), 2 * losses)
+        for_s = rng.uniform(0.3, 2.0)
+        way = rng.choice(WAYS[Kind.REPLACE_REPLICA])
+        for place in places[:losses]:
+            kind = Kind.REPLACE_REPLICA
+            found.append(
+                Fault(at=at, kind=kind, target=place, for_s=for_s, way=way)
+            )
+        at += for_s + VOTES_AFTER_S
+        for place in places[losses:]:
+            kind = Kind.WIPE_REPLICA
+            found.append(Fault(at=at, kind=kind, target=place, for_s=1.0))
+        at += 1.0 + VOTES_AFTER_S + rng.uniform(0.0, 2.0)
+    versions = [
+        Fault(at=QUIET_S + n, kind=Kind.VERSION) for n in range(int(at))
+    ]
+    return sorted(found + versions, key=lambda fault: fault.at)
+
+
 def without_double_losses(faults: list[Fault]) -> list[Fault]:
     """Drop lost disks that meet another fault of the replicas."""
     replica = [f for f in faults if f.kind in REPLICA_KINDS]
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -25,6 +25,10 @@
 SECONDS = flags.DEFINE_float("seconds", 20.0, "Seconds of faults.")
 GATEWAYS = flags.DEFINE_integer("gateways", 4, "Gateways.")
 ENDPOINTS = flags.DEFINE_integer("endpoints", 5, "Endpoints.")
+REPLICAS = flags.DEFINE_integer("replicas", 3, "Replicas.")
+REPLACING = flags.DEFINE_bool(
+    "replacing", False, "Replace replicas, and wipe others soon afterwards."
+)
 CALLERS = flags.DEFINE_integer("callers", 8, "Callers.")
 KEEP = flags.DEFINE_string("keep", "", "Folder for the logs of failures.")
 FIRST_VERSION_S = 20.0
@@ -52,7 +56,8 @@
         await begin(driver, fleet)
         threads = start_callers(book, fleet, stopping, size, seed)
         began = time.monotonic()
-        await driver.carry_out(plan.draw(seed, size), began)
+        draw = plan.draw_replacements if size.replacing else plan.draw
+        await driver.carry_out(draw(seed, size), began)
         await asyncio.sleep(max(0.0, began + size.end_s - time.monotonic()))
         stopping.set()
         await asyncio.to_thread(join, threads)
@@ -153,6 +158,8 @@
     if not seeds:
         seeds = [draws.randrange(1_000_000) for _ in range(COUNT.value)]
     size = plan.Size(
+        replicas=REPLICAS.value,
+        replacing=REPLACING.value,
         seconds=SECONDS.value,
         gateways=GATEWAYS.value,
         endpoints=ENDPOINTS.value,
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -9,6 +9,9 @@
 from features.soak import plan
 from features.soak import run
 
+# Enough for two replacements and two wipes after them.
+SECONDS = 14
+
 
 @when("a soak of seed {seed:d} runs for {seconds:d} s")
 def soak(context, seed, seconds):
@@ -16,6 +19,12 @@
     context.faults, context.served = run.run_seed(seed, size, "")
 
 
+@when("replicas, {count:d} of them, are replaced in a soak of seed {seed:d}")
+def soak_replacing(context, count, seed):
+    size = plan.Size(replicas=count, replacing=True, seconds=SECONDS)
+    context.faults, context.served = run.run_seed(seed, size, "")
+
+
 @then("no promise is broken and at least {served:d} requests are served")
 def kept(context, served):
     assert not context.faults, context.faults
@@ -28,7 +37,7 @@
     again = [plan.draw(seed, plan.Size()) for seed in range(most)]
     assert context.draws == again
     kinds = {fault.kind for faults in context.draws for fault in faults}
-    assert kinds == set(plan.Kind)
+    assert kinds == set(plan.DRAWN_KINDS)
 
 
 @then("no disk is lost within {clear:g} s of another fault of the replicas")
