Draw histories of all kinds of losses with hypothesis

Cause: the drawn histories held no cuts, planned stops, restarts of all, nor two losses at once. Change: a third generator, shrunk by hypothesis, with those kinds.

--- a/features/control/replacement.feature
+++ b/features/control/replacement.feature
@@ -40,6 +40,9 @@
   Scenario: Of 200 drawn histories none leaves a set that bears less
     Then 200 drawn histories end with a whole set that bears the losses it has to
 
+  Scenario: Nor one that is drawn of all kinds of losses, alone or two at once
+    Then of 200 histories that hypothesis draws none leaves a set that bears less
+
   Scenario: Every deliberate defect of replacing replicas is caught
     Then each deliberate defect of replacing is caught by one of these histories
       | bears | history                                              |
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -1,11 +1,29 @@
 """Steps on VMs that are replaced, restarted, frozen and wiped in a row."""
 
 from behave import then
+import hypothesis
+from hypothesis import strategies as st
 
 from features.support import mutants
 from features.support import replacements
 
 SEEDS = range(4)
+KINDS = (
+    "gone",
+    "stopped",
+    "wiped",
+    "restarted",
+    "frozen",
+    "cut",
+    "all restarted",
+)
+EVENT = st.tuples(
+    st.sampled_from(KINDS),
+    st.booleans(),
+    st.integers(1, 2),
+    st.floats(0.3, 4.0),
+    st.floats(0.0, 2.0),
+)
 
 
 @then("these histories end with a whole set that bears the losses it has to")
@@ -64,3 +82,24 @@
         replacements.time_without_leader(history, seed) for seed in range(count)
     ]
     assert max(times) <= most, sorted(times)
+
+
+@then(
+    "of {count:d} histories that hypothesis draws none leaves a set that bears"
+    " less"
+)
+def hypothesis_finds_none(context, count):
+    @hypothesis.settings(
+        max_examples=count, derandomize=True, database=None, deadline=None
+    )
+    @hypothesis.given(
+        events=st.lists(EVENT, min_size=1, max_size=6),
+        losses=st.integers(1, 2),
+        seed=st.integers(0, 2**16),
+    )
+    def holds(events, losses, seed):
+        history = replacements.history_of(events, losses)
+        faults = replacements.faults_after(history, losses, seed)
+        assert not faults, (losses, history, seed, faults)
+
+    holds()
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -137,6 +137,16 @@
         self.crash(replica)
         self.at(self.now + (down_s or RESTART_S), self.start, replica)
 
+    def cut(self, name: str, for_s: float) -> None:
+        """Cut a VM off from all others; they are joined again later."""
+        for other in self.replicas:
+            self.cuts |= {(name, other), (other, name)}
+        self.at(self.now + for_s, self.joined, name)
+
+    def joined(self, name: str) -> None:
+        """Join a VM with all others again."""
+        self.cuts = {pair for pair in self.cuts if name not in pair}
+
     def frozen(self, name: str, for_s: float) -> None:
         """Let a VM stand still."""
         self.replicas[name].frozen_until = self.now + for_s
@@ -276,6 +286,46 @@
     return losses, "; ".join(steps)
 
 
+def history_of(events: list[tuple], losses: int) -> str:
+    """Return the history of drawn events, with the promised time after each.
+
+    An event is a kind, who is hit (`leader` or not), how many at once up to
+    `losses`, for how long, and how much more than the promised time passes.
+    """
+    spare = list(NAMES[2 * losses + 1 :])
+    steps = []
+    for kind, hits_leader, count, away_s, more_s in events:
+        # Whoever leads goes last, as there is no leader to name after it.
+        whom = ["follower"] * min(count, losses)
+        if hits_leader:
+            whom[-1] = "leader"
+        if kind in ("gone", "stopped") and len(spare) < len(whom):
+            kind = "wiped"
+        steps += steps_of(kind, whom, away_s, spare)
+        back_s = PROMISED_S + more_s
+        if kind not in ("gone", "stopped"):
+            back_s += away_s
+        steps.append(f"{back_s:.1f} s")
+    return "; ".join(steps)
+
+
+def steps_of(
+    kind: str, whom: list[str], away_s: float, spare: list[str]
+) -> list[str]:
+    """Return the steps of one event, without the time after it."""
+    if kind == "all restarted":
+        return [f"all restarted for {away_s:.1f} s"]
+    if kind == "gone":
+        new = [f"{spare.pop()} added" for _ in whom]
+        return [*(f"{who} gone" for who in whom), f"{away_s:.1f} s", *new]
+    if kind == "stopped":
+        new = [f"{spare.pop()} added" for _ in whom]
+        # One after the other, as a platform does that plans its work.
+        stops = [step for who in whom for step in (f"{who} stopped", "1.0 s")]
+        return [*new, f"{away_s:.1f} s", *stops]
+    return [f"{who} {kind} for {away_s:.1f} s" for who in whom]
+
+
 def draw_loss(rng: random.Random, spare: list[str]) -> list[str]:
     """Return the steps of one loss and of the time after it."""
     who = rng.choice(("leader", "follower"))
