Split what replicas hear of voters, and what core and disk exchange

Ruled out: taking the timers out of raft.py: they share all its state. Nothing is decided otherwise.

--- a/features/steps/elections_steps.py
+++ b/features/steps/elections_steps.py
@@ -11,6 +11,7 @@
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import peers
 from _coltsfootroad.control import raft as raft_lib
+from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
 
 NAMES = ("a", "b", "c")
@@ -324,7 +325,7 @@
         raft.follow(OTHER, ASKED_AT - ago_s)
     elif words[0] in ("leads", "led"):
         led_at = ASKED_AT - ago_s
-        raft.set_hard_state(raft_lib.HardState(term=1, vote=ME))
+        raft.set_hard_state(ready_lib.HardState(term=1, vote=ME))
         raft.become_leader(led_at)
         for identity in (OTHER, THIRD):
             raft.progress[identity].acked_at = led_at
--- a/features/steps/unit_steps.py
+++ b/features/steps/unit_steps.py
@@ -11,7 +11,7 @@
 from _coltsfootroad.control import claims
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import messages
-from _coltsfootroad.control import raft
+from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import shares
 from _coltsfootroad.control import storage
 from _coltsfootroad.core import addresses
@@ -352,7 +352,7 @@
 def lose_snapshot(context):
     """Save a snapshot and delete it."""
     meta = log_lib.SnapshotMeta(index=2, term=1, size=3)
-    context.disk.save_snapshot(meta, b"abc", raft.HardState(), ())
+    context.disk.save_snapshot(meta, b"abc", ready_lib.HardState(), ())
     context.disk.snapshot_path(2).unlink()
 
 
--- a/features/support/histories.py
+++ b/features/support/histories.py
@@ -10,6 +10,7 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import peers
 from _coltsfootroad.control import raft as raft_lib
+from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import registry
@@ -450,7 +451,7 @@
         identity="a#0",
         rng=random.Random(1),
         log=log,
-        hard_state=raft_lib.HardState(term=3),
+        hard_state=ready_lib.HardState(term=3),
     )
     raft.campaign(False, 10.0)
     raft.step(
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -14,6 +14,7 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import node
 from _coltsfootroad.control import raft
+from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import shares
 from _coltsfootroad.core import attempts
@@ -262,7 +263,7 @@
 @defect(CONTROL, node.ControlNode, "persist")
 def entries_not_stored(right):
     def wrong(self, ready):
-        stored = raft.Ready(
+        stored = ready_lib.Ready(
             snapshot=ready.snapshot,
             snapshot_data=ready.snapshot_data,
             hard_state=ready.hard_state,
@@ -361,7 +362,7 @@
     def wrong(self, term, leader, now):
         if term > self.term:
             vote = self.hard_state.vote
-            self.set_hard_state(raft.HardState(term=term, vote=vote))
+            self.set_hard_state(ready_lib.HardState(term=term, vote=vote))
         self.role = raft.Role.FOLLOWER
         self.leader = leader
         self.progress = {}
@@ -506,7 +507,7 @@
     return float("inf")
 
 
-@defect(REPLACING, node, "wanted_set")
+@defect(REPLACING, membership, "wanted_set")
 def removed_voters_still_count(right):
     def wrong(current, message):
         if message.action is messages.ReplicaAction.REMOVE:
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -65,7 +65,7 @@
             node = replica.node
             if not self.is_up(replica.name) or replica.name in self.stopping:
                 continue
-            if node.asks_for_vote(self.clock(replica)):
+            if node.watch.has_no_vote(self.clock(replica)):
                 self.ask_leader(replica)
         self.at(self.now + membership.JOIN_EVERY_S, self.ask)
 
--- a/src/_coltsfootroad/control/membership.py
+++ b/src/_coltsfootroad/control/membership.py
@@ -8,10 +8,14 @@
 """
 
 import attrs
+from expression import Error
+from expression import Ok
+from expression import Result
 
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import quorum
 from _coltsfootroad.control import replicas
+from _coltsfootroad.core import errors
 
 # A voter that has not answered ten heartbeats in a row is lost for now. It
 # gives its place to a replica that has caught up, and is taken out where the
@@ -159,3 +163,35 @@
     """Return the replica that has been silent longest, empty if none is."""
     known = [r.identity for r in among if r.identity in silences]
     return max(known, key=silences.__getitem__, default="")
+
+
+def wanted_set(
+    current: replicas.ReplicaSet, message: messages.ChangeReplicas
+) -> Result[replicas.ReplicaSet, errors.Failure]:
+    """Return the set that a change asks for, or why it is refused."""
+    identity = message.replica.identity
+    voters = tuple(r for r in current.voters if r.identity != identity)
+    # An earlier disk of the same replica will not come back.
+    learners = tuple(
+        r for r in current.learners if r.name != message.replica.name
+    )
+    match message.action:
+        case messages.ReplicaAction.LEARN:
+            if identity in current.voter_identities():
+                return refuse(f"replica {identity!r} votes already")
+            learners += (message.replica,)
+            voters = current.voters
+        case messages.ReplicaAction.PROMOTE:
+            voters = tuple(r for r in voters if r.identity != message.replaces)
+            voters += (message.replica,)
+        case messages.ReplicaAction.REMOVE:
+            if identity not in current.everyone():
+                return refuse(f"replica {identity!r} is not known")
+            if not voters:
+                return refuse("the last voter cannot be removed")
+    return Ok(attrs.evolve(current, voters=voters, learners=learners))
+
+
+def refuse(message: str) -> Result[replicas.ReplicaSet, errors.Failure]:
+    """Return the refusal of a change of replicas."""
+    return Error(errors.Failure(errors.ErrorCode.BAD_REQUEST, message))
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -5,8 +5,6 @@
 import random
 
 import attrs
-from expression import Error
-from expression import Ok
 
 from _coltsfootroad.control import commandlog
 from _coltsfootroad.control import fences
@@ -15,11 +13,12 @@
 from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import peers
-from _coltsfootroad.control import quorum
 from _coltsfootroad.control import raft as raft_lib
+from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.control import storage as storage_lib
+from _coltsfootroad.control import voterwatch
 from _coltsfootroad.core import errors
 
 SNAPSHOT_EVERY = 4_096
@@ -28,13 +27,6 @@
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 FULL_DISK_RETRY_S = 1.0
 MAX_WAITING = 10_000
-# A replica that wants votes has asked everybody at least once in this time.
-MISSING_WITHOUT_LEADER_S = 2 * raft_lib.ELECTION_MAX_S
-
-# A leader that was called this late has stood still; heartbeats, on which the
-# answers of others depend, are due five times as often.
-STALL_S = 0.5
-
 Reply = Callable[[object], None]
 Send = Callable[[str, peers.PeerMessage], None]
 
@@ -77,13 +69,12 @@
     state: state_lib.ControlState = attrs.field(init=False)
     hub: hub_lib.Hub | None = None
     waiters: dict[int, Waiter] = attrs.Factory(dict)
-    pending: list[raft_lib.Ready] = attrs.Factory(list)
+    pending: list[ready_lib.Ready] = attrs.Factory(list)
     blocked_until: float = 0.0
     syncs: int = 0
     in_process: bool = False
     log_bytes: int = 0
-    tended_at: float = float("-inf")
-    judges_since: float = float("-inf")
+    watch: voterwatch.VoterWatch = attrs.field(init=False)
     # Why this replica, as leader, changed the set last; for the log.
     change_reason: str = ""
     membership: membership_lib.Membership = attrs.Factory(
@@ -103,6 +94,7 @@
             reader=self.storage,
             started_at=self.started_at,
         )
+        self.watch = voterwatch.VoterWatch(self.raft)
 
     # --- time and messages -----------------------------------------------
 
@@ -185,7 +177,7 @@
         self.maybe_snapshot()
         return True
 
-    def persist(self, ready: raft_lib.Ready) -> bool:
+    def persist(self, ready: ready_lib.Ready) -> bool:
         """Store and sync; return False when the disk is full."""
         if not ready.must_sync():
             return True
@@ -359,7 +351,7 @@
     ) -> None:
         """Change the set of replicas, if nothing speaks against it."""
         current = self.raft.replica_set
-        wanted = wanted_set(current, message)
+        wanted = membership_lib.wanted_set(current, message)
         if wanted.is_error():
             reply(messages.Refused(failure=wanted.error))
         elif wanted.ok == current:
@@ -394,7 +386,7 @@
     ) -> None:
         """Take the vote of a replica that stops, where it can be spared."""
         change = self.membership.to_leave(
-            message.replica, self.raft.replica_set, self.silences(now)
+            message.replica, self.raft.replica_set, self.watch.silences(now)
         )
         if change is None:
             reply(messages.Done())
@@ -409,78 +401,19 @@
 
     def tend_replicas(self, now: float) -> None:
         """As leader, let learners vote and take out who has fallen silent."""
-        stalled = now > self.tended_at + STALL_S
-        self.tended_at = now
-        if stalled:
-            # This replica stood still, or has just begun to lead: that it
-            # has not taken an answer says nothing of the others.
-            self.judges_since = now
+        self.watch.tick(now)
         current = self.raft.replica_set
         if not self.raft.has_lease(now) or current.is_joint:
             return
-        silences = self.silences(now)
+        silences = self.watch.silences(now)
         change = self.membership.to_promote(current, silences)
         if change is None:
             change = self.membership.to_remove(current, silences)
         if change is not None:
             self.change_replicas(change, now, ignore_reply)
 
-    def silences(self, now: float) -> dict[str, float]:
-        """Return for how many seconds each other replica has been silent."""
-        since = max(self.raft.led_since, self.judges_since)
-        return {
-            identity: now - max(progress.acked_at, since)
-            for identity, progress in self.raft.progress.items()
-            if identity != self.raft.identity
-        }
-
-    def asks_for_vote(self, now: float) -> bool:
-        """Return whether this replica should ask the leader for a vote."""
-        raft = self.raft
-        if raft.identity not in raft.replica_set.voter_identities():
-            return True
-        unheard_s = now - raft.heard_leader_at
-        return not raft.is_leader and (
-            unheard_s >= membership_lib.REJOIN_AFTER_S
-        )
-
     # --- facts -----------------------------------------------------------
 
-    def quorum_view(self, now: float) -> quorum.QuorumView:
-        """Return which voters do not answer, and what may still be lost.
-
-        A replica that follows, or has not heard of any voter yet, cannot say.
-        """
-        raft = self.raft
-        follows = not raft.is_leader and raft.hears_leader(now)
-        if follows or not raft.replica_set.voters:
-            return quorum.QuorumView(bears=None, missing={})
-        silences = self.silences(now) if raft.is_leader else self.unheard(now)
-        bound = (
-            membership_lib.SILENT_S
-            if raft.is_leader
-            else MISSING_WITHOUT_LEADER_S
-        )
-        voters = raft.replica_set.voter_identities()
-        missing = {
-            identity: round(silence_s, 2) if silence_s < 1e9 else None
-            for identity, silence_s in silences.items()
-            if identity in voters and silence_s >= bound
-        }
-        return quorum.QuorumView(
-            bears=quorum.losses_borne(raft.replica_set, set(missing)),
-            missing=missing,
-        )
-
-    def unheard(self, now: float) -> dict[str, float]:
-        """Return how long ago others were heard; inf where never."""
-        raft = self.raft
-        # Nothing can be said of others before there was time to answer.
-        if now < raft.started_at + MISSING_WITHOUT_LEADER_S:
-            return {}
-        never = float("-inf")
-        return {i: now - raft.heard_at.get(i, never) for i in raft.others()}
-
     def replica_addresses(self) -> tuple[str, ...]:
         """Return the addresses of all replicas."""
         known = self.raft.replica_set.everyone().values()
@@ -574,33 +507,3 @@
             errors.ErrorCode.UNAVAILABLE, reason, errors.Ran.UNKNOWN, 0.5
         )
     )
-
-
-def wanted_set(current: replicas.ReplicaSet, message: messages.ChangeReplicas):
-    """Return the set that a change asks for, or why it is refused."""
-    identity = message.replica.identity
-    voters = tuple(r for r in current.voters if r.identity != identity)
-    # An earlier disk of the same replica will not come back.
-    learners = tuple(
-        r for r in current.learners if r.name != message.replica.name
-    )
-    match message.action:
-        case messages.ReplicaAction.LEARN:
-            if identity in current.voter_identities():
-                return refuse(f"replica {identity!r} votes already")
-            learners += (message.replica,)
-            voters = current.voters
-        case messages.ReplicaAction.PROMOTE:
-            voters = tuple(r for r in voters if r.identity != message.replaces)
-            voters += (message.replica,)
-        case messages.ReplicaAction.REMOVE:
-            if identity not in current.everyone():
-                return refuse(f"replica {identity!r} is not known")
-            if not voters:
-                return refuse("the last voter cannot be removed")
-    return Ok(attrs.evolve(current, voters=voters, learners=learners))
-
-
-def refuse(message: str):
-    """Return the refusal of a change of replicas."""
-    return Error(errors.Failure(errors.ErrorCode.BAD_REQUEST, message))
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -14,6 +14,7 @@
 
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import peers
+from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.core import errors
 
@@ -48,14 +49,6 @@
     LEADER = "leader"
 
 
-@attrs.frozen(kw_only=True)
-class HardState:
-    """What must be on disk before a vote or acknowledgement is sent."""
-
-    term: int = 0
-    vote: str = ""
-
-
 @attrs.define
 class Progress:
     """What the leader knows of another replica."""
@@ -69,58 +62,6 @@
     snapshot_offset: int = 0
 
 
-@attrs.frozen(kw_only=True)
-class Outgoing:
-    """A message for another replica."""
-
-    to: str
-    message: peers.PeerMessage
-
-
-@attrs.define
-class Ready:
-    """What the shell has to do, in this order.
-
-    Attributes:
-        snapshot: Snapshot received in full, to be stored and loaded.
-        snapshot_data: Its bytes.
-        truncate_from: Drop stored entries from here on first, 0 for none.
-        entries: Entries to store.
-        hard_state: To store, None if unchanged.
-        messages: To send once all of the above is synced.
-        committed: Entries to apply.
-    """
-
-    snapshot: log_lib.SnapshotMeta | None = None
-    snapshot_data: bytes = b""
-    truncate_from: int = 0
-    entries: list[log_lib.Entry] = attrs.Factory(list)
-    hard_state: HardState | None = None
-    messages: list[Outgoing] = attrs.Factory(list)
-    committed: list[log_lib.Entry] = attrs.Factory(list)
-
-    def must_sync(self) -> bool:
-        """Return whether anything has to reach the disk."""
-        return bool(
-            self.snapshot
-            or self.truncate_from
-            or self.entries
-            or self.hard_state
-        )
-
-    def is_empty(self) -> bool:
-        """Return whether there is nothing to do."""
-        return not (self.must_sync() or self.messages or self.committed)
-
-
-class SnapshotReader:
-    """Reads pieces of the newest stored snapshot."""
-
-    def read(self, index: int, offset: int, size: int) -> bytes | None:
-        """Return bytes of the snapshot at `index`, None if it is gone."""
-        raise errors.BrokenInvariantError("no snapshots are kept")
-
-
 @attrs.define
 class Raft:
     """One replica of the log."""
@@ -128,8 +69,8 @@
     identity: str
     rng: random.Random
     log: log_lib.Log = attrs.Factory(log_lib.Log)
-    hard_state: HardState = HardState()
-    reader: SnapshotReader = attrs.Factory(SnapshotReader)
+    hard_state: ready_lib.HardState = ready_lib.HardState()
+    reader: ready_lib.SnapshotReader = attrs.Factory(ready_lib.SnapshotReader)
     started_at: float = 0.0
     role: Role = Role.FOLLOWER
     leader: str = ""
@@ -148,7 +89,7 @@
     progress: dict[str, Progress] = attrs.Factory(dict)
     incoming: bytearray = attrs.Factory(bytearray)
     incoming_meta: log_lib.SnapshotMeta | None = None
-    ready: Ready = attrs.Factory(Ready)
+    ready: ready_lib.Ready = attrs.Factory(ready_lib.Ready)
 
     def __attrs_post_init__(self):
         self.commit = self.applied = self.log.snapshot.index
@@ -208,12 +149,12 @@
 
     # --- input -----------------------------------------------------------
 
-    def take_ready(self) -> Ready:
+    def take_ready(self) -> ready_lib.Ready:
         """Return the work for the shell and begin to collect anew."""
         for index in range(self.applied + 1, self.commit + 1):
             self.ready.committed.append(self.log.entry(index))
         self.applied = self.commit
-        ready, self.ready = self.ready, Ready()
+        ready, self.ready = self.ready, ready_lib.Ready()
         return ready
 
     def tick(self, now: float) -> None:
@@ -299,7 +240,7 @@
         pause = self.rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
         self.election_at = now + pause
 
-    def set_hard_state(self, state: HardState) -> None:
+    def set_hard_state(self, state: ready_lib.HardState) -> None:
         """Change term or vote; both must be synced before any message."""
         if state != self.hard_state:
             self.hard_state = state
@@ -308,7 +249,7 @@
     def become_follower(self, term: int, leader: str, now: float) -> None:
         """Follow, in this term or a later one."""
         if term > self.term:
-            self.set_hard_state(HardState(term=term))
+            self.set_hard_state(ready_lib.HardState(term=term))
         if self.role is not Role.FOLLOWER:
             self.reset_election(now)
         self.role = Role.FOLLOWER
@@ -371,7 +312,7 @@
         else:
             self.role = Role.CANDIDATE
             self.set_hard_state(
-                HardState(term=self.term + 1, vote=self.identity)
+                ready_lib.HardState(term=self.term + 1, vote=self.identity)
             )
             term = self.term
         for identity in self.replica_set.voter_identities():
@@ -413,7 +354,7 @@
             granted = granted and self.is_current(message)
             if granted:
                 self.set_hard_state(
-                    HardState(term=self.term, vote=message.sender)
+                    ready_lib.HardState(term=self.term, vote=message.sender)
                 )
                 self.reset_election(now)
         idle = message.pre and granted and self.is_idle
@@ -505,7 +446,7 @@
 
     def send(self, to: str, message: peers.PeerMessage) -> None:
         """Queue a message for after the sync."""
-        self.ready.messages.append(Outgoing(to=to, message=message))
+        self.ready.messages.append(ready_lib.Outgoing(to=to, message=message))
 
     def append_own(self, entry: log_lib.Entry) -> None:
         """Append an entry as leader."""
--- a/src/_coltsfootroad/control/storage.py
+++ b/src/_coltsfootroad/control/storage.py
@@ -7,7 +7,7 @@
 from expression import Result
 
 from _coltsfootroad.control import log as log_lib
-from _coltsfootroad.control import raft as raft_lib
+from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.core import errors
 
 
@@ -15,7 +15,7 @@
 class Loaded:
     """What a replica finds on its disk when it starts."""
 
-    hard_state: raft_lib.HardState = raft_lib.HardState()
+    hard_state: ready_lib.HardState = ready_lib.HardState()
     log: log_lib.Log = attrs.Factory(log_lib.Log)
     snapshot: bytes = b""
 
@@ -26,7 +26,7 @@
 
     truncate_from: int = 0
     entries: tuple[log_lib.Entry, ...] = ()
-    hard_state: raft_lib.HardState | None = None
+    hard_state: ready_lib.HardState | None = None
 
 
 def replay(loaded: Loaded, batch: Batch) -> None:
@@ -40,7 +40,7 @@
         loaded.hard_state = batch.hard_state
 
 
-class Storage(raft_lib.SnapshotReader, abc.ABC):
+class Storage(ready_lib.SnapshotReader, abc.ABC):
     """A disk that keeps what is synced."""
 
     @abc.abstractmethod
@@ -56,7 +56,7 @@
         self,
         meta: log_lib.SnapshotMeta,
         data: bytes,
-        hard_state: raft_lib.HardState,
+        hard_state: ready_lib.HardState,
         entries: tuple[log_lib.Entry, ...],
     ) -> Result[None, errors.Failure]:
         """Replace snapshot and log at once; `entries` follow the snapshot."""
--- /dev/null
+++ b/src/_coltsfootroad/control/voterwatch.py
@@ -0,0 +1,87 @@
+"""Which voters answer, by what one replica has heard of them."""
+
+import attrs
+
+from _coltsfootroad.control import membership as membership_lib
+from _coltsfootroad.control import quorum
+from _coltsfootroad.control import raft as raft_lib
+
+# A leader that was called this late has stood still; heartbeats, on which the
+# answers of others depend, are due five times as often.
+STALL_S = 0.5
+# A replica that wants votes has asked everybody at least once in this time.
+MISSING_WITHOUT_LEADER_S = 2 * raft_lib.ELECTION_MAX_S
+
+
+@attrs.define
+class VoterWatch:
+    """Tells voters that are silent from those that were not listened to.
+
+    Attributes:
+        raft: The replica that hears, or does not.
+    """
+
+    raft: raft_lib.Raft
+    ticked_at: float = float("-inf")
+    since: float = float("-inf")
+
+    def tick(self, now: float) -> None:
+        """Note that this replica runs.
+
+        One that stood still, or has just started, has not taken the answers
+        of others: that says nothing of them.
+        """
+        if now > self.ticked_at + STALL_S:
+            self.since = now
+        self.ticked_at = now
+
+    def silences(self, now: float) -> dict[str, float]:
+        """Return for how many seconds others have not answered this leader."""
+        since = max(self.raft.led_since, self.since)
+        return {
+            identity: now - max(progress.acked_at, since)
+            for identity, progress in self.raft.progress.items()
+            if identity != self.raft.identity
+        }
+
+    def unheard(self, now: float) -> dict[str, float]:
+        """Return how long ago others were heard; inf where never."""
+        raft = self.raft
+        # Nothing can be said of others before there was time to answer.
+        if now < raft.started_at + MISSING_WITHOUT_LEADER_S:
+            return {}
+        never = float("-inf")
+        return {i: now - raft.heard_at.get(i, never) for i in raft.others()}
+
+    def view(self, now: float) -> quorum.QuorumView:
+        """Return which voters do not answer, and what may still be lost.
+
+        A replica that follows, or has not heard of any voter yet, cannot say.
+        """
+        raft = self.raft
+        follows = not raft.is_leader and raft.hears_leader(now)
+        if follows or not raft.replica_set.voters:
+            return quorum.QuorumView(bears=None, missing={})
+        silences, bound_s = self.unheard(now), MISSING_WITHOUT_LEADER_S
+        if raft.is_leader:
+            silences, bound_s = self.silences(now), membership_lib.SILENT_S
+        voters = raft.replica_set.voter_identities()
+        missing = {
+            identity: round(silence_s, 2) if silence_s < 1e9 else None
+            for identity, silence_s in silences.items()
+            if identity in voters and silence_s >= bound_s
+        }
+        return quorum.QuorumView(
+            bears=quorum.losses_borne(raft.replica_set, set(missing)),
+            missing=missing,
+        )
+
+    def has_no_vote(self, now: float) -> bool:
+        """Return whether this replica is no voter, or may be none any more."""
+        raft = self.raft
+        if raft.identity not in raft.replica_set.voter_identities():
+            return True
+        unheard_s = now - raft.heard_leader_at
+        return not raft.is_leader and (
+            unheard_s >= membership_lib.REJOIN_AFTER_S
+        )
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -157,7 +157,7 @@
     async def join(self) -> None:
         """Ask the leader for a vote whenever this replica has none."""
         while True:
-            if self.node.asks_for_vote(self.clock()):
+            if self.node.watch.has_no_vote(self.clock()):
                 await self.ask_for_vote()
             await asyncio.sleep(membership_lib.JOIN_EVERY_S)
 
@@ -398,7 +398,7 @@
 
     def losses_borne(self) -> float:
         """Return what the set bears; not a number where only a leader knows."""
-        bears = self.node.quorum_view(self.clock()).bears
+        bears = self.node.watch.view(self.clock()).bears
         return float("nan") if bears is None else bears
 
 
--- a/src/_coltsfootroad/shell/quorumlog.py
+++ b/src/_coltsfootroad/shell/quorumlog.py
@@ -22,7 +22,7 @@
         if current != self.logged_set:
             self.log_set(self.logged_set, current, now)
             self.logged_set = current
-        view = self.node.quorum_view(now)
+        view = self.node.watch.view(now)
         if view.is_lost != self.is_lost and view.bears is not None:
             self.is_lost = view.is_lost
             self.log_quorum(view)
@@ -35,7 +35,7 @@
     ) -> None:
         """Log a change of the set, and why the leader made it."""
         raft = self.node.raft
-        view = self.node.quorum_view(now)
+        view = self.node.watch.view(now)
         LOG.info(
             "replica set changed",
             before=names(before.voters),
