Let a learner that lags keep no other change waiting

Cause: the leader tried to promote the first learner that answers; one that answers and has not caught up was refused again and again, and neither the next learner nor the removal of a silent voter came to it. Change: to_promote takes who has caught up and passes over others.

--- a/features/control/watch.feature
+++ b/features/control/watch.feature
@@ -46,6 +46,8 @@
       | learns while a voter is silent for 1.1 s | promoted for another  |
       | learns while a voter is silent for 0.5 s | promoted              |
       | learns and has not answered for 0.5 s    | left alone            |
+      | learns and has not caught up             | left alone            |
+      | learns beside one that has not caught up | promoted              |
       | learns while all voters live             | promoted              |
       | votes already                            | left alone            |
 
--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -219,10 +219,17 @@
         silences["d#d"] = float(case.split()[-2])
     elif case == "votes already":
         new = voters[1]
+    caught_up = {learner.identity for learner in learners}
+    if case == "learns and has not caught up":
+        caught_up = set()
+    elif case == "learns beside one that has not caught up":
+        slow = replica("e")
+        learners = (slow, new)
+        silences[slow.identity] = 0.1
     current = replicas.ReplicaSet(voters=tuple(voters), learners=learners)
     change = decide.to_learn(new, current)
     if change is None:
-        change = decide.to_promote(current, silences)
+        change = decide.to_promote(current, silences, caught_up)
     wanted = {
         "made a learner": (messages.ReplicaAction.LEARN, ""),
         "promoted": (messages.ReplicaAction.PROMOTE, ""),
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -519,4 +519,4 @@
 
 @defect(REPLACING, Membership, "to_promote")
 def learners_wait_to_be_promoted_by_hand(_):
-    return lambda self, current, silences: None
+    return lambda self, current, silences, caught_up: None
--- a/src/_coltsfootroad/control/membership.py
+++ b/src/_coltsfootroad/control/membership.py
@@ -70,11 +70,22 @@
         )
 
     def to_promote(
-        self, current: replicas.ReplicaSet, silences: dict[str, float]
+        self,
+        current: replicas.ReplicaSet,
+        silences: dict[str, float],
+        caught_up: set[str],
     ) -> messages.ChangeReplicas | None:
-        """Return the change that gives a learner a vote, None for now."""
+        """Return the change that gives a learner a vote, None for now.
+
+        Args:
+            current: The set in force.
+            silences: As above.
+            caught_up: Learners that hold nearly all of the log; others must
+                not keep them, or the removal of a voter, waiting.
+        """
         for learner in current.learners:
-            if silences.get(learner.identity, SILENT_S) >= ANSWERED_S:
+            answered_s = silences.get(learner.identity, SILENT_S)
+            if learner.identity not in caught_up or answered_s >= ANSWERED_S:
                 continue
             replaced = self.replaced_by(learner, current, silences)
             return messages.ChangeReplicas(
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -406,7 +406,12 @@
         if not self.raft.has_lease(now) or current.is_joint:
             return
         silences = self.watch.silences(now)
-        change = self.membership.to_promote(current, silences)
+        caught_up = {
+            learner.identity
+            for learner in current.learners
+            if self.raft.has_caught_up(learner.identity)
+        }
+        change = self.membership.to_promote(current, silences, caught_up)
         if change is None:
             change = self.membership.to_remove(current, silences)
         if change is not None:
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -762,15 +762,18 @@
     def may_vote(self, wanted: replicas.ReplicaSet) -> bool:
         """Return whether every new voter has caught up as a learner."""
         known = self.replica_set.voter_identities()
-        for replica in wanted.voters:
-            if replica.identity in known:
-                continue
-            progress = self.progress.get(replica.identity)
-            if progress is None:
-                return False
-            if progress.match + PROMOTE_LAG < self.log.last_index:
-                return False
-        return True
+        return all(
+            self.has_caught_up(replica.identity)
+            for replica in wanted.voters
+            if replica.identity not in known
+        )
+
+    def has_caught_up(self, identity: str) -> bool:
+        """Return whether a replica lacks few entries, and so may vote."""
+        progress = self.progress.get(identity)
+        if progress is None:
+            return False
+        return progress.match + PROMOTE_LAG >= self.log.last_index
 
 
 def is_pre_grant(message: peers.PeerMessage) -> bool:
