Refuse bad requests for a vote, and say why

Cause: a replica without a name, disk or address was made a learner, and one that is set up with the name or address of another took that one's vote although it answers; so would a request of an earlier disk that comes late. Ruled out: refusing a name that is known: a wiped disk comes back under its name. Change: Membership.unfit; a voter that answered within 0.35 s keeps its name and address to itself. Three more directed histories, with all others without power while one disk is lost.

--- a/features/control/replacement.feature
+++ b/features/control/replacement.feature
@@ -34,6 +34,9 @@
       | 1     | a frozen for 6 s; 1.5 s; d added; 8 s; leader wiped                                |
       | 1     | d added; 3 s; a frozen for 15 s; 18 s; leader wiped                                |
       | 1     | follower wiped for 0.5 s; 3 s; leader wiped; 4 s; follower wiped                   |
+      | 1     | follower restarted for 1.5 s; follower restarted for 1.5 s; leader wiped for 1.5 s       |
+      | 1     | leader gone; 1.5 s; d added; 2.5 s; follower restarted for 1.5 s; follower restarted for 1.5 s; leader wiped for 1.5 s |
+      | 1     | leader gone; 1.5 s; d added; 2.5 s; follower wiped for 1.5 s; follower restarted for 1.5 s; leader restarted for 1.5 s |
       | 2     | follower gone; leader gone; 1.5 s; f added; g added; 2.5 s; follower wiped; leader wiped |
       | 2     | f added; 3 s; follower gone; 2.5 s; follower wiped; leader wiped                   |
 
--- a/features/control/watch.feature
+++ b/features/control/watch.feature
@@ -51,6 +51,21 @@
       | learns while all voters live             | promoted              |
       | votes already                            | left alone            |
 
+  Scenario Outline: A vote for a replica <that> is refused
+    Then a vote for a replica <that> is refused as "<reason>"
+
+    Examples:
+      | that                                 | reason                          |
+      | without an address                   | the replica needs address       |
+      | without a disk                       | the replica needs disk          |
+      | without a name                       | the replica needs name          |
+      | with the name of one that answers    | name of 'b#d', which answers    |
+      | with the address of one that answers | address of 'b#d', which answers |
+      | with the name of the leader          | name of 'a#d', which answers    |
+
+  Scenario: A replica takes the place of one with its name that is silent
+    Then a replica with the name of one silent for 0.5 s is made a learner
+
   Scenario Outline: Of <voters> voters one that is silent for <seconds> s <fate>
     Then of <voters> voters one that is silent for <seconds> s <fate>
 
--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -241,6 +241,40 @@
     assert found == wanted, found
 
 
+def asked_beside(new: replicas.Replica, silence_s: float):
+    """Return what keeps a replica from learning beside three voters."""
+    decide = membership_lib.Membership(required_voters=3)
+    current = replicas.ReplicaSet(voters=tuple(replica(n) for n in "abc"))
+    return decide.unfit(new, current, {"b#d": silence_s, "c#d": 0.1})
+
+
+@then('a vote for a replica {that} is refused as "{reason}"')
+def vote_refused(context, that, reason):
+    new = {
+        "without an address": replicas.Replica(name="n", disk="x", address=""),
+        "without a disk": replicas.Replica(name="n", disk="", address="n:1"),
+        "without a name": replicas.Replica(name="", disk="x", address="n:1"),
+        "with the name of one that answers": replicas.Replica(
+            name="b", disk="x", address="n:1"
+        ),
+        "with the address of one that answers": replicas.Replica(
+            name="n", disk="x", address="b:1"
+        ),
+        "with the name of the leader": replicas.Replica(
+            name="a", disk="x", address="n:1"
+        ),
+    }[that]
+    found = asked_beside(new, 0.1)
+    assert reason in found, found
+
+
+@then(
+    "a replica with the name of one silent for {seconds:g} s is made a learner"
+)
+def silent_namesake(context, seconds):
+    assert asked_beside(replica("b", "empty"), seconds) == ""
+
+
 @then("of {voters:d} voters one that is silent for {seconds:g} s {fate}")
 def fate_of(context, voters, seconds, fate):
     decide = membership_lib.Membership(required_voters=3)
--- a/src/_coltsfootroad/control/membership.py
+++ b/src/_coltsfootroad/control/membership.py
@@ -22,7 +22,8 @@
 # set bears too little with it. If it was only frozen it asks for a vote when
 # it is back, and has one about a second later, with all that it had stored.
 SILENT_S = 1.0
-# A learner has answered one of its last three heartbeats, or gets no vote.
+# Who has answered one of its last three heartbeats runs: a learner that has
+# not gets no vote, a voter that has keeps its name and address to itself.
 ANSWERED_S = 0.35
 # A voter without which the set bears as much is taken out after this long; it
 # costs no tolerance, and most that fall silent are back within seconds.
@@ -57,6 +58,33 @@
         """Return whether what a quorum holds survives the losses allowed."""
         return len(current.voters) >= self.required_voters
 
+    def unfit(
+        self,
+        replica: replicas.Replica,
+        current: replicas.ReplicaSet,
+        silences: dict[str, float],
+    ) -> str:
+        """Return why a replica may not ask for a vote, empty if it may.
+
+        A new disk takes the place of the one before it by name or address;
+        two programs that are set up alike would take turns at that.
+        """
+        for field in ("name", "disk", "address"):
+            if not getattr(replica, field):
+                return f"the replica needs {field}, which is empty"
+        for voter in current.voters:
+            # The leader is not among the silences: it runs.
+            answers = silences.get(voter.identity, 0.0) < ANSWERED_S
+            if voter.identity == replica.identity or not answers:
+                continue
+            for field in ("name", "address"):
+                if getattr(voter, field) == getattr(replica, field):
+                    return (
+                        f"{replica.identity!r} has the {field} of"
+                        f" {voter.identity!r}, which answers"
+                    )
+        return ""
+
     def to_learn(
         self, replica: replicas.Replica, current: replicas.ReplicaSet
     ) -> messages.ChangeReplicas | None:
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -373,9 +373,15 @@
         self, message: messages.JoinReplica, reply: Reply, now: float
     ) -> None:
         """Let a replica learn; it gets a vote once it has caught up."""
-        change = self.membership.to_learn(
-            message.replica, self.raft.replica_set
+        current = self.raft.replica_set
+        fault = self.membership.unfit(
+            message.replica, current, self.watch.silences(now)
         )
+        if fault:
+            failure = errors.Failure(errors.ErrorCode.BAD_REQUEST, fault)
+            reply(messages.Refused(failure=failure))
+            return
+        change = self.membership.to_learn(message.replica, current)
         if change is None:
             reply(messages.Done())
         else:
