Wait in tests until each entry knows the whole fleet

The fixture took a fleet for started when each entry was healthy and knew all endpoints. An entry that starts last has both from its first heartbeat; the others hear of it with their next one, up to 0.2 s later. Conclusion: traced to the fixture and mended; no check is eased.

--- /dev/null
+++ b/features/fleet.feature
@@ -0,0 +1,19 @@
+Feature: A test's fleet counts as started once every entry knows all of it
+
+  An entry that starts last has routes and endpoints from its first heartbeat.
+  The others hear of it with their next one, up to a heartbeat later, and
+  name callers too few addresses until then.
+
+  Scenario Outline: Of 2 entries and 3 endpoints <case>
+    Given a fleet of 2 entries and 3 endpoints as its entries see it
+    When "entry-0" knows <members> entries and <endpoints> endpoints
+    And "entry-1" answers its health check with <health>
+    Then the fleet counts as <state>
+
+    Examples:
+      | case                                 | members | endpoints | health | state    |
+      | everything is known everywhere       | 2       | 3         | 200    | started  |
+      | one entry knows nothing of the other | 1       | 3         | 200    | starting |
+      | one entry misses an endpoint         | 2       | 2         | 200    | starting |
+      | one entry has no configuration       | 2       | 3         | 503    | starting |
+      | one entry does not answer            | 2       | 3         | none   | starting |
--- a/src/_coltsfootroad/fakes/fleet.py
+++ b/src/_coltsfootroad/fakes/fleet.py
@@ -289,25 +289,33 @@
         )
 
     def is_ready(self) -> bool:
-        """Return whether entries admit requests and know all endpoints."""
-        expected = self.engines + self.plain
-        for number in range(self.entry_count):
-            url = f"http://{self.listen[f'entry-{number}']}/health"
-            response = self.fetch(url)
-            if response is None or response.code != 200:
-                return False
-        return all(
-            self.known_endpoints(f"entry-{number}") >= expected
-            for number in range(self.entry_count)
+        """Return whether every entry admits requests and knows the fleet."""
+        names = [f"entry-{number}" for number in range(self.entry_count)]
+        return all(self.is_healthy(name) for name in names) and all(
+            self.knows_fleet(name) for name in names
         )
 
-    def known_endpoints(self, entry: str) -> int:
-        """Return how many endpoints an entry knows by now."""
+    def is_healthy(self, entry: str) -> bool:
+        """Return whether an entry admits requests."""
+        response = self.fetch(f"http://{self.listen[entry]}/health")
+        return response is not None and response.code == 200
+
+    def knows_fleet(self, entry: str) -> bool:
+        """Return whether an entry knows all entries and endpoints.
+
+        An entry that starts last is healthy up to a heartbeat before the
+        others name it to callers.
+        """
         response = self.admin_fetch(entry, "/admin/dump")
         if response is None or response.code != 200:
-            return 0
-        pools = json.loads(response.body)["pools"]
-        return sum(len(pool["views"]) for pool in pools.values())
+            return False
+        dump = json.loads(response.body)
+        members = dump["freshness"]["member_view"]["known"]
+        endpoints = sum(len(pool["views"]) for pool in dump["pools"].values())
+        return (
+            len(members) >= self.entry_count
+            and endpoints >= self.engines + self.plain
+        )
 
     # --- requests --------------------------------------------------------
 
