Split the virtual-time fleet by what it emulates

Ruled out: changes of behaviour: each part keeps the order in which it draws from the one generator. Change: network, simcontrol, simcallers, simendpoints, simentries and processes; world.py wires them. Entries are named to callers and endpoints by an abstract class, so that no module imports in a circle.

--- a/features/support/histories.py
+++ b/features/support/histories.py
@@ -41,28 +41,28 @@
         service="assistant",
         prompt_tokens=prompt,
         output_tokens=output,
-        deadline_at=machine.world.now + seconds,
+        deadline_at=machine.world.network.now + seconds,
         prefix_hashes=tuple(f"b{n}" for n in range(blocks)),
     )
-    return machine.world.records.get(f"r{machine.number}")
+    return machine.world.callers.records.get(f"r{machine.number}")
 
 
 def charge(machine, entry, key="k1", body="x", seconds=5.0):
     """Charge through an entry."""
     machine.charge(entry, key, body, seconds)
-    return machine.world.records[f"r{machine.number}"]
+    return machine.world.callers.records[f"r{machine.number}"]
 
 
 def wait(machine, seconds):
     """Let time pass."""
-    machine.world.run_until(machine.world.now + seconds)
+    machine.world.network.run_until(machine.world.network.now + seconds)
 
 
 @history(REQUEST)
 def entry_dies_with_a_group(machine):
     record = ask(machine, "entry-0", prompt=30_000)
     wait(machine, 0.6)
-    machine.world.kill_entry("entry-0")
+    machine.world.entries.kill("entry-0")
     assert not record.finished
     wait(machine, 1.0)
 
@@ -71,7 +71,7 @@
 def entry_dies_in_a_charge_and_it_is_resent(machine):
     charge(machine, "entry-0", seconds=1.0)
     wait(machine, 0.1)
-    machine.world.kill_entry("entry-0")
+    machine.world.entries.kill("entry-0")
     for _ in range(5):
         wait(machine, 1.5)
         resent = charge(machine, "entry-1")
@@ -116,7 +116,7 @@
     record = charge(machine, "entry-0")
     wait(machine, 0.1)
     for name in requestmachine.PLAIN:
-        machine.world.kill_endpoint(name)
+        machine.world.endpoints.kill(name)
     wait(machine, 1.0)
     machine.start_endpoints(None)
     wait(machine, 3.0)
@@ -127,17 +127,17 @@
 def engine_dies_in_a_stream(machine):
     records = [ask(machine, "entry-0", output=8) for _ in range(3)]
     wait(machine, 0.1)
-    machine.world.kill_endpoint("engine-0")
+    machine.world.endpoints.kill("engine-0")
     wait(machine, 0.02)
-    machine.world.kill_endpoint("engine-1")
+    machine.world.endpoints.kill("engine-1")
     wait(machine, 5.0)
     assert all(record.finished for record in records), records
 
 
 @history(REQUEST)
 def messages_come_twice_and_out_of_order(machine):
-    machine.world.duplication = 0.9
-    machine.world.extra_delay_s = 0.3
+    machine.world.network.duplication = 0.9
+    machine.world.network.extra_delay_s = 0.3
     machine.oracle.uninformed.update(requestmachine.ENTRIES)
     records = [
         ask(machine, name, output=8)
@@ -153,13 +153,13 @@
     ask(machine, "entry-0", prompt=30_000)
     wait(machine, 0.5)
     machine.hang_up(machine.number, "entry-0")
-    machine.world.cut("entry-0", "*", both=False)
+    machine.world.network.cut("entry-0", "*", both=False)
     ask(machine, "entry-0", prompt=30_000)
     wait(machine, 0.2)
-    machine.world.heal()
+    machine.world.network.heal()
     record = ask(machine, "entry-0", prompt=30_000)
     wait(machine, 0.6)
-    machine.world.cut("entry-0", "*", both=False)
+    machine.world.network.cut("entry-0", "*", both=False)
     machine.hang_up(machine.number, "entry-0")
     wait(machine, 0.2)
     assert not record.finished
@@ -170,17 +170,17 @@
     # Fuzzing alone found a cancel that is never repeated only with luck.
     record = ask(machine, "entry-0", prompt=400, output=2_000, seconds=20.0)
     wait(machine, 0.3)
-    machine.world.cut("entry-0", "*", both=False)
+    machine.world.network.cut("entry-0", "*", both=False)
     machine.hang_up(machine.number, "entry-0")
     wait(machine, 0.2)
-    machine.world.heal()
+    machine.world.network.heal()
     wait(machine, 3.0)
     assert not record.finished
 
 
 @history(REQUEST)
 def isolated_entry_stops_admitting(machine):
-    machine.world.cut("control", "entry-0")
+    machine.world.network.cut("control", "entry-0")
     machine.patch({"services": {"assistant": {"max_queue": 7}}})
     wait(machine, requestmachine.BOUND_S + 1.0)
     record = ask(machine, "entry-0")
@@ -190,25 +190,25 @@
 
 @history(REQUEST)
 def control_answers_are_slow(machine):
-    machine.world.cuts.clear()
+    machine.world.network.cuts.clear()
     for _ in range(6):
         machine.patch({"services": {"assistant": {"max_queue": 9}}})
-        machine.world.extra_delay_s = 1.9
+        machine.world.network.extra_delay_s = 1.9
         machine.oracle.uninformed.update(requestmachine.ENTRIES)
         wait(machine, 1.7)
-    machine.world.cut("control", "entry-0")
+    machine.world.network.cut("control", "entry-0")
     machine.patch({"services": {"assistant": {"max_queue": 8}}})
     wait(machine, 4.0)
 
 
 @history(REQUEST)
 def entry_is_restarted_after_many_changes(machine):
-    machine.world.kill_entry("entry-0")
+    machine.world.entries.kill("entry-0")
     for size in range(1, 20):
         machine.patch({"services": {"assistant": {"max_queue": size}}})
-    machine.world.start_entry("entry-0")
+    machine.world.entries.start("entry-0")
     wait(machine, 1.0)
-    fresh = machine.world.entries["entry-0"].core.freshness
+    fresh = machine.world.entries.by_name["entry-0"].core.freshness
     assert fresh.config.services["assistant"].max_queue == 19
     machine.patch({"services": {"assistant": {"max_queue": 5}}})
     wait(machine, 2.0)
@@ -217,7 +217,7 @@
 
 @history(REQUEST)
 def late_announcement_of_a_left_endpoint(machine):
-    endpoint = machine.world.endpoints["engine-0"]
+    endpoint = machine.world.endpoints.by_name["engine-0"]
     old = registry.Announcement(
         endpoint="engine-0",
         incarnation=endpoint.incarnation,
@@ -226,11 +226,11 @@
         address="engine-0",
         kv_tokens=requestmachine.KV_TOKENS,
     )
-    machine.world.leave_endpoint("engine-0")
-    machine.oracle.left_at["engine-0"] = machine.world.now
+    machine.world.endpoints.leave("engine-0")
+    machine.oracle.left_at["engine-0"] = machine.world.network.now
     wait(machine, requestmachine.LEAVE_S + 0.1)
-    for entry in machine.world.entries.values():
-        machine.world.run_core(entry, entry.core.on_announcement, old)
+    for entry in machine.world.entries.by_name.values():
+        machine.world.entries.run_core(entry, entry.core.on_announcement, old)
     for _ in range(12):
         ask(machine, "entry-0")
     wait(machine, 1.0)
@@ -239,7 +239,7 @@
 @history(REQUEST)
 def late_announcement_from_before_a_restart(machine):
     world = machine.world
-    endpoint = world.endpoints["engine-0"]
+    endpoint = world.endpoints.by_name["engine-0"]
     old = registry.Announcement(
         endpoint="engine-0",
         incarnation=endpoint.incarnation,
@@ -248,14 +248,14 @@
         address="engine-0",
         kv_tokens=requestmachine.KV_TOKENS,
     )
-    world.kill_endpoint("engine-0")
-    world.start_endpoint("engine-0")
+    world.endpoints.kill("engine-0")
+    world.endpoints.start("engine-0")
     wait(machine, 1.0)
-    world.leave_endpoint("engine-0")
-    machine.oracle.left_at["engine-0"] = world.now
+    world.endpoints.leave("engine-0")
+    machine.oracle.left_at["engine-0"] = world.network.now
     wait(machine, requestmachine.LEAVE_S + 0.1)
-    for entry in world.entries.values():
-        world.run_core(entry, entry.core.on_announcement, old)
+    for entry in world.entries.by_name.values():
+        world.entries.run_core(entry, entry.core.on_announcement, old)
     for _ in range(12):
         ask(machine, "entry-0")
     wait(machine, 1.0)
@@ -266,14 +266,16 @@
     record = ask(machine, "entry-0", prompt=30_000)
     wait(machine, 4.0)
     assert record.finished, record
-    assert not machine.world.hub.groups.holds, "a group outlived its request"
+    assert (
+        not machine.world.control.hub.groups.holds
+    ), "a group outlived its request"
 
 
 @history(REQUEST)
 def workspace_over_its_rate_is_told_at_once(machine):
     ask(machine, "entry-0")
     wait(machine, 0.2)
-    core = machine.world.entries["entry-0"].core
+    core = machine.world.entries.by_name["entry-0"].core
     core.limits.meter("shop").tokens = -50.0 * requestmachine.TOKENS_PER_S
     record = ask(machine, "entry-0")
     wait(machine, 0.01)
@@ -290,7 +292,7 @@
             ask(machine, entry, prompt=3_000, output=8, seconds=6.0)
         wait(machine, 0.7)
         if number == 5:
-            machine.world.cut("control", "entry-0")
+            machine.world.network.cut("control", "entry-0")
 
 
 @history(REQUEST)
@@ -298,9 +300,9 @@
     for _ in range(4):
         ask(machine, "entry-0", prompt=3_000, output=8, seconds=6.0)
     wait(machine, 8.0)
-    machine.world.stop_control()
+    machine.world.control.stop()
     wait(machine, 8.0)
-    machine.world.start_control()
+    machine.world.control.start()
     wait(machine, 7.0)
     record = ask(machine, "entry-0", seconds=3.0)
     wait(machine, 4.0)
@@ -313,13 +315,13 @@
         ask(machine, "entry-0", prompt=3_000, output=8, seconds=6.0)
     wait(machine, 0.8)
     for _ in range(3):
-        machine.world.cut("entry-0", "control")
-        machine.world.stop_control()
-        machine.world.start_control()
+        machine.world.network.cut("entry-0", "control")
+        machine.world.control.stop()
+        machine.world.control.start()
         for _ in range(8):
             ask(machine, "entry-1", prompt=3_000, output=8, seconds=6.0)
         wait(machine, 0.9)
-        machine.world.heal()
+        machine.world.network.heal()
         wait(machine, 5.0)
 
 
--- a/features/support/requestmachine.py
+++ b/features/support/requestmachine.py
@@ -14,6 +14,7 @@
 from _coltsfootroad.core import placement
 from _coltsfootroad.core import request as request_lib
 from _coltsfootroad.fakes import engine as engine_lib
+from _coltsfootroad.replay import simcontrol
 from _coltsfootroad.replay import world as world_lib
 
 ENGINES = ("engine-0", "engine-1", "engine-2")
@@ -113,21 +114,23 @@
 
     def check(self) -> None:
         """Check all that must hold at any moment."""
-        for record in self.world.records.values():
+        for record in self.world.callers.records.values():
             self.check_record(record)
-        for entry in self.world.entries.values():
-            if entry.alive and self.world.now >= entry.frozen_until:
+        for entry in self.world.entries.by_name.values():
+            if entry.alive and self.world.network.now >= entry.frozen_until:
                 dispatcher.check_invariants(entry.core)
                 self.check_version(entry)
         self.check_shares()
         self.check_leaving()
-        most = len(ENTRIES) * (MAX_HEARTBEATS_PER_S * self.world.now + 20)
-        assert self.world.heartbeats <= most, "storm of heartbeats"
+        most = len(ENTRIES) * (
+            MAX_HEARTBEATS_PER_S * self.world.network.now + 20
+        )
+        assert self.world.entries.heartbeats <= most, "storm of heartbeats"
 
     def check_record(self, record) -> None:
         """Check one request: one end, whole, true, at most once."""
         request = record.request
-        runs = self.world.runs
+        runs = self.world.endpoints.runs
         assert record.ends <= 1, f"{request.request_id} ended twice"
         if request.idempotency_key:
             assert runs.get(request.idempotency_key, 0) <= 1, "ran twice"
@@ -152,7 +155,7 @@
     def check_version(self, entry) -> None:
         """Check that versions never revert and are young in force."""
         fresh = entry.core.freshness
-        now = self.world.now
+        now = self.world.network.now
         last = self.versions.get(entry.name, -1)
         if fresh.is_current(now):
             assert fresh.version >= last, "configuration reverted"
@@ -163,8 +166,8 @@
     def check_shares(self) -> None:
         """Check that leased shares never exceed the fleet's limit."""
         tokens = concurrency = 0.0
-        now = self.world.now
-        for entry in self.world.entries.values():
+        now = self.world.network.now
+        for entry in self.world.entries.by_name.values():
             meter = entry.core.limits.meters.get("shop")
             if not entry.alive or meter is None or meter.share is None:
                 continue
@@ -176,7 +179,7 @@
 
     def check_leaving(self) -> None:
         """Check that leaving endpoints get no new work after seconds."""
-        dispatches = self.world.dispatches
+        dispatches = self.world.endpoints.dispatches
         for at, entry, endpoint in dispatches[self.checked_dispatches :]:
             left = self.left_at.get(endpoint)
             late = left is not None and at > left + LEAVE_S
@@ -185,17 +188,19 @@
 
     def check_settled(self) -> None:
         """Check, once all is healed, that everything ended and is free."""
-        for record in self.world.records.values():
+        for record in self.world.callers.records.values():
             self.check_bounded(record)
-        assert not self.world.flights(), self.world.flights()
+        assert not self.world.entries.flights(), self.world.entries.flights()
         held = {
             name: e.model.jobs
-            for name, e in self.world.endpoints.items()
+            for name, e in self.world.endpoints.by_name.items()
             if e.alive and e.model.jobs
         }
-        assert not held and not self.world.kv_held(), held
-        assert not self.world.hub.groups.holds, "groups still hold engines"
-        for entry in self.world.entries.values():
+        assert not held and not self.world.endpoints.kv_held(), held
+        assert (
+            not self.world.control.hub.groups.holds
+        ), "groups still hold engines"
+        for entry in self.world.entries.by_name.values():
             assert not entry.core.releaser.pending, "cancels never ended"
             for pool in entry.core.pools.values():
                 for view in pool.views.values():
@@ -218,7 +223,7 @@
     @stateful.initialize(seed=st.integers(0, 2**16))
     def build(self, seed):
         """Build the fleet and let it settle."""
-        self.world = world_lib.World(
+        self.world = world_lib.build(
             random.Random(seed), report_every_s=0.5, plain_s=PLAIN_S
         )
         self.oracle = Oracle(self.world)
@@ -226,39 +231,39 @@
         self.patch_at = 0
         self.patch(CONFIG)
         for name in ENTRIES:
-            self.world.add_entry(name)
+            self.world.entries.add(name)
         speed = engine_lib.EngineSpeed(
             kv_tokens=KV_TOKENS, chunk_tokens=2_000, token_s=0.02
         )
         for name in ENGINES:
-            self.world.add_engine(name, "assistant", speed)
+            self.world.endpoints.add_engine(name, "assistant", speed)
         for name in PLAIN:
-            self.world.add_plain(name, "billing")
+            self.world.endpoints.add_plain(name, "billing")
         # Past the time in which a new leader only keeps old shares.
-        self.world.run_until(7.0)
-        self.world.after_event = self.oracle.check
+        self.world.network.run_until(7.0)
+        self.world.network.after_event = self.oracle.check
 
     def patch(self, document):
         """Patch the configuration; remember when it was accepted."""
-        store = self.world.state.configs
+        store = self.world.control.state.configs
         self.patch_at += 1
-        answer = self.world.patch(
+        answer = self.world.control.patch(
             f"p{self.patch_at}", store.version, json.dumps(document).encode()
         )
         assert answer.failure is None, answer
-        self.oracle.accepted.append((self.world.now, answer.version))
+        self.oracle.accepted.append((self.world.network.now, answer.version))
 
     def submit(self, entry, **fields):
         """Submit a request."""
         self.number += 1
-        now = self.world.now
+        now = self.world.network.now
         request = request_lib.Request(
             request_id=f"r{self.number}",
             workspace="shop",
             arrived_at=now,
             **fields,
         )
-        self.world.submit(request, entry)
+        self.world.callers.submit(request, entry)
 
     @stateful.rule(
         entry=st.sampled_from(ENTRIES),
@@ -274,7 +279,7 @@
             service="assistant",
             prompt_tokens=prompt,
             output_tokens=output,
-            deadline_at=self.world.now + seconds,
+            deadline_at=self.world.network.now + seconds,
             prefix_hashes=tuple(f"b{n}" for n in range(blocks)),
         )
 
@@ -292,26 +297,28 @@
             kind=request_lib.ServiceKind.PLAIN,
             prompt_tokens=1,
             output_tokens=0,
-            deadline_at=self.world.now + seconds,
+            deadline_at=self.world.network.now + seconds,
             non_idempotent=True,
             idempotency_key=key,
-            key_time=world_lib.UNIX_START,
+            key_time=simcontrol.UNIX_START,
             body_hash=f"{key}{body}",
         )
 
     @stateful.rule(number=st.integers(1, 40), name=st.sampled_from(ENTRIES))
     def hang_up(self, number, name):
         """Let a caller go away."""
-        entry = self.world.entries[name]
-        record = self.world.records.get(f"r{number}")
+        entry = self.world.entries.by_name[name]
+        record = self.world.callers.records.get(f"r{number}")
         if record is not None and record.entry == name:
             request_id = record.request.request_id
-            self.world.run_core(entry, entry.core.on_caller_gone, request_id)
+            self.world.entries.run_core(
+                entry, entry.core.on_caller_gone, request_id
+            )
 
     @stateful.rule(seconds=st.sampled_from((0.01, 0.06, 0.3, 1.0, 4.0)))
     def wait(self, seconds):
         """Let time pass."""
-        self.world.run_until(self.world.now + seconds)
+        self.world.network.run_until(self.world.network.now + seconds)
 
     @stateful.rule(kind=st.sampled_from(FAULTS), place=PLACES)
     def fault(self, kind, place):
@@ -325,100 +332,100 @@
 
     def kill_endpoint(self, place):
         """Kill an endpoint."""
-        self.world.kill_endpoint(place.endpoint)
+        self.world.endpoints.kill(place.endpoint)
 
     def start_endpoints(self, _):
         """Start the endpoints that were killed."""
-        for name, endpoint in list(self.world.endpoints.items()):
+        for name, endpoint in list(self.world.endpoints.by_name.items()):
             if not endpoint.alive:
-                self.world.start_endpoint(name)
+                self.world.endpoints.start(name)
                 self.oracle.left_at.pop(name, None)
 
     def leave(self, place):
         """Let an endpoint say that it leaves; one of each kind stays."""
         name = place.endpoint
         may_leave = name in (ENGINES[0], PLAIN[0])
-        if may_leave and self.world.endpoints[name].alive:
-            self.world.leave_endpoint(name)
-            self.oracle.left_at.setdefault(name, self.world.now)
+        if may_leave and self.world.endpoints.by_name[name].alive:
+            self.world.endpoints.leave(name)
+            self.oracle.left_at.setdefault(name, self.world.network.now)
 
     def slow(self, place):
         """Make an engine slow."""
-        self.world.slow_endpoint(place.engine, SLOW_FACTOR)
+        self.world.endpoints.slow(place.engine, SLOW_FACTOR)
 
     def speed_up(self, _):
         """Make all engines fast again."""
         for name in ENGINES:
-            self.world.slow_endpoint(name, 1.0)
+            self.world.endpoints.slow(name, 1.0)
 
     def kill_entry(self, place):
         """Kill an entry."""
-        self.world.kill_entry(place.entry)
+        self.world.entries.kill(place.entry)
 
     def start_entries(self, _):
         """Start the entries that were killed."""
         for name in ENTRIES:
-            self.world.start_entry(name)
+            self.world.entries.start(name)
 
     def freeze(self, place):
         """Freeze an entry."""
         self.oracle.frozen.add(place.entry)
         self.oracle.uninformed.add(place.entry)
-        self.world.freeze_entry(place.entry, place.seconds)
+        self.world.entries.freeze(place.entry, place.seconds)
 
     def drain(self, place):
         """Shut an entry down."""
-        if self.world.entries[place.entry].alive:
-            self.world.drain_entry(place.entry)
+        if self.world.entries.by_name[place.entry].alive:
+            self.world.entries.drain(place.entry)
 
     def cut_control(self, place):
         """Cut an entry off from the control state, one way or both."""
-        self.world.cut("control", place.entry, place.flag)
+        self.world.network.cut("control", place.entry, place.flag)
 
     def cut_endpoint(self, place):
         """Cut an entry off from an endpoint, one way or both."""
         # What the endpoint says from now on may not reach the entry.
         self.oracle.uninformed.add(place.entry)
-        self.world.cut(place.entry, place.endpoint, place.flag)
+        self.world.network.cut(place.entry, place.endpoint, place.flag)
 
     def lose_messages(self, _):
         """Lose a part of all messages."""
         self.oracle.uninformed.update(ENTRIES)
-        self.world.loss = LOSS
+        self.world.network.loss = LOSS
 
     def repeat_messages(self, _):
         """Deliver a part of all messages twice."""
-        self.world.duplication = DUPLICATION
+        self.world.network.duplication = DUPLICATION
 
     def delay_messages(self, _):
         """Deliver messages late and out of order."""
         self.oracle.uninformed.update(ENTRIES)
-        self.world.extra_delay_s = DELAY_S
+        self.world.network.extra_delay_s = DELAY_S
 
     def heal(self, _):
         """End all cuts and make the network good again."""
-        self.world.heal()
-        self.world.loss = self.world.duplication = 0.0
-        self.world.extra_delay_s = 0.0
+        self.world.network.heal()
+        self.world.network.loss = self.world.network.duplication = 0.0
+        self.world.network.extra_delay_s = 0.0
 
     def stop_control(self, _):
         """Stop the control state."""
-        self.world.stop_control()
+        self.world.control.stop()
 
     def start_control(self, _):
         """Start the control state."""
-        self.world.start_control()
+        self.world.control.start()
 
     @stateful.rule(size=st.integers(1, 9_999))
     def change(self, size):
         """Let an operator change the configuration."""
-        if self.world.control_up:
+        if self.world.control.is_up:
             self.patch({"services": {"assistant": {"max_queue": size}}})
 
     def lie(self, place):
         """Let an engine report nonsense once."""
-        endpoint = self.world.endpoints[place.engine]
-        victim = self.world.entries[place.entry]
+        endpoint = self.world.endpoints.by_name[place.engine]
+        victim = self.world.entries.by_name[place.entry]
         if not endpoint.alive or not victim.alive:
             return
         endpoint.seq += 1
@@ -426,11 +433,11 @@
             endpoint=place.engine,
             incarnation=endpoint.incarnation,
             seq=endpoint.seq,
-            measured_at=self.world.now,
+            measured_at=self.world.network.now,
             prefill_tokens=(0, 10**9 if place.flag else 0, 0, 0),
             kv_used=0 if place.flag else 2 * KV_TOKENS,
         )
-        self.world.run_core(victim, victim.core.on_load, report)
+        self.world.entries.run_core(victim, victim.core.on_load, report)
 
     def teardown(self):
         """Heal everything, wait, and check that nothing is left over."""
@@ -439,7 +446,9 @@
         world = self.world
         for kind in MENDS:
             getattr(self, kind)(None)
-        world.run_until(world.now + SETTLE_S + placement.GROUP_LEASE_S)
+        world.network.run_until(
+            world.network.now + SETTLE_S + placement.GROUP_LEASE_S
+        )
         self.oracle.check_settled()
 
 
--- a/src/_coltsfootroad/replay/measure.py
+++ b/src/_coltsfootroad/replay/measure.py
@@ -5,6 +5,7 @@
 
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import lengths
+from _coltsfootroad.replay import simcallers
 from _coltsfootroad.replay import world as world_lib
 
 CLASSES = (*(name for name, _ in lengths.REPORT_CLASSES), lengths.LONGEST_CLASS)
@@ -62,7 +63,7 @@
     """Return the first-token time of each request that has one."""
     return {
         name: record.first_token_s
-        for name, record in world.records.items()
+        for name, record in world.callers.records.items()
         if record.first_token_s is not None
     }
 
@@ -71,7 +72,7 @@
     """Return a percentile of first-token times per length class."""
     found: dict[str, list[float]] = {}
     for name, seconds in ttfts(world).items():
-        tokens = world.records[name].request.prompt_tokens
+        tokens = world.callers.records[name].request.prompt_tokens
         found.setdefault(lengths.report_class(tokens), []).append(seconds)
     return {
         name: percentile(found[name], percent)
@@ -87,12 +88,13 @@
     ratios = [
         seconds / base[name]
         for name, seconds in ttfts(world).items()
-        if name in base and world.records[name].request.prompt_tokens <= short
+        if name in base
+        and world.callers.records[name].request.prompt_tokens <= short
     ]
     return percentile(ratios, 95) if ratios else None
 
 
-def end_of(record: world_lib.Record) -> str:
+def end_of(record: simcallers.Record) -> str:
     """Return how a request ended, in one word."""
     if record.finished:
         return "finished"
@@ -101,7 +103,7 @@
     return "cut_off" if record.cut_off else "never"
 
 
-def is_refused(record: world_lib.Record) -> bool:
+def is_refused(record: simcallers.Record) -> bool:
     """Return whether a request was refused and did not run."""
     failure = record.failure
     return failure is not None and failure.ran is errors.Ran.NO
@@ -111,27 +113,31 @@
     policy: str, world: world_lib.World, alone: world_lib.World | None
 ) -> Report:
     """Return the measures of a finished replay."""
-    records = world.records.values()
+    records = world.callers.records.values()
     finished = sum(1 for r in records if r.finished)
     refused = sum(1 for r in records if is_refused(r))
     keyed = [r.request for r in records if r.request.non_idempotent]
     names = {r.idempotency_key or r.request_id for r in keyed}
     return Report(
         policy=policy,
-        requests=len(world.records),
+        requests=len(world.callers.records),
         finished=finished,
         refused_not_run=refused,
-        failed=len(world.records) - finished - refused,
+        failed=len(world.callers.records) - finished - refused,
         ttft_p50_s=by_class(world, 50),
         ttft_p95_s=by_class(world, 95),
         short_slowdown_p95=slowdown(world, alone) if alone else None,
-        retries=sum(e.core.counters.retries for e in world.entries.values()),
-        runs_over_one=sum(1 for n in names if world.runs.get(n, 0) > 1),
-        kv_left=world.kv_held(),
-        ends={name: end_of(r) for name, r in world.records.items()},
+        retries=sum(
+            e.core.counters.retries for e in world.entries.by_name.values()
+        ),
+        runs_over_one=sum(
+            1 for n in names if world.endpoints.runs.get(n, 0) > 1
+        ),
+        kv_left=world.endpoints.kv_held(),
+        ends={name: end_of(r) for name, r in world.callers.records.items()},
         rans={
             name: r.failure.ran.value
-            for name, r in world.records.items()
+            for name, r in world.callers.records.items()
             if r.failure is not None
         },
     )
--- /dev/null
+++ b/src/_coltsfootroad/replay/network.py
@@ -0,0 +1,80 @@
+"""Virtual time, and the links between simulated processes."""
+
+from collections.abc import Callable
+import heapq
+import random
+
+import attrs
+
+
+@attrs.define(eq=False)
+class Network:
+    """One queue of timed calls, and what happens to messages on their way.
+
+    Attributes:
+        rng: Where all chance of a simulated fleet comes from.
+        one_way_s: Delay of a message.
+        loss: Share of messages that are lost.
+        duplication: Share of messages that arrive twice.
+        extra_delay_s: Most that a message is late by besides.
+        now: Seconds of virtual time.
+        cuts: Pairs of sender and receiver whose messages are lost; `*` is
+            everybody.
+        after_event: Called after each call of the queue, for checks.
+    """
+
+    rng: random.Random
+    one_way_s: float = 0.001
+    loss: float = 0.0
+    duplication: float = 0.0
+    extra_delay_s: float = 0.0
+    now: float = 0.0
+    queue: list = attrs.Factory(list)
+    number: int = 0
+    cuts: set[tuple[str, str]] = attrs.Factory(set)
+    after_event: Callable | None = None
+
+    # --- time ------------------------------------------------------------
+
+    def at(self, when: float, call: Callable, *arguments) -> None:
+        """Plan a call."""
+        self.number += 1
+        heapq.heappush(self.queue, (when, self.number, call, arguments))
+
+    def run_until(self, end: float) -> None:
+        """Run all calls up to a time."""
+        while self.queue and self.queue[0][0] <= end:
+            when, _, call, arguments = heapq.heappop(self.queue)
+            self.now = max(self.now, when)
+            call(*arguments)
+            if self.after_event is not None:
+                self.after_event()
+        self.now = max(self.now, end)
+
+    # --- messages --------------------------------------------------------
+
+    def send(self, source: str, target: str, call: Callable, *arguments):
+        """Deliver a call, late, twice or never."""
+        if self.is_cut(source, target) or self.rng.random() < self.loss:
+            return
+        copies = 2 if self.rng.random() < self.duplication else 1
+        for _ in range(copies):
+            delay = self.one_way_s
+            if self.extra_delay_s:
+                delay += self.rng.uniform(0, self.extra_delay_s)
+            self.at(self.now + delay, call, *arguments)
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """Return whether messages from source to target are lost."""
+        pairs = ((source, target), (source, "*"), ("*", target))
+        return any(pair in self.cuts for pair in pairs)
+
+    def cut(self, source: str, target: str, both: bool = True) -> None:
+        """Lose messages between two parties; `*` is everybody."""
+        self.cuts.add((source, target))
+        if both:
+            self.cuts.add((target, source))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cuts.clear()
--- a/src/_coltsfootroad/replay/player.py
+++ b/src/_coltsfootroad/replay/player.py
@@ -14,6 +14,7 @@
 from _coltsfootroad.core import request as request_lib
 from _coltsfootroad.fakes import engine as engine_lib
 from _coltsfootroad.replay import measure
+from _coltsfootroad.replay import simcontrol
 from _coltsfootroad.replay import trace as trace_lib
 from _coltsfootroad.replay import world as world_lib
 
@@ -35,10 +36,12 @@
     """Return what makes the policy of a service's settings."""
 
     def refresh(view: endpoints.EndpointView) -> None:
-        endpoint = world.endpoints[view.name]
+        endpoint = world.endpoints.by_name[view.name]
         model = endpoint.model
-        view.backlog = [float(t) for t in model.waiting_tokens(world.now)]
-        view.backlog_at = world.now
+        view.backlog = [
+            float(t) for t in model.waiting_tokens(world.network.now)
+        ]
+        view.backlog_at = world.network.now
         view.kv_used = model.kv_used
         view.kv_unreported = 0
         view.speed.prefill_rate = model.speed.prefill_rate / model.slow_factor
@@ -68,23 +71,23 @@
 
     def __attrs_post_init__(self):
         fleet = self.trace.fleet
-        self.world = world_lib.World(
+        self.world = world_lib.build(
             random.Random(SEED),
             one_way_s=fleet.one_way_s,
             client_one_way_s=fleet.client_one_way_s,
             report_every_s=fleet.report_every_s,
         )
-        self.world.make_policy = policy_factory(self.policy, self.world)
+        self.world.entries.make_policy = policy_factory(self.policy, self.world)
 
     def play(self) -> world_lib.World:
         """Play the whole trace and return the world after it."""
         self.build()
         start = WARM_UP_S
         for line in self.trace.requests:
-            self.world.at(start + line.at, self.submit, line)
+            self.world.network.at(start + line.at, self.submit, line)
         for line in self.trace.faults:
-            self.world.at(start + line.at, self.fault, line)
-        self.world.run_until(start + self.end() + COOL_DOWN_S)
+            self.world.network.at(start + line.at, self.fault, line)
+        self.world.network.run_until(start + self.end() + COOL_DOWN_S)
         return self.world
 
     def end(self) -> float:
@@ -98,22 +101,22 @@
         fleet = self.trace.fleet
         self.patch(fleet.config or default_config(self.trace))
         for number in range(fleet.entries):
-            self.world.add_entry(f"entry-{number}")
+            self.world.entries.add(f"entry-{number}")
         for line in fleet.engines:
             for _ in range(line.count):
                 self.add_endpoint(line)
-        self.world.run_until(WARM_UP_S)
+        self.world.network.run_until(WARM_UP_S)
 
     def add_endpoint(self, line: trace_lib.EngineLine) -> None:
         """Add one endpoint."""
         known = [
             e
-            for e in self.world.endpoints.values()
+            for e in self.world.endpoints.by_name.values()
             if e.service == line.service
         ]
         name = f"{line.service}-{len(known)}"
         if line.kind is request_lib.ServiceKind.PLAIN:
-            self.world.add_plain(name, line.service)
+            self.world.endpoints.add_plain(name, line.service)
             return
         speed = engine_lib.EngineSpeed(
             prefill_rate=line.prefill_rate,
@@ -121,20 +124,20 @@
             chunk_tokens=line.chunk_tokens,
             kv_tokens=line.kv_tokens,
         )
-        self.world.add_engine(name, line.service, speed)
+        self.world.endpoints.add_engine(name, line.service, speed)
 
     def patch(self, document: dict) -> None:
         """Patch the configuration."""
         self.patches += 1
-        self.world.patch(
+        self.world.control.patch(
             f"trace-{self.patches}",
-            self.world.state.configs.version,
+            self.world.control.state.configs.version,
             json.dumps(document).encode(),
         )
 
     def submit(self, line: trace_lib.RequestLine) -> None:
         """Send one request of the trace."""
-        services = self.world.state.configs.config.services
+        services = self.world.control.state.configs.config.services
         kind = services[line.service].kind
         blocks = tuple(
             f"{line.shared_prefix}/{n}" for n in range(line.prefix_blocks)
@@ -147,16 +150,16 @@
             service=line.service,
             prompt_tokens=line.prompt_tokens,
             output_tokens=line.output_tokens,
-            arrived_at=self.world.now,
-            deadline_at=self.world.now + line.deadline_s,
+            arrived_at=self.world.network.now,
+            deadline_at=self.world.network.now + line.deadline_s,
             kind=kind,
             non_idempotent=line.non_idempotent,
             idempotency_key=line.key,
-            key_time=world_lib.UNIX_START,
+            key_time=simcontrol.UNIX_START,
             body_hash=line.key,
             prefix_hashes=blocks + own if blocks else (),
         )
-        self.world.submit(request, line.entry)
+        self.world.callers.submit(request, line.entry)
 
     # --- faults ----------------------------------------------------------
 
@@ -165,7 +168,9 @@
         begin, end = FAULTS[line.fault]
         begin(self, line)
         if line.for_s and end is not None:
-            self.world.at(self.world.now + line.for_s, end, self, line)
+            self.world.network.at(
+                self.world.network.now + line.for_s, end, self, line
+            )
 
 
 def default_config(trace: trace_lib.Trace) -> dict:
@@ -184,33 +189,33 @@
 
 FAULTS = {
     "kill_endpoint": (
-        lambda p, x: p.world.kill_endpoint(x.target),
-        lambda p, x: p.world.start_endpoint(x.target),
+        lambda p, x: p.world.endpoints.kill(x.target),
+        lambda p, x: p.world.endpoints.start(x.target),
     ),
     "slow_endpoint": (
-        lambda p, x: p.world.slow_endpoint(x.target, x.value),
-        lambda p, x: p.world.slow_endpoint(x.target, 1.0),
+        lambda p, x: p.world.endpoints.slow(x.target, x.value),
+        lambda p, x: p.world.endpoints.slow(x.target, 1.0),
     ),
     "leave_endpoint": (
-        lambda p, x: p.world.leave_endpoint(x.target),
+        lambda p, x: p.world.endpoints.leave(x.target),
         None,
     ),
     "kill_entry": (
-        lambda p, x: p.world.kill_entry(x.target),
-        lambda p, x: p.world.start_entry(x.target),
+        lambda p, x: p.world.entries.kill(x.target),
+        lambda p, x: p.world.entries.start(x.target),
     ),
     "freeze_entry": (
-        lambda p, x: p.world.freeze_entry(x.target, x.for_s),
+        lambda p, x: p.world.entries.freeze(x.target, x.for_s),
         None,
     ),
-    "drain_entry": (lambda p, x: p.world.drain_entry(x.target), None),
+    "drain_entry": (lambda p, x: p.world.entries.drain(x.target), None),
     "isolate_entry": (
-        lambda p, x: p.world.cut("control", x.target),
-        lambda p, _: p.world.heal(),
+        lambda p, x: p.world.network.cut("control", x.target),
+        lambda p, _: p.world.network.heal(),
     ),
     "stop_control": (
-        lambda p, _: p.world.stop_control(),
-        lambda p, _: p.world.start_control(),
+        lambda p, _: p.world.control.stop(),
+        lambda p, _: p.world.control.start(),
     ),
     "patch": (lambda p, x: p.patch(x.patch), None),
 }
--- /dev/null
+++ b/src/_coltsfootroad/replay/simcallers.py
@@ -0,0 +1,114 @@
+"""The callers of a simulated fleet, and what became of their requests."""
+
+import attrs
+
+from _coltsfootroad.core import actions
+from _coltsfootroad.core import errors
+from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.replay import network as network_lib
+from _coltsfootroad.replay import processes
+
+
+@attrs.define
+class Record:
+    """What became of one request, as its caller saw it."""
+
+    request: request_lib.Request
+    entry: str
+    first_token_s: float | None = None
+    ended_at: float | None = None
+    finished: bool = False
+    failure: errors.Failure | None = None
+    data: list[bytes] = attrs.Factory(list)
+    answer: request_lib.Answer | None = None
+    ends: int = 0
+    cut_off: bool = False
+
+
+@attrs.define(eq=False)
+class Callers:
+    """Sends requests to entries and records what comes back.
+
+    Attributes:
+        one_way_s: Delay between a caller and an entry.
+        records: By request id.
+    """
+
+    network: network_lib.Network
+    one_way_s: float = 0.001
+    records: dict[str, Record] = attrs.Factory(dict)
+    entries: processes.EntryHost = attrs.field(init=False)
+
+    def submit(
+        self, request: request_lib.Request, entry_name: str = ""
+    ) -> None:
+        """Send a caller's request to an entry."""
+        entry = self.entries.by_name.get(entry_name) or self.pick_entry()
+        record = Record(request, entry.name if entry else "")
+        self.records[request.request_id] = record
+        if entry is None or not entry.alive:
+            record.cut_off = True
+            return
+        arrive = self.network.now + self.one_way_s
+        self.network.at(arrive, self.arrive, entry, entry.core, request)
+
+    def pick_entry(self) -> processes.SimEntry | None:
+        """Return an entry as an address answer would name it."""
+        now = self.network.now
+        alive = [
+            entry
+            for entry in self.entries.by_name.values()
+            if entry.alive
+            and not entry.core.draining
+            and now >= entry.frozen_until
+        ]
+        return self.network.rng.choice(alive) if alive else None
+
+    def arrive(
+        self, entry: processes.SimEntry, core, request: request_lib.Request
+    ) -> None:
+        """Give a request to an entry."""
+        now = self.network.now
+        if entry.core is not core or not entry.alive:
+            self.records[request.request_id].cut_off = True
+            return
+        if now < entry.frozen_until:
+            self.network.at(
+                entry.frozen_until, self.arrive, entry, core, request
+            )
+            return
+        shift = now - request.arrived_at
+        request = attrs.evolve(
+            request, arrived_at=now, deadline_at=request.deadline_at + shift
+        )
+        self.entries.run_core(entry, core.submit, request)
+
+    def take(
+        self, action: actions.Emit | actions.Finish | actions.Fail
+    ) -> None:
+        """Record what a caller is told."""
+        record = self.records.get(action.request_id)
+        if record is None:
+            return
+        now = self.network.now
+        match action:
+            case actions.Emit():
+                record.data.append(action.chunk.data)
+                if record.first_token_s is None:
+                    asked_at = record.request.arrived_at
+                    record.first_token_s = now - asked_at + self.one_way_s
+            case actions.Finish():
+                record.finished = True
+                record.answer = action.answer
+                record.ended_at = now
+                record.ends += 1
+            case actions.Fail():
+                record.failure = action.failure
+                record.ended_at = now
+                record.ends += 1
+
+    def cut_off(self, entry_name: str) -> None:
+        """Close the connections of callers whose entry has died."""
+        for record in self.records.values():
+            if record.entry == entry_name and not record.ends:
+                record.cut_off = True
--- /dev/null
+++ b/src/_coltsfootroad/replay/simcontrol.py
@@ -0,0 +1,65 @@
+"""The control leader of a simulated fleet: real state, no replicas."""
+
+import attrs
+
+from _coltsfootroad.control import hub as hub_lib
+from _coltsfootroad.control import messages
+from _coltsfootroad.control import state as state_lib
+from _coltsfootroad.replay import network as network_lib
+
+UNIX_START = 1_800_000_000.0
+
+
+@attrs.define(eq=False)
+class SimControl:
+    """Durable state, and the soft state of the leader that is there now."""
+
+    network: network_lib.Network
+    state: state_lib.ControlState = attrs.Factory(state_lib.ControlState)
+    hub: hub_lib.Hub | None = None
+    is_up: bool = True
+    epoch: int = 0
+
+    def __attrs_post_init__(self):
+        self.start_hub()
+
+    def start_hub(self) -> None:
+        """Start a leader's soft state anew."""
+        self.epoch += 1
+        name = f"epoch-{self.epoch}"
+        self.hub = hub_lib.Hub(name, self.state, self.network.now)
+
+    def unix(self) -> float:
+        """Return unix seconds."""
+        return UNIX_START + self.network.now
+
+    def patch(
+        self, patch_id: str, base_version: int, patch: bytes
+    ) -> messages.PatchAnswer:
+        """Change the configuration as an operator."""
+        command = messages.PatchConfig(
+            patch_id=patch_id, base_version=base_version, patch=patch
+        )
+        return self.state.apply(command, self.unix())
+
+    def answer(self, message: object) -> object:
+        """Return the leader's answer to an entry."""
+        match message:
+            case messages.SyncRequest():
+                return self.hub.on_sync(message, self.network.now)
+            case messages.GroupReserve():
+                return self.hub.groups.reserve(message, self.network.now)
+            case messages.GroupRelease():
+                return self.hub.groups.release(message.group)
+        return self.state.apply(message, self.unix())
+
+    def stop(self) -> None:
+        """Stop; what was acknowledged is on the disk."""
+        self.is_up = False
+
+    def start(self) -> None:
+        """Start from the disk; soft state is gone."""
+        if not self.is_up:
+            self.state = state_lib.load(state_lib.save(self.state))
+            self.is_up = True
+            self.start_hub()
--- /dev/null
+++ b/src/_coltsfootroad/replay/simentries.py
@@ -0,0 +1,296 @@
+"""The entries of a simulated fleet: real cores, simulated shells."""
+
+from collections.abc import Callable
+import random
+
+import attrs
+
+from _coltsfootroad.control import messages
+from _coltsfootroad.core import actions
+from _coltsfootroad.core import addresses
+from _coltsfootroad.core import calls
+from _coltsfootroad.core import entry as entry_lib
+from _coltsfootroad.core import flights as flights_lib
+from _coltsfootroad.replay import network as network_lib
+from _coltsfootroad.replay import processes
+from _coltsfootroad.replay import simcallers
+from _coltsfootroad.replay import simcontrol
+from _coltsfootroad.replay import simendpoints
+
+SYNC_EVERY_S = 0.5
+SETTLE_RETRY_S = 0.5
+# Shortest time between two wake-ups of a core.
+MIN_WAKE_S = 0.001
+# How long entries collect notes of their dispatches for one message.
+NOTE_EVERY_S = 0.005
+# Endpoints announce themselves to this many entries.
+ANNOUNCE_TO = 2
+
+
+@attrs.define(eq=False)
+class Entries(processes.EntryHost):
+    """Runs the cores: time, messages, and the actions that they ask for.
+
+    Attributes:
+        by_name: The entry processes, dead ones too.
+        make_policy: Makes the routing policies of new cores; None for the
+            product's own.
+        heartbeats: How many were sent.
+    """
+
+    network: network_lib.Network
+    control: simcontrol.SimControl
+    endpoints: simendpoints.Endpoints
+    callers: simcallers.Callers
+    by_name: dict[str, processes.SimEntry] = attrs.Factory(dict)
+    make_policy: Callable | None = None
+    heartbeats: int = 0
+
+    # --- processes -------------------------------------------------------
+
+    def add(self, name: str, zone: str = "") -> None:
+        """Add an entry process."""
+        core = self.new_core(name, processes.FIRST_INCARNATION)
+        entry = processes.SimEntry(name, core, zone)
+        self.by_name[name] = entry
+        self.sync_often(entry, core)
+        self.wake(entry, core)
+
+    def new_core(self, name: str, incarnation: int) -> entry_lib.EntryCore:
+        """Return the core of a process that has just started."""
+        rng = random.Random(self.network.rng.random())
+        core = entry_lib.EntryCore(name, incarnation, rng)
+        if self.make_policy is not None:
+            core.make_policy = self.make_policy
+        return core
+
+    def kill(self, name: str) -> None:
+        """Kill an entry process; its callers see a closed connection."""
+        self.by_name[name].alive = False
+        self.callers.cut_off(name)
+
+    def start(self, name: str) -> None:
+        """Start a killed entry process."""
+        entry = self.by_name[name]
+        if entry.alive:
+            return
+        entry.core = self.new_core(name, entry.core.incarnation + 1)
+        entry.alive = True
+        entry.frozen_until = 0.0
+        entry.woken_at = None
+        entry.unsettled = 0
+        self.sync_often(entry, entry.core)
+        self.wake(entry, entry.core)
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Freeze an entry process for a while."""
+        entry = self.by_name[name]
+        until = self.network.now + seconds
+        entry.frozen_until = max(entry.frozen_until, until)
+
+    def drain(self, name: str) -> None:
+        """Shut an entry down gracefully."""
+        entry = self.by_name[name]
+        self.run_core(entry, entry.core.begin_drain)
+
+    def flights(self) -> list[flights_lib.Flight]:
+        """Return all flights of live entries."""
+        return [
+            flight
+            for entry in self.by_name.values()
+            if entry.alive
+            for flight in entry.core.flights.flights.values()
+        ]
+
+    # --- time ------------------------------------------------------------
+
+    def run_core(self, entry, method, *arguments) -> None:
+        """Call a core and carry out its actions."""
+        gone = not entry.alive or method.__self__ is not entry.core
+        if gone or self.network.now < entry.frozen_until:
+            return
+        core = entry.core
+        for action in method(*arguments, self.network.now):
+            self.carry_out(entry, action)
+        if core.syncing.wants_sync:
+            self.sync(entry, core)
+        self.wake(entry, core)
+
+    def when_awake(self, entry, call: Callable, *arguments) -> None:
+        """Call now, or when a frozen process goes on."""
+        if self.network.now < entry.frozen_until:
+            self.network.at(
+                entry.frozen_until, self.when_awake, entry, call, *arguments
+            )
+        else:
+            call(*arguments)
+
+    def wake(self, entry: processes.SimEntry, core) -> None:
+        """Plan the next tick of a core."""
+        now = self.network.now
+        at = max(core.next_wake(now), now + MIN_WAKE_S)
+        if entry.woken_at is not None and entry.woken_at <= at:
+            return
+        entry.woken_at = at
+        self.network.at(at, self.tick, entry, core, at)
+
+    def tick(self, entry: processes.SimEntry, core, at: float) -> None:
+        """Run a core's timers."""
+        if entry.core is not core or not entry.alive:
+            return
+        if entry.woken_at != at:
+            return
+        entry.woken_at = None
+        thaw = entry.frozen_until
+        if self.network.now < thaw:
+            entry.woken_at = thaw
+            self.network.at(thaw, self.tick, entry, core, thaw)
+            return
+        self.run_core(entry, core.tick)
+
+    # --- messages --------------------------------------------------------
+
+    def deliver(self, source, entry, method, *arguments) -> None:
+        """Send a call to an entry's core."""
+        core = entry.core
+
+        def arrive() -> None:
+            if entry.core is core and entry.alive:
+                self.when_awake(entry, self.run_core, entry, method, *arguments)
+
+        self.network.send(source, entry.name, arrive)
+
+    def some(self) -> list[processes.SimEntry]:
+        """Return the entries that an endpoint talks to this time."""
+        alive = [entry for entry in self.by_name.values() if entry.alive]
+        return self.network.rng.sample(alive, min(ANNOUNCE_TO, len(alive)))
+
+    def ask_control(
+        self, entry: processes.SimEntry, message: object, reply: Callable
+    ) -> None:
+        """Send a call to the leader; `reply` may never be called."""
+        core = entry.core
+
+        def deliver(answer: object) -> None:
+            if entry.core is core and entry.alive:
+                self.when_awake(entry, reply, answer)
+
+        def arrive() -> None:
+            if self.control.is_up:
+                answer = self.control.answer(message)
+                self.network.send("control", entry.name, deliver, answer)
+
+        self.network.send(entry.name, "control", arrive)
+
+    def sync_often(self, entry: processes.SimEntry, core) -> None:
+        """Send heartbeats while the process lives."""
+        if entry.core is not core or not entry.alive:
+            return
+        now = self.network.now
+        if now < entry.frozen_until:
+            self.network.at(entry.frozen_until, self.sync_often, entry, core)
+            return
+        self.sync(entry, core)
+        self.network.at(now + SYNC_EVERY_S, self.sync_often, entry, core)
+
+    def sync(self, entry: processes.SimEntry, core) -> None:
+        """Send one heartbeat."""
+        self.heartbeats += 1
+        asked_at = self.network.now
+        request = core.sync_request(member_of(entry), asked_at)
+
+        def reply(answer: messages.SyncReply) -> None:
+            self.run_core(entry, core.on_sync, request, answer, asked_at)
+
+        self.ask_control(entry, request, reply)
+
+    # --- actions ---------------------------------------------------------
+
+    def carry_out(
+        self, entry: processes.SimEntry, action: actions.Action
+    ) -> None:
+        """Do what a core asks for."""
+        core = entry.core
+        match action:
+            case actions.Dispatch():
+                self.endpoints.dispatch(entry, action)
+            case actions.Emit() | actions.Finish() | actions.Fail():
+                self.callers.take(action)
+            case actions.DispatchNote():
+                self.share_note(entry, action)
+            case actions.Cancel():
+                self.endpoints.cancel(entry, action)
+            case actions.Reprioritise():
+                self.endpoints.reprioritise(entry, action)
+            case actions.TakeClaim():
+                self.take_claim(entry, core, action)
+            case actions.SettleClaim():
+                entry.unsettled += 1
+                self.settle(entry, core, action)
+            case actions.ReserveGroup():
+                message = calls.reserve_call(action)
+                self.ask_control(
+                    entry,
+                    message,
+                    lambda a: self.run_core(entry, core.on_group, a),
+                )
+            case actions.ReleaseGroup():
+                message = calls.release_call(action)
+                self.ask_control(entry, message, lambda _: None)
+
+    def share_note(self, entry: processes.SimEntry, note) -> None:
+        """Tell the other entries of a dispatch, batched a little."""
+        for other in self.by_name.values():
+            if other is not entry and other.alive:
+                wait_s = self.network.rng.uniform(0, NOTE_EVERY_S)
+                self.network.at(
+                    self.network.now + wait_s,
+                    self.deliver,
+                    entry.name,
+                    other,
+                    other.core.on_note,
+                    note,
+                )
+
+    def take_claim(
+        self, entry: processes.SimEntry, core, action: actions.TakeClaim
+    ) -> None:
+        """Ask for a claim."""
+        request_id = action.request.request_id
+        message = calls.claim_call(action, self.network.now)
+        self.ask_control(
+            entry,
+            message,
+            lambda a: self.run_core(entry, core.on_claim, request_id, a),
+        )
+
+    def settle(
+        self, entry: processes.SimEntry, core, action: actions.SettleClaim
+    ) -> None:
+        """Settle a claim, again and again until it is heard."""
+        if entry.core is not core or not entry.alive:
+            return
+        message = calls.settle_call(action)
+        heard = []
+
+        def reply(_: object) -> None:
+            if not heard:
+                heard.append(True)
+                entry.unsettled -= 1
+
+        def again() -> None:
+            if not heard:
+                self.settle(entry, core, action)
+
+        self.ask_control(entry, message, reply)
+        self.network.at(self.network.now + SETTLE_RETRY_S, again)
+
+
+def member_of(entry: processes.SimEntry) -> addresses.Member:
+    """Return what an entry tells of itself."""
+    return addresses.Member(
+        entry=entry.name,
+        incarnation=entry.core.incarnation,
+        address=entry.name,
+        availability_zone=entry.zone,
+    )
