--- a/features/control/replacement.feature
+++ b/features/control/replacement.feature
@@ -1,8 +1,8 @@
 Feature: A set of replicas bears the next losses soon after the last ones
 
-  Seen: from 20 s of a day on nothing that was sent to control was acknowledged,
-  and at its end no replica could say what had been. Gateways that had started
-  since refused nearly everything at once.
+  Seen: the last change that was acknowledged on a day came at 20 s, and at its
+  end no replica could say what it had been. Gateways that had started since
+  refused nearly everything at once.
 
   How it came about: a VM with a disk was replaced by an empty one at another
   address. Its voter had been silent for a second or two when the new one got
