Wait in tests until programs run, not for a time

The tests took 2.5 s and 4 s after a start for enough; traced: on this machine both programs handle SIGTERM 3.0 s and 3.1 s after their start. Ruled out: the programs: a SIGTERM before they run ends them at once, as the test itself says, and after it runs each row holds. Change: both wait for what the system shows of the process: that it handles SIGTERM (features/support/running.py). Signals go on for 2.5 s after that, and SIGHUP comes before it as well, as from the first moments; a leader has 3 s from when the last replica runs, where loading counted against it before, and is watched for 4 s from there. Neither check is eased. Conclusion: loading takes 0.3 s to 3 s; no test may assume either.

--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -1,7 +1,6 @@
 """Steps that send signals to single programs."""
 
 import json
-import pathlib
 import signal
 import subprocess
 import sys
@@ -12,10 +11,8 @@
 from behave import when
 
 from _coltsfootroad.fakes import ports
+from features.support import running
 
-# Bit of SIGHUP in the masks that the system shows.
-HANGUP_BIT = 1 << (signal.SIGHUP - 1)
-START_S = 10.0
 SENDING_S = 2.5
 GAP_S = 0.002
 STOP_S = 15.0
@@ -52,17 +49,16 @@
 
 def wait_until_prepared(process) -> None:
     """Wait until the interpreter has run the program's first lines."""
-    status = pathlib.Path(f"/proc/{process.pid}/status")
-    end = time.monotonic() + START_S
-    while time.monotonic() < end:
-        masks = dict(
-            line.split(":\t", 1) for line in status.read_text().splitlines()
-        )
-        for name in ("SigIgn", "SigCgt"):
-            if int(masks[name], 16) & HANGUP_BIT:
-                return
-        time.sleep(GAP_S)
-    raise AssertionError("SIGHUP would end the program")
+    running.wait_until(
+        lambda: running.bears(process.pid, signal.SIGHUP),
+        "SIGHUP would end the program",
+    )
+
+
+def runs(process) -> bool:
+    """Return whether a program has loaded what it needs, or has ended."""
+    ended = process.poll() is not None
+    return ended or running.handles(process.pid, signal.SIGTERM)
 
 
 @when("it is started and gets SIGHUP without pause from its first moments on")
@@ -70,10 +66,17 @@
     context.process = subprocess.Popen(
         context.command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
     )
-    wait_until_prepared(context.process)
+    process = context.process
+    wait_until_prepared(process)
+
+    def sent_until_it_runs() -> bool:
+        process.send_signal(signal.SIGHUP)
+        return runs(process)
+
+    running.wait_until(sent_until_it_runs, "the program does not run")
     end = time.monotonic() + SENDING_S
-    while time.monotonic() < end and context.process.poll() is None:
-        context.process.send_signal(signal.SIGHUP)
+    while time.monotonic() < end and process.poll() is None:
+        process.send_signal(signal.SIGHUP)
         time.sleep(GAP_S)
 
 
@@ -101,6 +104,7 @@
     )
     wait_until_prepared(context.process)
     # Before it runs, the signal ends it at once, which is no harm.
+    running.wait_until(lambda: runs(context.process), "it does not run")
     time.sleep(SENDING_S)
     end = time.monotonic() + STOP_S
     while time.monotonic() < end and context.process.poll() is None:
--- a/features/steps/timers_steps.py
+++ b/features/steps/timers_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import json
+import signal
 import time
 
 from behave import given
@@ -17,6 +18,7 @@
 from _coltsfootroad.shell import metrics
 from _coltsfootroad.shell import settings as settings_lib
 from features.soak import fleet as fleet_lib
+from features.support import running
 
 DOWN_S = 0.3
 WATCH_S = 4.0
@@ -112,6 +114,7 @@
     async def story():
         fleet = fleet_lib.Fleet(context.folder)
         await fleet.start(context.count, 0)
+        await until_they_run(fleet)
         await asyncio.sleep(FIRST_S)
         for place in range(context.count):
             fleet.later_start(place)
@@ -124,19 +127,35 @@
 
 
 async def one_round(fleet: fleet_lib.Fleet) -> list[float]:
-    """Kill and start all; return when replicas began to lead, in seconds."""
+    """Kill and start all; return when replicas began to lead.
+
+    In seconds since the last of them has loaded its libraries, as that takes
+    ten times as long on some machines as on others.
+    """
     for program in fleet.replicas:
         program.kill()
+    killed = time.time()
     await asyncio.sleep(DOWN_S)
-    began = time.time()
     for program in fleet.replicas:
         program.start()
+    await until_they_run(fleet)
+    began = time.time()
     await asyncio.sleep(WATCH_S)
     return sorted(
         at - began
         for program in fleet.replicas
         for at in led_at(program.log)
-        if at > began
+        if at > killed
+    )
+
+
+async def until_they_run(fleet: fleet_lib.Fleet) -> None:
+    """Wait until all replicas have loaded their libraries."""
+    pids = [program.process.pid for program in fleet.replicas]
+    await asyncio.to_thread(
+        running.wait_until,
+        lambda: all(running.handles(pid, signal.SIGTERM) for pid in pids),
+        "the replicas do not run",
     )
 
 
