Bound the time to a leader by 2 s where loading no longer counts

Change: 2 s, counted from when the last replica runs. With the 0.3 s that loading takes on a usual machine that is stricter than 3 s in all. Conclusion: the check is as strict again, and says what it measures.

--- a/features/control/timers.feature
+++ b/features/control/timers.feature
@@ -14,4 +14,4 @@
   Scenario: All replicas are killed and started, and one leads from then on
     Given 3 replicas in processes of their own
     When all are killed and started 4 times
-    Then each time one leads within 3 s and none takes over from it
+    Then each time one leads within 2 s and none takes over from it
