Choose among a bounded number of engines, from states that are kept

Change: work is indexed by endpoint and each change noted (`core/loadindex.py`), states are kept until that (`core/enginebook.py`), and out of up to 96 engines that are looked at briefly 24 or 32 are compared (`core/candidates.py`). Up to that many engines are all compared, as before. Comments that told of tuning are gone from the modules touched.

--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -53,7 +53,7 @@
         "harm",
         "placement does not ask what other streams lose",
         (
-            SOURCES + "core/spread.py",
+            SOURCES + "core/enginestate.py",
             "        lost = 0.0\n",
             "        return 0.0\n",
         ),
@@ -81,8 +81,8 @@
         "gateways do not tell each other what they sent",
         (
             SOURCES + "gateway/gossip.py",
-            "        for address in self.receivers():",
-            "        for address in ():",
+            "        for member in members:",
+            "        for member in ():",
         ),
     ),
     ablation(
--- a/benchmarks/mixes.py
+++ b/benchmarks/mixes.py
@@ -123,6 +123,7 @@
         strict=True,
     )
 )
+HUGE = tuple(attrs.evolve(one, per_s=9.0 * one.per_s) for one in LARGE)
 # How often each class comes, short, middle and long, against its mean.
 SHORT_HEAVY = (2.45, 0.5, 0.05)
 LONG_HEAVY = (0.34, 1.3, 2.7)
@@ -213,4 +214,25 @@
         lengths=LARGE,
         phases=SWING_BACK,
     ),
+    Load(
+        name="large-busy",
+        engines=112,
+        spec=spec(5, 450_000, 73),
+        lengths=LARGE,
+        phases=heavier(SWING, 1.7),
+    ),
+    Load(
+        name="huge",
+        engines=1_000,
+        spec=spec(5, 450_000, 73),
+        lengths=HUGE,
+        phases=SWING,
+    ),
+    Load(
+        name="huge-busy",
+        engines=1_000,
+        spec=spec(5, 450_000, 73),
+        lengths=HUGE,
+        phases=heavier(SWING, 1.7),
+    ),
 )
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -13,23 +13,38 @@
 import attrs
 import numpy
 
+from _coltsfootroad.core import candidates
+from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import patience
+from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import shedding
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import urgency
+from _coltsfootroad.core import work as work_lib
 from _coltsfootroad.core import workload
+from _coltsfootroad.gateway import engines as engines_lib
 from _coltsfootroad.replay import batchengine
 from benchmarks import mixes
 
 PLAYS = flags.DEFINE_integer("plays", 4, "Plays of each load.")
 LOADS = flags.DEFINE_list("loads", [], "Loads to play; all if none.")
+CUT_S = flags.DEFINE_float("cut_s", 60.0, "Arrivals after this are cut.")
+FULL = flags.DEFINE_bool("full", False, "Compare all engines.")
+# Bounds that no load reaches.
+EVERYTHING = candidates.Limits(
+    drawn=10**6,
+    long=candidates.Places(idle=10**6, writing=0, reading=0),
+    short=candidates.Places(idle=10**6, writing=0, reading=0),
+)
 # The value of one prompt grows with its size up to this many times the mean.
 MAX_SIZE_VALUE = 4.0
 # Played on after the last arrival, beyond the longest deadline.
 DRAIN_S = 20.0
 # Callers try once more after a refusal.
 MAX_TRIES = 2
+SERVICE = "engines"
+ZONES = 3
 
 
 @attrs.define(eq=False)
@@ -102,18 +117,46 @@
     return Arrival(at, length, batchengine.Job(prompt, output), weight)
 
 
+def announcement(name: str, zone: str) -> registry.Announcement:
+    """Return what an engine says of itself."""
+    return registry.Announcement(
+        endpoint=name,
+        incarnation=1,
+        seq=1,
+        service=SERVICE,
+        availability_zone=zone,
+    )
+
+
 @attrs.define(eq=False)
 class Play:
-    """One load played against the placement in `core/spread.py`."""
+    """One load played against the choices of a gateway that knows all work."""
 
     load: mixes.Load
     rng: random.Random
     works: workload.Workload = attrs.Factory(workload.Workload)
+    endpoints: endpointset.EndpointSet = attrs.Factory(endpointset.EndpointSet)
+    limits: candidates.Limits = candidates.USUAL
+    chooser: engines_lib.Chooser = attrs.field(init=False)
+    service: routes.ServiceSpec = attrs.field(init=False)
     engines: list[batchengine.BatchEngine] = attrs.Factory(list)
     running: dict[int, Arrival] = attrs.Factory(dict)
     due: list[tuple[float, int]] = attrs.Factory(list)
     busy: set[int] = attrs.Factory(set)
 
+    def __attrs_post_init__(self):
+        for place in range(self.load.engines):
+            zone = f"zone-{place % ZONES}"
+            self.endpoints.learn(announcement(str(place), zone))
+        self.service = routes.ServiceSpec(name=SERVICE, engine=self.load.spec)
+        self.chooser = engines_lib.Chooser(
+            self.endpoints,
+            self.works,
+            "zone-0",
+            self.rng,
+            self.limits,
+        )
+
     def run(self, arrivals: list[Arrival]) -> None:
         """Play all arrivals to their ends."""
         self.engines = [
@@ -160,8 +203,10 @@
             work = self.works.own[key]
             if not work.writing:
                 work.writing = True
+                self.works.touch(key)
         if len(times) > 1 and times[-1] - times[-2] > arrival.length.gap_s:
             self.works.own[arrival.keys[0]].gap_target_s = 0.0
+            self.works.touch(arrival.keys[0])
 
     def send(self, arrival: Arrival, now: float) -> float | None:
         """Place one request and send it, or say when to come back."""
@@ -171,37 +216,28 @@
             target_s=arrival.length.target_s,
             gap_target_s=arrival.length.gap_s,
         )
-        by_endpoint = self.works.by_endpoint()
-        states = [
-            spread.engine_state(
-                str(n), by_endpoint.get(str(n), []), self.load.spec, now
-            )
-            for n in range(len(self.engines))
-        ]
-        self.rng.shuffle(states)
-        placement = spread.place(prompt, states, self.load.spec)
-        waiting = shedding.late_waiting(list(self.works.own.values()))
+        choice = self.chooser.choose(self.service, prompt, set(), now)
         candidate = shedding.Candidate(
             prompt_tokens=prompt.prompt_tokens,
-            predicted_s=placement.first_event_s,
+            predicted_s=choice.predicted_s,
             target_s=prompt.target_s,
             returned=arrival.tries > 0,
         )
-        places = self.load.spec.slots * len(states)
-        again_s = shedding.come_back_s(candidate, waiting, places, self.rng)
+        again_s = shedding.come_back_s(
+            candidate, choice.late_waiting, choice.places, self.rng
+        )
         if again_s is not None:
             return again_s
-        arrival.predicted_s = placement.first_event_s
-        arrival.parts = 1 + len(placement.helpers)
+        arrival.predicted_s = choice.predicted_s
+        arrival.parts = 1 + len(choice.helpers)
         job = arrival.job
         job.unread = arrival.parts
         job.rank = urgency.of(
-            arrival.route(), now - arrival.at, placement.first_event_s
+            arrival.route(), now - arrival.at, choice.predicted_s
         )
         late = job.rank == urgency.LATE_RANK
-        names = [placement.lead, *placement.helpers]
-        for number, name in enumerate(names):
-            self.begin(arrival, prompt, int(name), number == 0, late, now)
+        for number, known in enumerate((choice.endpoint, *choice.helpers)):
+            self.begin(arrival, prompt, int(known.name), number == 0, late, now)
         self.running[id(job)] = arrival
         return None
 
@@ -212,7 +248,7 @@
             engine.submit(arrival.job, arrival.parts)
         else:
             engine.submit_part(arrival.job, arrival.parts)
-        work = workload.Work(
+        work = work_lib.Work(
             endpoint=str(place),
             prompt_tokens=prompt.prompt_tokens,
             output_tokens=prompt.output_tokens,
@@ -229,12 +265,17 @@
             heapq.heappush(self.due, (now, place))
 
 
-def gains(load: mixes.Load, seeds: int) -> dict[str, float]:
+def gains(
+    load: mixes.Load,
+    seeds: int,
+    limits: candidates.Limits = candidates.USUAL,
+    cut_s: float = float("inf"),
+) -> dict[str, float]:
     """Return what callers gained of what they could, whole and by class."""
     sums = {name: [0.0, 0.0] for name in ("whole", *names_of(load))}
     for seed in range(seeds):
-        arrivals = draw(load, seed)
-        Play(load, random.Random(seed)).run(arrivals)
+        arrivals = [a for a in draw(load, seed) if a.at < cut_s]
+        Play(load, random.Random(seed), limits=limits).run(arrivals)
         for arrival in arrivals:
             for name in ("whole", arrival.length.name):
                 sums[name][0] += arrival.gained()
@@ -249,9 +290,10 @@
 
 def main(_: list[str]) -> None:
     """Play the loads."""
+    limits = EVERYTHING if FULL.value else candidates.USUAL
     for load in mixes.ALL_LOADS:
         if not LOADS.value or load.name in LOADS.value:
-            found = gains(load, PLAYS.value)
+            found = gains(load, PLAYS.value, limits, CUT_S.value)
             words = [f"{name} {share:.3f}" for name, share in found.items()]
             print(f"{load.name:12}", *words, flush=True)
 
--- a/features/steps/batchengine_steps.py
+++ b/features/steps/batchengine_steps.py
@@ -7,9 +7,10 @@
 from behave import when
 import numpy
 
+from _coltsfootroad.core import enginestate
 from _coltsfootroad.core import shedding
 from _coltsfootroad.core import spread
-from _coltsfootroad.core import workload
+from _coltsfootroad.core import work as work_lib
 from _coltsfootroad.replay import batchengine
 from benchmarks import mixes
 from benchmarks import placement
@@ -111,9 +112,9 @@
 # --- choices -------------------------------------------------------------
 
 
-def work(**changes) -> workload.Work:
+def work(**changes) -> work_lib.Work:
     """Return a request at the engine `e0`."""
-    return workload.Work(
+    return work_lib.Work(
         **{"endpoint": "e0", "prompt_tokens": 5_000, "output_tokens": 1_600}
         | changes
     )
@@ -122,7 +123,7 @@
 @given("an engine that reads a prompt whose pauses may last {gap:g} s")
 def engine_reading(context, gap):
     reading = work(prompt_tokens=210_000, gap_target_s=gap, value=LONG_VALUE)
-    context.state = spread.engine_state("e0", [reading], SPEC, 0.0)
+    context.state = enginestate.engine_state("e0", [reading], SPEC, 0.0)
 
 
 @then("reading for {extra:g} s more loses {lost:g}")
@@ -136,7 +137,7 @@
     works = [work(writing=True, gap_target_s=0.2) for _ in range(writing)]
     # Sent long ago: what they have to read is no part of the question.
     works += [work(late=True, sent_at=-60.0) for _ in range(late)]
-    context.state = spread.engine_state("e0", works, SPEC, 0.0)
+    context.state = enginestate.engine_state("e0", works, SPEC, 0.0)
 
 
 @then("a short prompt's first event is predicted {when_} its aim")
--- /dev/null
+++ b/features/steps/choice_steps.py
@@ -0,0 +1,362 @@
+"""Steps on choosing among many engines, without network."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import given as drawn
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from _coltsfootroad.core import candidates
+from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import registry
+from _coltsfootroad.core import routes
+from _coltsfootroad.core import spread
+from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core import workload
+from _coltsfootroad.gateway import engines as engines_lib
+from benchmarks import mixes
+
+SPEC = mixes.spec(5, 450_000, 73)
+SERVICE = routes.ServiceSpec(name="s", engine=SPEC)
+QUIET = settings(
+    derandomize=True, database=None, deadline=None, max_examples=150
+)
+NAMES = tuple(f"e{n}" for n in range(6))
+LENGTHS = {"short": 5_000, "long": 300_000}
+
+
+def prompt_of(tokens: int) -> spread.Prompt:
+    """Return a prompt of a length with the aims of its kind."""
+    short = tokens < 10_000
+    return spread.Prompt(
+        prompt_tokens=tokens,
+        output_tokens=800,
+        target_s=0.3 if short else 4.0,
+        gap_target_s=0.25 if short else 1.0,
+    )
+
+
+def announce(endpoints, name: str, zone: str = "", seq: int = 1) -> None:
+    """Announce an engine."""
+    endpoints.learn(
+        registry.Announcement(
+            endpoint=name,
+            incarnation=1,
+            seq=seq,
+            service="s",
+            availability_zone=zone,
+        )
+    )
+
+
+# --- histories -------------------------------------------------------------
+
+ACTIONS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["add", "write", "late", "remove", "tell", "full", "end", "expire"]
+        ),
+        st.integers(0, 5),
+        st.integers(0, 7),
+    ),
+    max_size=40,
+)
+
+
+class History:
+    """Plays actions on a workload and keeps what it should hold."""
+
+    def __init__(self):
+        self.load = workload.Workload()
+        self.now = 10.0
+        self.seqs = {"g1": 0, "g2": 0}
+
+    def play(self, actions) -> None:
+        """Play some actions, a tenth of a second apart."""
+        for action, place, key in actions:
+            self.now += 0.1
+            getattr(self, "do_" + action)(place, key)
+
+    def do_add(self, place, key):
+        """Begin own work."""
+        self.load.add(
+            work_lib.Work(
+                endpoint=NAMES[place],
+                prompt_tokens=40_000 * (1 + key),
+                sent_at=self.now,
+                gap_target_s=0.25,
+                late=key % 3 == 0,
+            )
+        )
+
+    def own_key(self, key):
+        """Return a key of own work, None if there is none."""
+        keys = sorted(self.load.own)
+        return keys[key % len(keys)] if keys else None
+
+    def do_write(self, _place, key):
+        """Note the first event of own work."""
+        found = self.own_key(key)
+        if found is not None:
+            self.load.own[found].writing = True
+            self.load.touch(found)
+
+    def do_late(self, _place, key):
+        """Note that own work's pauses matter no longer."""
+        found = self.own_key(key)
+        if found is not None:
+            self.load.own[found].gap_target_s = 0.0
+            self.load.touch(found)
+
+    def do_remove(self, _place, key):
+        """End own work."""
+        found = self.own_key(key)
+        if found is not None:
+            self.load.remove(found)
+
+    def tell(self, place, changes, full):
+        """Take another gateway's summary."""
+        gateway = "g1" if place % 2 else "g2"
+        self.seqs[gateway] += 1
+        self.load.take(
+            workload.Summary(
+                gateway=gateway,
+                incarnation=1,
+                seq=self.seqs[gateway],
+                full=full,
+                changes=changes,
+            ),
+            self.now,
+        )
+
+    def change(self, place, key):
+        """Return a piece of another gateway's work."""
+        return workload.Change(
+            key,
+            NAMES[place],
+            prompt_tokens=20_000 * (1 + place),
+            writing=key % 2 == 0,
+            late=place % 2 == 0,
+        )
+
+    def do_tell(self, place, key):
+        """Hear of a piece of work."""
+        self.tell(place, (self.change(place, key),), False)
+
+    def do_full(self, place, key):
+        """Hear of all work of a gateway."""
+        self.tell(place, (self.change(place, key),), True)
+
+    def do_end(self, place, key):
+        """Hear of the end of a piece of work."""
+        self.tell(place, (workload.Change(key),), False)
+
+    def do_expire(self, _place, _key):
+        """Let some time go by."""
+        self.now += 1.5
+        self.load.expire(self.now)
+
+    def all_works(self):
+        """Return all work with its keys, one by one."""
+        found = [(("", k), w) for k, w in self.load.own.items()]
+        for name, foreign in self.load.foreign.items():
+            found += [((name, k), w) for k, w in foreign.works.items()]
+        return found
+
+
+@then("drawn histories of own and others' work give the same by endpoint")
+def same_by_endpoint(context):
+    @QUIET
+    @drawn(ACTIONS)
+    def check(actions):
+        history = History()
+        history.play(actions)
+        index = history.load.index
+        wanted = {}
+        for key, work in history.all_works():
+            wanted.setdefault(work.endpoint, {})[key] = work
+        assert {n: at.works for n, at in index.loads.items()} == wanted
+        late = {
+            name: {key for key, work in works.items() if work.waits_late}
+            for name, works in wanted.items()
+        }
+        assert index.late == {name: keys for name, keys in late.items() if keys}
+        for name, works in wanted.items():
+            reading = any(not work.writing for work in works.values())
+            assert index.at(name).is_reading == reading
+
+    check()
+
+
+@then("after drawn histories kept and new states choose alike")
+def choose_alike(context):
+    @QUIET
+    @drawn(ACTIONS, ACTIONS, st.sampled_from([5_000, 45_000, 300_000]))
+    def check(before, after, tokens):
+        history = History()
+        endpoints = endpointset.EndpointSet()
+        for name in NAMES:
+            announce(endpoints, name)
+
+        def choose(chooser):
+            chooser.rng = random.Random(1)
+            return chooser.choose(
+                SERVICE, prompt_of(tokens), set(), history.now
+            )
+
+        kept = engines_lib.Chooser(
+            endpoints, history.load, "", random.Random(1)
+        )
+        history.play(before)
+        choose(kept)
+        history.play(after)
+        new = engines_lib.Chooser(endpoints, history.load, "", random.Random(1))
+        assert choose(kept) == choose(new)
+
+    check()
+
+
+# --- picking ---------------------------------------------------------------
+
+
+@given(
+    "{count:d} engines of which {idle:d} are idle and {reading:d} read a prompt"
+)
+def engines_of(context, count, idle, reading):
+    context.endpoints = endpointset.EndpointSet()
+    context.load = workload.Workload()
+    for number in range(count):
+        name = f"e{number}"
+        announce(context.endpoints, name, zone=f"z{number % 5}")
+        if number < idle:
+            continue
+        context.load.add(
+            work_lib.Work(
+                endpoint=name,
+                prompt_tokens=100_000,
+                writing=number >= idle + reading,
+                gap_target_s=0.25,
+                sent_at=9.9,
+            )
+        )
+
+
+@given("{count:d} engines in 5 zones, all idle")
+def all_idle(context, count):
+    engines_of(context, count, count, 0)
+
+
+@when("engines are picked for a {length} prompt")
+def picked(context, length):
+    limits = candidates.USUAL
+    places = limits.short if length == "short" else limits.long
+    drawn_ones = candidates.draw(
+        context.endpoints.of_service("s"), 10.0, set(), random.Random(3)
+    )
+    context.picked = candidates.pick(
+        drawn_ones, context.load.index, places, "z0", SPEC.slots
+    )
+    names = [one.name for one in context.picked]
+    assert len(set(names)) == len(names), names
+
+
+@when("engines are picked for a long prompt by a gateway of one zone")
+def picked_in_zone(context):
+    picked(context, "long")
+
+
+@then(
+    "at least {some:d} idle ones are compared, at most {most:d} engines in all"
+)
+def compared(context, some, most):
+    idle = [
+        one
+        for one in context.picked
+        if not context.load.index.at(one.name).works
+    ]
+    assert len(idle) >= some, len(idle)
+    assert len(context.picked) <= most, len(context.picked)
+
+
+@then("at least {count:d} that read nothing are compared")
+def read_nothing(context, count):
+    found = [
+        one
+        for one in context.picked
+        if not context.load.index.at(one.name).is_reading
+    ]
+    assert len(found) >= count, len(found)
+
+
+@then("at least {near:d} of those compared are near and at least {far:d} far")
+def near_and_far(context, near, far):
+    zones = [one.announcement.availability_zone for one in context.picked]
+    assert zones.count("z0") >= near, zones
+    assert len(zones) - zones.count("z0") >= far, zones
+
+
+# --- losses ----------------------------------------------------------------
+
+
+@given("{lost:d} of them rest, signed off or fell silent")
+def some_gone(context, lost):
+    rng = random.Random(5)
+    context.gone = set(rng.sample(sorted(context.endpoints.known), lost))
+    for number, name in enumerate(sorted(context.gone)):
+        if number % 3 == 0:
+            context.endpoints.on_failure(name, 10.0, True)
+        elif number % 3 == 1:
+            context.endpoints.learn(registry.signed_off(name, 1))
+        else:
+            context.endpoints.expire(name)
+
+
+@when("a prompt of {tokens:d} tokens is placed")
+def placed(context, tokens):
+    chooser = engines_lib.Chooser(
+        context.endpoints, context.load, "z0", random.Random(7)
+    )
+    context.choice = chooser.choose(SERVICE, prompt_of(tokens), set(), 10.1)
+
+
+@then("engines for all of its memory are found and none of those gone")
+def memory_found(context):
+    choice = context.choice
+    used = {choice.endpoint.name, *(known.name for known in choice.helpers)}
+    assert not used & context.gone, used & context.gone
+    lent = sum(share.tokens for share in choice.shares)
+    assert lent + SPEC.kv_tokens >= 1_000_800, lent
+
+
+# --- herds -----------------------------------------------------------------
+
+
+@given("{count:d} engines that all write")
+def all_write(context, count):
+    engines_of(context, count, 0, 0)
+
+
+@when("{idle:d} idle ones are announced and {prompts:d} short prompts come")
+def announced(context, idle, prompts):
+    for number in range(idle):
+        announce(context.endpoints, f"new{number}", zone=f"z{number % 5}")
+    chooser = engines_lib.Chooser(
+        context.endpoints, context.load, "z0", random.Random(9)
+    )
+    context.got = {}
+    for _ in range(prompts):
+        name = chooser.choose(
+            SERVICE, prompt_of(5_000), set(), 10.1
+        ).endpoint.name
+        context.got[name] = context.got.get(name, 0) + 1
+        context.load.add(
+            work_lib.Work(endpoint=name, prompt_tokens=5_000, sent_at=10.1)
+        )
+
+
+@then("no engine has got more than {most:d} of them")
+def no_herd(context, most):
+    assert max(context.got.values()) <= most, context.got
--- a/features/steps/fanout_steps.py
+++ b/features/steps/fanout_steps.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from _coltsfootroad.core import addresses
+from _coltsfootroad.core import work as work_lib
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import gossip as gossip_lib
 from features.support import gatewaybed
@@ -105,7 +106,7 @@
     context.sender = "z0-0"
     teller = context.tellers[context.sender]
     load = teller.gateway.load
-    key = load.add(workload.Work(endpoint="e1"))
+    key = load.add(work_lib.Work(endpoint="e1"))
     teller.send()
     context.heard = [heard(context, key)]
     load.remove(key)
@@ -143,7 +144,7 @@
     context.sender = "z0-0"
     context.wires.frozen = {"z1-0"}
     teller = context.tellers[context.sender]
-    teller.gateway.load.add(workload.Work(endpoint="e1"))
+    teller.gateway.load.add(work_lib.Work(endpoint="e1"))
     context.seen = []
     for _ in range(turns):
         teller.send_summary(full=True)
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import itertools
+import random
 
 import attrs
 from behave import given
 from behave import then
 from behave import when
 
+from _coltsfootroad.core import candidates
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import enginemodel
+from _coltsfootroad.core import enginestate
 from _coltsfootroad.core import eventstream
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
@@ -17,6 +20,7 @@
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import urgency
 from _coltsfootroad.core import windowbudget
+from _coltsfootroad.core import work as work_lib
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import gossip
 from _coltsfootroad.shell import clocks
@@ -399,10 +403,10 @@
 # --- spread --------------------------------------------------------------
 
 
-def writers(count: int, endpoint: str) -> list[workload.Work]:
+def writers(count: int, endpoint: str) -> list[work_lib.Work]:
     """Return short streams that are being written."""
     return [
-        workload.Work(
+        work_lib.Work(
             endpoint=endpoint,
             prompt_tokens=5_000,
             output_tokens=1_600,
@@ -415,10 +419,10 @@
     ]
 
 
-def states(loads: list[int]) -> list[spread.EngineState]:
+def states(loads: list[int]) -> list[enginestate.EngineState]:
     """Return engines that write so many short streams each."""
     return [
-        spread.engine_state(f"e{n}", writers(count, f"e{n}"), ENGINE, 0.0)
+        enginestate.engine_state(f"e{n}", writers(count, f"e{n}"), ENGINE, 0.0)
         for n, count in enumerate(loads)
     ]
 
@@ -502,7 +506,7 @@
     load = workload.Workload()
     load.take(told(1, workload.Change(1, "e")), 10.0)
     load.expire(10.0 + seconds)
-    assert len(load.by_endpoint().get("e", [])) == count
+    assert len(load.at_endpoint("e")) == count
 
 
 @then("after the datagrams {text} the work known is {wanted}")
@@ -533,8 +537,8 @@
 @then("own work is told once when it changes and whole when asked for")
 def own_work(context):
     load = workload.Workload()
-    first = load.add(workload.Work(endpoint="a", sent_at=1.0))
-    second = load.add(workload.Work(endpoint="b", sent_at=1.0))
+    first = load.add(work_lib.Work(endpoint="a", sent_at=1.0))
+    second = load.add(work_lib.Work(endpoint="b", sent_at=1.0))
     told_first = load.take_changes(False, 2.0)
     assert [c.key for c in told_first] == [first, second]
     assert told_first[0].age_ms == 1000
@@ -555,14 +559,17 @@
         )
     for _ in range(count):
         endpoints.on_failure("e", 10.0, kind == "unreachable")
-    usable = [known.name for known in endpoints.usable("s", 10.1)]
+    drawn = candidates.draw(
+        endpoints.of_service("s"), 10.1, set(), random.Random(1)
+    )
+    usable = [known.name for known in drawn]
     assert ("e" in usable) == (state == "used"), usable
 
 
 @given("an engine that was sent {count:d} prompts of {tokens:d} tokens 2 s ago")
 def was_sent(context, count, tokens):
     context.works = [
-        workload.Work(endpoint="e", prompt_tokens=tokens, sent_at=8.0)
+        work_lib.Work(endpoint="e", prompt_tokens=tokens, sent_at=8.0)
         for _ in range(count)
     ]
 
@@ -576,7 +583,7 @@
 
 @then("it will read for {least:g} to {most:g} s more")
 def will_read(context, least, most):
-    left = spread.reading_left_s(context.works, ENGINE, 10.0)
+    left = enginestate.reading_left_s(context.works, ENGINE, 10.0)
     assert least <= left <= most, left
 
 
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -12,9 +12,10 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.core import addresses
+from _coltsfootroad.core import enginestate
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import spread
-from _coltsfootroad.core import workload
+from _coltsfootroad.core import work as work_lib
 from _coltsfootroad.gateway import gossip
 from _coltsfootroad.gateway import upstream
 from benchmarks import mixes
@@ -141,7 +142,7 @@
     context.gateway = gatewaybed.Bed.without_sockets("g1")
     for _ in range(count):
         context.gateway.load.add(
-            workload.Work(endpoint="i-0123456789", prompt_tokens=1_000_000)
+            work_lib.Work(endpoint="i-0123456789", prompt_tokens=1_000_000)
         )
 
 
@@ -223,7 +224,9 @@
         target_s=15.0,
         gap_target_s=0.8,
     )
-    states = [spread.engine_state(f"e{n}", [], spec, 0.0) for n in range(3)]
+    states = [
+        enginestate.engine_state(f"e{n}", [], spec, 0.0) for n in range(3)
+    ]
     found = spread.place(prompt, states, spec)
     assert len(found.tickets) == 1, found
     assert attrs.asdict(found)["lead"] not in dict(found.tickets)
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -8,6 +8,7 @@
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import members as members_lib
 from _coltsfootroad.core import rotation as rotation_lib
+from _coltsfootroad.core import work as work_lib
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import gossip as gossip_lib
 from _coltsfootroad.gateway import watch as watch_lib
@@ -175,7 +176,7 @@
     for word in rounds.split():
         load = context.gateway.load
         if word == "yes":
-            load.add(workload.Work(endpoint="e1"))
+            load.add(work_lib.Work(endpoint="e1"))
         else:
             for key in list(load.own):
                 load.remove(key)
--- a/features/steps/promises_steps.py
+++ b/features/steps/promises_steps.py
@@ -8,7 +8,7 @@
 from expression import Ok
 
 from _coltsfootroad.control import messages
-from _coltsfootroad.core import workload
+from _coltsfootroad.core import work as work_lib
 from _coltsfootroad.gateway import watch as watch_lib
 from _coltsfootroad.shell import clocks
 from benchmarks import mixes
@@ -180,7 +180,7 @@
             version=2, services=(attrs.evolve(shop, engine=spec),)
         )
         for _ in range(late):
-            work = workload.Work(
+            work = work_lib.Work(
                 endpoint=endpoint.name, sent_at=clocks.boot_time(), late=True
             )
             bed.gateway.load.add(work)
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -16,6 +16,7 @@
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import sends
+from _coltsfootroad.core import work as work_lib
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import answers
 from _coltsfootroad.gateway import engines
@@ -200,7 +201,7 @@
         self.earlier = self.endpoints.known[NAME]
         for _ in range(4):
             self.endpoints.on_failure(NAME, 2.0, unreachable=True)
-        self.load.add(workload.Work(endpoint=NAME, sent_at=2.0))
+        self.load.add(work_lib.Work(endpoint=NAME, sent_at=2.0))
         told = workload.Change(1, NAME, age_ms=500)
         self.load.take(
             workload.Summary(
--- a/src/_coltsfootroad/core/endpointset.py
+++ b/src/_coltsfootroad/core/endpointset.py
@@ -68,11 +68,14 @@
 
     known: dict[str, KnownEndpoint] = attrs.Factory(dict)
     buried: dict[str, int] = attrs.Factory(dict)
+    # Those that take new work, by service, until anything changes.
+    serving: dict[str, list[KnownEndpoint]] = attrs.Factory(dict)
 
     def learn(
         self, announcement: registry.Announcement, now: float = 0.0
     ) -> Learned:
         """Take an announcement unless a later start or its end is known."""
+        self.serving.clear()
         name = announcement.endpoint
         incarnation = announcement.incarnation
         if incarnation <= self.buried.get(name, NEVER_BURIED):
@@ -101,6 +104,7 @@
 
     def bury(self, name: str, incarnation: int) -> None:
         """Forget an endpoint whose start has ended, unless a later one is."""
+        self.serving.clear()
         known = self.known.get(name)
         if known is not None and known.announcement.incarnation <= incarnation:
             del self.known[name]
@@ -120,22 +124,27 @@
 
     def expire(self, name: str) -> None:
         """Stop using an endpoint that announces itself no longer."""
+        self.serving.clear()
         if name in self.known:
             self.known[name].expired = True
 
     def of_service(self, service: str) -> list[KnownEndpoint]:
-        """Return the endpoints of a service that take new work."""
-        return [
-            known
-            for known in self.known.values()
-            if known.announcement.service == service and known.accepts
-        ]
-
-    def usable(self, service: str, now: float) -> list[KnownEndpoint]:
-        """Return those that are not resting, or all if all are."""
-        found = self.of_service(service)
-        rested = [known for known in found if known.rest_until <= now]
-        return rested or found
+        """Return the endpoints that take new work; not to be changed."""
+        found = self.serving.get(service)
+        if found is None:
+            found = self.serving[service] = [
+                known
+                for known in self.known.values()
+                if known.announcement.service == service and known.accepts
+            ]
+        return found
+
+    def serves(self, name: str, service: str) -> bool:
+        """Return whether an endpoint takes new work of a service."""
+        known = self.known.get(name)
+        if known is None or not known.accepts:
+            return False
+        return known.announcement.service == service
 
     def on_failure(self, name: str, now: float, unreachable: bool) -> float:
         """Rest an endpoint that failed; return for how long.
--- a/src/_coltsfootroad/core/shedding.py
+++ b/src/_coltsfootroad/core/shedding.py
@@ -3,23 +3,15 @@
 The pattern it answers: for some seconds more short prompts come than the
 batches hold. Those that come too late for their aim wait, take each place
 that becomes free, and so everybody after them is late as well, long after
-the rush: with 4% more work than places, half of the answers were late for
-ten seconds. Sent away while a few already wait, callers come back when places
-are free, and those who come meanwhile are served in time.
-
-Grounds, from `benchmarks/placement.py` (what callers gain, whole mix, mean of
-three overloaded loads): 0.784 when all wait, 0.795 with the shares below; the
-other loads do not change. Shares of 0.01 and 0.03 gained more there but cost
-0.014 to 0.033 on three played days that were less overloaded, so only a long
-queue counts.
+the rush. Sent away while many already wait, callers come back when places
+are free, and those who come meanwhile are served in time. A short queue is
+left alone: most of those in it are still served sooner than if they came back.
 """
 
 import random
 
 import attrs
 
-from _coltsfootroad.core import workload
-
 # Prompts above this are few and take no place from the short ones for long;
 # their callers bear a late start better than a second try.
 SHORT_TOKENS = 30_000
@@ -50,11 +42,6 @@
     returned: bool
 
 
-def late_waiting(works: list[workload.Work]) -> int:
-    """Return how many requests wait although they are late."""
-    return sum(work.late and work.leads and not work.writing for work in works)
-
-
 def come_back_s(
     candidate: Candidate, waiting: int, places: int, rng: random.Random
 ) -> float | None:
--- a/src/_coltsfootroad/core/spread.py
+++ b/src/_coltsfootroad/core/spread.py
@@ -9,11 +9,13 @@
 Each choice is the cheapest by the value that callers lose, own and others'.
 """
 
+import heapq
+
 import attrs
 
 from _coltsfootroad.core import enginemodel
+from _coltsfootroad.core import enginestate
 from _coltsfootroad.core import routes
-from _coltsfootroad.core import workload
 
 # Engines besides the first that a prompt may be read on; the engines' limit.
 MAX_HELPERS = 16
@@ -22,12 +24,8 @@
 # Shorter prompts are never split: a part costs each helper a step, and
 # 10,000 tokens are read within one pass beside writers.
 MIN_SPLIT_TOKENS = 10_000
-# Share of the longest pause that a pass may take by prediction.
-PAUSE_MARGIN = 0.85
 # Share of the aim that the first event may take by prediction before it
-# counts as endangered. Parts of prompts that come later are read ahead, so
-# the time to a first event had a 90th percentile of twice the prediction; at
-# 0.75 a third of those between 150,000 and 500,000 tokens was late.
+# counts as endangered: parts of prompts that come later are read ahead.
 TARGET_MARGIN = 0.5
 # What opening an idle engine for a short prompt costs, in values of one
 # short request: it takes the engine from the next long prompt.
@@ -42,15 +40,12 @@
 # Tokens kept free at each engine that lends memory to a long prompt, for
 # the short ones that come while it is there.
 SPARE_TOKENS = 40_000
-# How long a stream keeps its place in a batch, about: 35 events of 50 ms,
-# as measured on the small deployments.
+# How long a stream keeps its place in a batch, about.
 STREAM_S = 2.0
 # Tokens of a prompt that are worth as much as one short request.
 TOKENS_PER_VALUE = 10_000
 # What a second of reading that is queued at an engine costs, in values of one
-# short request. Whatever comes next there waits as well: in the simulated
-# mixes on 36 of 45 engines, 6 instead of 1 raised what callers of the longest
-# prompts gain from 0.78 to 0.91.
+# short request: whatever comes next there waits as well.
 WAIT_COST = 6.0
 # What another availability zone costs: a tie-breaker.
 ZONE_COST = 0.005
@@ -75,88 +70,6 @@
         return 1.0 + self.prompt_tokens / TOKENS_PER_VALUE
 
 
-@attrs.frozen
-class Stake:
-    """A stream that is on time so far, and what a long pause would cost."""
-
-    gap_target_s: float
-    value: float
-
-
-def lost_above(stakes: list[Stake], pause_s: float) -> float:
-    """Return what is lost by a pause."""
-    return sum(stake.value for stake in stakes if stake.gap_target_s < pause_s)
-
-
-@attrs.define
-class EngineState:
-    """What an engine is believed to do now.
-
-    Attributes:
-        endpoint: Its name.
-        near: Whether it is in the gateway's availability zone.
-        pace: How many times slower than stated it works.
-        writers: Streams that it writes.
-        reading_s: Seconds of reading that are left.
-        running: Requests that it batches or that wait there.
-        ahead: Those of them that a request which can be on time waits for.
-        helping: Parts that it reads for other engines.
-        kv_used: Tokens that those requests fill at most.
-        pause_s: Seconds of a pass without any reading.
-        stakes: What its streams lose by longer pauses.
-        coming: Requests whose answers it will write once they are read.
-        coming_stakes: What those lose by long pauses.
-    """
-
-    endpoint: str
-    near: bool = True
-    pace: float = 1.0
-    writers: list[workload.Work] = attrs.Factory(list)
-    reading_s: float = 0.0
-    running: int = 0
-    ahead: int = 0
-    helping: int = 0
-    kv_used: int = 0
-    pause_s: float = 0.0
-    stakes: list[Stake] = attrs.Factory(list)
-    coming: list[workload.Work] = attrs.Factory(list)
-    coming_stakes: list[Stake] = attrs.Factory(list)
-
-    def foresee(self, spec: routes.EngineSpec) -> None:
-        """Work out the pauses that its streams have without further work.
-
-        Done once for a choice, as each of its many comparisons asks.
-        """
-        context = sum(work.prompt_tokens for work in self.writers)
-        bare_s = enginemodel.pass_s(spec, len(self.writers), context)
-        self.pause_s = self.pace * bare_s
-        self.stakes = [
-            Stake(work.gap_target_s, work.value)
-            for work in self.writers
-            if work.gap_target_s >= self.pause_s + self.reading_s
-        ]
-        self.coming_stakes = [
-            Stake(work.gap_target_s, work.value)
-            for work in self.coming
-            if work.gap_target_s
-        ]
-
-    def harm(self, extra_s: float) -> float:
-        """Return the value that streams lose by `extra_s` more reading.
-
-        What is read already when a stream begins does not hold it up, so
-        those that are still to come meet only what is added now.
-        """
-        lost = 0.0
-        if self.stakes:
-            after = (self.pause_s + self.reading_s + extra_s) / PAUSE_MARGIN
-            lost += lost_above(self.stakes, after)
-        if self.coming_stakes:
-            after = (self.pause_s + extra_s) / PAUSE_MARGIN
-            lost += lost_above(self.coming_stakes, after)
-        return lost
-
-
 @attrs.frozen(kw_only=True)
 class Placement:
     """Where a prompt goes: the first engine writes the answer.
@@ -172,51 +85,6 @@
     cost: float = 0.0
 
 
-def engine_state(
-    endpoint: str,
-    works: list[workload.Work],
-    spec: routes.EngineSpec,
-    now: float,
-    near: bool = True,
-    pace: float = 1.0,
-) -> EngineState:
-    """Return the state of an engine from the work that was sent to it."""
-    state = EngineState(endpoint, near, pace)
-    for work in works:
-        state.kv_used += work.kv_tokens
-        if work.leads:
-            state.running += 1
-            state.ahead += work.writing or not work.late
-        elif not work.writing:
-            state.helping += 1
-        if work.leads:
-            (state.writers if work.writing else state.coming).append(work)
-    state.reading_s = reading_left_s(works, spec, now, pace)
-    state.foresee(spec)
-    return state
-
-
-def reading_left_s(
-    works: list[workload.Work],
-    spec: routes.EngineSpec,
-    now: float,
-    pace: float = 1.0,
-) -> float:
-    """Return for how long an engine will still read what it was sent.
-
-    It reads one part after the other, so each begins when the one before
-    it has ended. Counted as if all began when they were sent, a few long
-    ones at one engine looked read while most of them still waited.
-    """
-    free_at = float("-inf")
-    for work in sorted(works, key=lambda w: w.sent_at):
-        if work.writing:
-            continue
-        whole = enginemodel.read_s(spec, work.prompt_tokens, work.parts)
-        free_at = max(free_at, work.sent_at) + pace * whole
-    return max(0.0, free_at - now)
-
-
 def lateness(predicted_s: float, target_s: float) -> float:
     """Return the likelihood that an aim is missed, from 0 to 1.
 
@@ -231,15 +99,22 @@
     return 0.5 + 0.5 * min(1.0, (predicted_s - target_s) / (2 * target_s))
 
 
+def may_split(prompt: Prompt) -> bool:
+    """Return whether a prompt is long enough to be read in parts."""
+    return prompt.prompt_tokens >= MIN_SPLIT_TOKENS
+
+
 def place(
-    prompt: Prompt, states: list[EngineState], spec: routes.EngineSpec
+    prompt: Prompt,
+    states: list[enginestate.EngineState],
+    spec: routes.EngineSpec,
 ) -> Placement | None:
     """Return the cheapest placement, None when there is no engine."""
     best: Placement | None = None
     for parts in PART_COUNTS:
         if parts > min(len(states), MAX_HELPERS + 1):
             break
-        if parts > 1 and prompt.prompt_tokens < MIN_SPLIT_TOKENS:
+        if parts > 1 and not may_split(prompt):
             break
         found = place_in(prompt, states, spec, parts)
         if found is not None and (best is None or found.cost < best.cost):
@@ -249,26 +124,37 @@
 
 def place_in(
     prompt: Prompt,
-    states: list[EngineState],
+    states: list[enginestate.EngineState],
     spec: routes.EngineSpec,
     parts: int,
 ) -> Placement | None:
     """Return the cheapest placement in so many parts."""
     part_s = enginemodel.read_s(spec, prompt.prompt_tokens, parts)
-    lead = min(states, key=lambda s: lead_cost(prompt, s, spec, part_s))
-    others = sorted(
-        (s for s in states if s is not lead and s.helping < spec.slots),
-        key=lambda s: part_cost(s, part_s),
-    )[: parts - 1]
-    if len(others) < parts - 1:
+    reading = [part_cost(state, part_s) for state in states]
+    leading = [
+        cost + lead_cost(prompt, state, spec, part_s)
+        for state, cost in zip(states, reading, strict=True)
+    ]
+    first = min(range(len(states)), key=leading.__getitem__)
+    helping = heapq.nsmallest(
+        parts - 1,
+        (
+            place
+            for place, state in enumerate(states)
+            if place != first and state.helping < spec.slots
+        ),
+        key=reading.__getitem__,
+    )
+    if len(helping) < parts - 1:
         return None
+    lead = states[first]
+    others = [states[place] for place in helping]
     tickets = lend_memory(prompt, lead, others, spec)
     if tickets is None:
         return None
     chosen = [lead, *others]
     first_event_s = max(event_s(s, spec, part_s) for s in chosen)
-    cost = lead_cost(prompt, lead, spec, part_s)
-    cost += sum(part_cost(s, part_s) for s in others)
+    cost = leading[first] + sum(reading[place] for place in helping)
     cost += prompt.value * lateness(first_event_s, prompt.target_s)
     return Placement(
         lead=lead.endpoint,
@@ -281,8 +167,8 @@
 
 def lend_memory(
     prompt: Prompt,
-    lead: EngineState,
-    others: list[EngineState],
+    lead: enginestate.EngineState,
+    others: list[enginestate.EngineState],
     spec: routes.EngineSpec,
 ) -> tuple[tuple[str, int], ...] | None:
     """Return which helpers hold what the first engine cannot.
@@ -306,7 +192,7 @@
 
 
 def event_s(
-    state: EngineState, spec: routes.EngineSpec, part_s: float
+    state: enginestate.EngineState, spec: routes.EngineSpec, part_s: float
 ) -> float:
     """Return when an engine has read its part and a pass has gone by.
 
@@ -319,7 +205,7 @@
     return wait_s + pass_s + state.reading_s + state.pace * part_s
 
 
-def part_cost(state: EngineState, part_s: float) -> float:
+def part_cost(state: enginestate.EngineState, part_s: float) -> float:
     """Return what reading a part costs the streams of an engine."""
     cost = state.harm(state.pace * part_s) + PART_COST
     cost += 0.0 if state.near else ZONE_COST
@@ -328,14 +214,13 @@
 
 def lead_cost(
     prompt: Prompt,
-    state: EngineState,
+    state: enginestate.EngineState,
     spec: routes.EngineSpec,
     part_s: float,
 ) -> float:
-    """Return what reading a part and writing the answer costs."""
-    cost = part_cost(state, part_s)
+    """Return what writing the answer costs, besides reading a part."""
     seconds = event_s(state, spec, part_s)
-    cost += prompt.value * lateness(seconds, prompt.target_s)
+    cost = prompt.value * lateness(seconds, prompt.target_s)
     if state.pause_s + state.reading_s > prompt.gap_target_s > 0:
         cost += 0.5 * prompt.value
     if state.ahead >= spec.slots:
@@ -344,6 +229,6 @@
     needed = prompt.prompt_tokens + prompt.output_tokens
     if state.kv_used + min(needed, spec.kv_tokens) > spec.kv_tokens:
         cost += OVERFULL_COST * prompt.value
-    if not state.writers and prompt.prompt_tokens < MIN_SPLIT_TOKENS:
+    if not state.writers and not may_split(prompt):
         cost += IDLE_ENGINE_COST
     return cost
--- a/src/_coltsfootroad/core/workload.py
+++ b/src/_coltsfootroad/core/workload.py
@@ -2,43 +2,15 @@
 
 import attrs
 
+from _coltsfootroad.core import loadindex
+from _coltsfootroad.core import work as work_lib
+
 # A gateway that has been silent this long is dead or cut off; what it had
 # sent has ended with it or will not be heard of again.
 BELIEF_S = 2.5
 MS = 1000
-
-
-@attrs.define
-class Work:
-    """One request, or one part of a prompt, at one endpoint.
-
-    Attributes:
-        endpoint: Where it is.
-        prompt_tokens: Tokens of the whole prompt.
-        output_tokens: Tokens that it may write at most.
-        kv_tokens: Tokens of the endpoint's memory that it fills at most.
-        parts: Engines among which the prompt is read.
-        leads: Whether this endpoint writes the answer.
-        sent_at: When it was sent, seconds of the local clock.
-        writing: Whether its first event has come.
-        gap_target_s: Longest pause that is still on time, 0 once one was
-            longer or if pauses do not matter.
-        value: What its caller loses by a late answer, relative.
-        late: Whether it was late already when it was sent; an engine then
-            serves it after those that can be on time.
-    """
-
-    endpoint: str
-    prompt_tokens: int = 0
-    output_tokens: int = 0
-    kv_tokens: int = 0
-    parts: int = 1
-    leads: bool = True
-    sent_at: float = 0.0
-    writing: bool = False
-    gap_target_s: float = 0.0
-    value: float = 1.0
-    late: bool = False
+# Stands for this gateway among the keys of all work.
+OWN = ""
 
 
 @attrs.frozen
@@ -81,34 +53,38 @@
 
     mark: tuple[int, int]
     heard_at: float
-    works: dict[int, Work]
+    works: dict[int, work_lib.Work]
 
 
 @attrs.define
 class Workload:
-    """Own work and that of the other gateways, by endpoint."""
+    """Own work and that of the other gateways, and all of it by endpoint."""
 
-    own: dict[int, Work] = attrs.Factory(dict)
+    own: dict[int, work_lib.Work] = attrs.Factory(dict)
     foreign: dict[str, ForeignWork] = attrs.Factory(dict)
+    index: loadindex.LoadIndex = attrs.Factory(loadindex.LoadIndex)
     changed: dict[int, None] = attrs.Factory(dict)
     next_key: int = 1
 
-    def add(self, work: Work) -> int:
+    def add(self, work: work_lib.Work) -> int:
         """Record work that is about to be sent; return its key."""
         key = self.next_key
         self.next_key += 1
         self.own[key] = work
-        self.changed[key] = None
+        self.touch(key)
         return key
 
     def remove(self, key: int) -> None:
         """Forget work that has ended."""
-        if self.own.pop(key, None) is not None:
+        work = self.own.pop(key, None)
+        if work is not None:
             self.changed[key] = None
+            self.index.drop((OWN, key), work)
 
     def touch(self, key: int) -> None:
         """Note that own work has changed in place."""
         self.changed[key] = None
+        self.index.put((OWN, key), self.own[key])
 
     def take_changes(self, full: bool, now: float) -> tuple[Change, ...]:
         """Return what the others do not know yet, or all work."""
@@ -147,42 +123,53 @@
         if known is not None and known.mark >= mark:
             return False
         restarted = known is None or known.mark[0] != mark[0]
-        works = {} if restarted or summary.full else known.works
-        for change in summary.changes:
-            if change.endpoint:
-                works[change.key] = work_of(change, now)
-            else:
-                works.pop(change.key, None)
+        if restarted or summary.full:
+            self.forget(summary.gateway)
+            known = None
+        works = {} if known is None else known.works
         self.foreign[summary.gateway] = ForeignWork(mark, now, works)
+        for change in summary.changes:
+            self.take_change(summary.gateway, works, change, now)
         return True
 
+    def take_change(
+        self,
+        gateway: str,
+        works: dict[int, work_lib.Work],
+        change: Change,
+        now: float,
+    ) -> None:
+        """Take one change of another gateway's work."""
+        key = (gateway, change.key)
+        before = works.pop(change.key, None)
+        if before is not None:
+            self.index.drop(key, before)
+        if change.endpoint:
+            work = works[change.key] = work_of(change, now)
+            self.index.put(key, work)
+
+    def forget(self, gateway: str) -> None:
+        """Forget all work of another gateway."""
+        known = self.foreign.pop(gateway, None)
+        if known is None:
+            return
+        for key, work in known.works.items():
+            self.index.drop((gateway, key), work)
+
     def expire(self, now: float) -> None:
         """Forget gateways that have been silent for long."""
         for name, known in list(self.foreign.items()):
             if now - known.heard_at > BELIEF_S:
-                del self.foreign[name]
+                self.forget(name)
 
-    def at_endpoint(self, endpoint: str) -> list[Work]:
+    def at_endpoint(self, endpoint: str) -> list[work_lib.Work]:
         """Return all work at one endpoint."""
-        found = list(self.own.values())
-        for known in self.foreign.values():
-            found.extend(known.works.values())
-        return [work for work in found if work.endpoint == endpoint]
-
-    def by_endpoint(self) -> dict[str, list[Work]]:
-        """Return all work by endpoint."""
-        found: dict[str, list[Work]] = {}
-        for work in self.own.values():
-            found.setdefault(work.endpoint, []).append(work)
-        for known in self.foreign.values():
-            for work in known.works.values():
-                found.setdefault(work.endpoint, []).append(work)
-        return found
-
-
-def work_of(change: Change, now: float) -> Work:
+        return list(self.index.at(endpoint).works.values())
+
+
+def work_of(change: Change, now: float) -> work_lib.Work:
     """Return the work that a change tells of."""
-    return Work(
+    return work_lib.Work(
         endpoint=change.endpoint,
         prompt_tokens=change.prompt_tokens,
         output_tokens=change.output_tokens,
--- a/src/_coltsfootroad/gateway/engines.py
+++ b/src/_coltsfootroad/gateway/engines.py
@@ -4,9 +4,11 @@
 
 import attrs
 
+from _coltsfootroad.core import candidates
 from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import enginebook
+from _coltsfootroad.core import enginestate
 from _coltsfootroad.core import routes
-from _coltsfootroad.core import shedding
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import tickets
@@ -34,6 +36,13 @@
     load: workload.Workload
     availability_zone: str
     rng: random.Random
+    limits: candidates.Limits = candidates.USUAL
+    book: enginebook.EngineBook = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.book = enginebook.EngineBook(
+            self.load.index, self.availability_zone
+        )
 
     def choose(
         self,
@@ -43,75 +52,47 @@
         now: float,
     ) -> Choice | None:
         """Return the best endpoint, one not in `avoid` if there is any."""
-        found = self.endpoints.usable(spec.name, now)
-        fresh = [known for known in found if known.name not in avoid]
-        found = fresh or found
-        if not found:
-            return None
         self.load.expire(now)
-        works = self.works_at(found)
+        known = self.endpoints.of_service(spec.name)
+        drawn = candidates.draw(known, now, avoid, self.rng, self.limits.drawn)
+        if not drawn:
+            return None
         if spec.engine is None or prompt is None:
-            return self.least_loaded(found, works)
-        return self.placed(spec.engine, prompt, found, works, now)
-
-    def works_at(
-        self, found: list[endpointset.KnownEndpoint]
-    ) -> dict[str, list[workload.Work]]:
-        """Return by name the work that endpoints were sent since they began.
-
-        Other gateways may hear of a restart later and still tell of work at
-        the earlier start.
-        """
-        works = self.load.by_endpoint()
-        return {
-            known.name: [
-                work
-                for work in works.get(known.name, ())
-                if work.sent_at > known.restarted_at
-            ]
-            for known in found
-        }
-
-    def least_loaded(
-        self,
-        found: list[endpointset.KnownEndpoint],
-        works: dict[str, list[workload.Work]],
-    ) -> Choice:
-        """Return the endpoint with the least work; ties by lot."""
+            return self.least_loaded(drawn)
+        return self.placed(spec, prompt, drawn, now)
 
-        def load_of(known: endpointset.KnownEndpoint) -> tuple:
-            return (len(works.get(known.name, ())), self.rng.random())
-
-        best = min(found, key=load_of)
-        return Choice(endpoint=best, load=len(works.get(best.name, ())))
+    def least_loaded(self, drawn: list[endpointset.KnownEndpoint]) -> Choice:
+        """Return the endpoint with the least work; the first of equal ones."""
+        loads = [len(self.book.works_at(known)) for known in drawn]
+        least = min(loads)
+        return Choice(endpoint=drawn[loads.index(least)], load=least)
 
     def placed(
         self,
-        engine: routes.EngineSpec,
+        spec: routes.ServiceSpec,
         prompt: spread.Prompt,
-        found: list[endpointset.KnownEndpoint],
-        works: dict[str, list[workload.Work]],
+        drawn: list[endpointset.KnownEndpoint],
         now: float,
     ) -> Choice | None:
         """Return the cheapest engines for a prompt."""
-        self.rng.shuffle(found)
-        states = [
-            spread.engine_state(
-                known.name,
-                works.get(known.name, []),
-                engine,
-                now,
-                near=self.is_near(known),
-                pace=known.pace,
-            )
-            for known in found
-        ]
+        engine = spec.engine
+        long = spread.may_split(prompt)
+        places = self.limits.long if long else self.limits.short
+        picked = candidates.pick(
+            drawn,
+            self.load.index,
+            places,
+            self.availability_zone,
+            engine.slots,
+        )
+        states = [self.book.state(known, engine, now) for known in picked]
         placement = spread.place(prompt, states, engine)
         if placement is None:
             return None
-        by_name = {known.name: known for known in found}
+        by_name = {known.name: known for known in picked}
+        lead = by_name[placement.lead]
         return Choice(
-            endpoint=by_name[placement.lead],
+            endpoint=lead,
             helpers=tuple(by_name[name] for name in placement.helpers),
             shares=tuple(
                 tickets.Share(endpoint=by_name[name], tokens=tokens)
@@ -119,12 +100,17 @@
             ),
             predicted_s=placement.first_event_s,
             cost=placement.cost,
-            load=len(works.get(placement.lead, ())),
-            late_waiting=sum(
-                shedding.late_waiting(works.get(known.name, ()))
-                for known in found
-            ),
-            places=engine.slots * len(found),
+            load=len(self.book.works_at(lead)),
+            late_waiting=self.late_waiting(spec.name),
+            places=engine.slots * len(self.endpoints.of_service(spec.name)),
+        )
+
+    def late_waiting(self, service: str) -> int:
+        """Return how many requests wait late at a service's endpoints."""
+        return sum(
+            len(keys)
+            for name, keys in self.load.index.late.items()
+            if self.endpoints.serves(name, service)
         )
 
     def reading_s(
@@ -135,8 +121,4 @@
     ) -> float:
         """Return for how long an engine is known to read prompts still."""
         works = self.load.at_endpoint(known.name)
-        return spread.reading_left_s(works, engine, now)
-
-    def is_near(self, known: endpointset.KnownEndpoint) -> bool:
-        """Return whether an endpoint is in the own availability zone."""
-        return known.announcement.availability_zone == self.availability_zone
+        return enginestate.reading_left_s(works, engine, now)
