Keep what is under way to a replica within a window

Ruled out: rolling back when nothing came for 0.3 s, with a window: on a slow link every answer is older than that, and each would send a window again.

Change: `control/progress.py`: at most 128 KB under way to a replica, 64 KB a message; heartbeats are empty beyond that and find out losses, as messages arrive in order; the rest is sent again after 0.6 s, doubling to 4.8 s.

--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -139,7 +139,7 @@
         "early votes",
         "a replica that has just started waits a whole election pause",
         (
-            SOURCES + "control/raft.py",
+            SOURCES + "control/electiontimer.py",
             "            pause = self.rng.uniform(0.0, FIRST_PAUSE_MAX_S)",
             "            pause = self.rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)",
         ),
--- /dev/null
+++ b/features/control/flow.feature
@@ -0,0 +1,40 @@
+Feature: A replica that learns a long log takes no more than its share of a link
+
+  The pattern: disks are lost or VMs replaced while the log holds dozens of
+  complete versions. What is sent anew before it could have been answered fills
+  the leader's link, answers come later still, and nobody hears the leader.
+
+  Scenario Outline: <learners> empty disks learn a log of 3 MB at <mbits> Mbit/s
+    Given 3 replicas with links of <mbits> Mbit/s and disks that sync in <sync> ms
+    And a log of 100 commands of 30000 bytes
+    When <learners> replicas with empty disks begin to learn
+    Then they have all of it within <seconds> s
+    And the leader sent at most <share> times what they lacked
+    And the leader kept its lease all the time
+
+    Examples:
+      | learners | mbits | sync | seconds | share |
+      | 1        | 100   | 1    | 1.5     | 1.2   |
+      | 2        | 100   | 1    | 2.0     | 1.2   |
+      | 2        | 100   | 25   | 3.5     | 1.2   |
+      | 1        | 10    | 5    | 5.0     | 1.3   |
+      | 2        | 10    | 5    | 8.0     | 1.3   |
+
+  Scenario: A learner that does not answer is not sent the log again and again
+    Given 3 replicas with links of 100 Mbit/s and disks that sync in 1 ms
+    And a log of 100 commands of 30000 bytes
+    When a replica that never answers begins to learn, for 10 s
+    Then the leader sent at most 2 times what it lacks
+    And the leader kept its lease all the time
+
+  Scenario: A stream that broke while a learner was sent the log goes on soon
+    Given 3 replicas with links of 100 Mbit/s and disks that sync in 1 ms
+    And a log of 100 commands of 30000 bytes
+    When a replica with an empty disk learns and all messages of 0.2 s are lost
+    Then they have all of it within 3 s
+
+  Scenario: Changes go to voters while a learner is sent the log
+    Given 3 replicas with links of 10 Mbit/s and disks that sync in 5 ms
+    And a log of 100 commands of 30000 bytes
+    When 2 replicas with empty disks begin to learn
+    Then a change that is proposed meanwhile is committed within 0.5 s
--- a/features/steps/elections_steps.py
+++ b/features/steps/elections_steps.py
@@ -51,8 +51,9 @@
             log = log_lib.Log()
             log.append(first)
             raft = raft_lib.Raft(replica.identity, self.rng, log=log)
-            raft.started_at = raft.heard_leader_at = self.now - 10.0
-            raft.reset_election(self.now)
+            raft.timer.started_at = self.now - 10.0
+            raft.timer.heard_leader_at = self.now - 10.0
+            raft.timer.reset(self.now)
             self.rafts[replica.identity] = raft
 
     def run(self, seconds: float) -> None:
--- /dev/null
+++ b/features/steps/flow_steps.py
@@ -0,0 +1,105 @@
+"""Steps on what a leader sends to replicas that learn."""
+
+from behave import given
+from behave import then
+from behave import when
+
+from _coltsfootroad.control import log as log_lib
+from features.support import ratedlinks
+
+
+@given(
+    "{voters:d} replicas with links of {mbits:g} Mbit/s and disks that sync in"
+    " {sync:g} ms"
+)
+def replicas_of(context, voters, mbits, sync):
+    context.links = ratedlinks.RatedLinks(voters, mbits, sync / 1000)
+
+
+@given("a log of {count:d} commands of {size:d} bytes")
+def log_of(context, count, size):
+    links = context.links
+    for _ in range(count):
+        links.propose(1, size)
+        links.run(0.3, stop=lambda: committed_all(links))
+    links.run(1.0)
+    context.lacks = count * size
+    links.lost_lease_s = 0.0
+    own = links.links[links.leader.identity]
+    context.before = own.sent
+
+
+def committed_all(links) -> bool:
+    """Return whether the voters have all that was proposed."""
+    leader = links.leader
+    return leader.commit == leader.log.last_index
+
+
+@when("{count:d} replicas with empty disks begin to learn")
+def begin(context, count):
+    context.names = [f"new{n}" for n in range(count)]
+    context.lacks *= count
+    context.links.let_learn(context.names)
+
+
+@then("they have all of it within {seconds:g} s")
+def have_all(context, seconds):
+    links = context.links
+    took_s = links.run(seconds, stop=lambda: learned_all(context))
+    assert learned_all(context), {
+        name: links.rafts[f"{name}#d"].log.last_index for name in context.names
+    }
+    context.took_s = took_s
+
+
+def learned_all(context) -> bool:
+    """Return whether the learners have the leader's log."""
+    last = context.links.leader.log.last_index
+    found = [context.links.rafts[f"{n}#d"] for n in context.names]
+    return all(raft.log.last_index >= last for raft in found)
+
+
+@then("the leader sent at most {share:g} times what they lacked")
+@then("the leader sent at most {share:g} times what it lacks")
+def sent_at_most(context, share):
+    links = context.links
+    sent = links.links[links.leader.identity].sent - context.before
+    assert sent <= share * context.lacks, sent / context.lacks
+
+
+@then("the leader kept its lease all the time")
+def kept_lease(context):
+    assert context.links.lost_lease_s == 0.0, context.links.lost_lease_s
+
+
+@when("a replica that never answers begins to learn, for {seconds:g} s")
+def never_answers(context, seconds):
+    context.links.let_learn(["new0"])
+    del context.links.rafts["new0#d"]
+    context.links.run(seconds)
+
+
+@when(
+    "a replica with an empty disk learns and all messages of {seconds:g} s are"
+    " lost"
+)
+def messages_lost(context, seconds):
+    links = context.links
+    context.names = ["new0"]
+    links.let_learn(context.names)
+    links.run(0.05)
+    end = links.now + seconds
+    while links.now < end:
+        links.run(ratedlinks.STEP_S)
+        links.mail = [item for item in links.mail if "new0" not in item[2]]
+
+
+@then("a change that is proposed meanwhile is committed within {seconds:g} s")
+def committed_soon(context, seconds):
+    links = context.links
+    links.run(0.3)
+    index = links.leader.propose(
+        log_lib.EntryKind.COMMAND, b"x" * 300, 0.0, links.now
+    )
+    links.run(seconds, stop=lambda: links.leader.commit >= index)
+    assert links.leader.commit >= index, (links.leader.commit, index)
--- a/features/support/histories.py
+++ b/features/support/histories.py
@@ -6,6 +6,7 @@
 
 import random
 
+from _coltsfootroad.control import electiontimer
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import peers
@@ -369,8 +370,8 @@
     cluster = machine.cluster
     for name in names:
         replica = cluster.replicas[name]
-        due = cluster.clock(replica) + raft_lib.ELECTION_MIN_S
-        replica.node.raft.election_at = due
+        due = cluster.clock(replica) + electiontimer.ELECTION_MIN_S
+        replica.node.raft.timer.election_at = due
         cluster.plan_tick(replica)
 
 
@@ -523,6 +524,24 @@
     assert answer.answer is not None, "no quorum after the repair"
 
 
+@history(CONTROL)
+def replica_that_was_sent_a_snapshot_goes_on(machine):
+    cluster = machine.cluster
+    leader = cluster.leader().name
+    for number in range(5):
+        patch(machine, leader, number, number + 1)
+        pause(machine, 0.3)
+    for name in cluster.replicas:
+        machine.snapshot(name)
+    lost = others(machine, leader)[0]
+    machine.lose_disk(lost)
+    pause(machine, 3.0)
+    log = cluster.replicas[lost].node.raft.log
+    assert log.snapshot.index, "it was sent the log, not the snapshot"
+    patch(machine, leader, 5, 6)
+    pause(machine, 2.0)
+
+
 @history(CONTROL)
 def key_is_claimed_by_two(machine):
     for token in ("t1", "t2", "t1", "t2"):
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -8,6 +8,7 @@
 
 from _coltsfootroad.control import claims
 from _coltsfootroad.control import configstore
+from _coltsfootroad.control import electiontimer
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import groups
 from _coltsfootroad.control import membership
@@ -317,7 +318,7 @@
     return lambda self, now: self.is_leader
 
 
-@defect(CONTROL, raft, "LEASE_S")
+@defect(CONTROL, electiontimer, "LEASE_S")
 def lease_longer_than_elections(_):
     return 8.0
 
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -8,10 +8,10 @@
 
 import attrs
 
+from _coltsfootroad.control import electiontimer
 from _coltsfootroad.control import membership
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import quorum
-from _coltsfootroad.control import raft as raft_lib
 from features.support import controlmachine
 
 NAMES = "abcdefgh"
@@ -27,7 +27,7 @@
 PROMISED_S = 2.5
 # Longest from the last event of a history to the end of what it leads to:
 # a start, the promised time and an election.
-CALM_S = START_S + PROMISED_S + raft_lib.ELECTION_MAX_S
+CALM_S = START_S + PROMISED_S + electiontimer.ELECTION_MAX_S
 STEP = re.compile(r"(?P<who>\w+) (?P<verb>[a-z ]+?)(?: for (?P<s>[\d.]+) s)?$")
 WAIT = re.compile(r"(?P<s>[\d.]+) s$")
 
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -7,6 +7,7 @@
 import attrs
 
 from _coltsfootroad.control import commandlog
+from _coltsfootroad.control import electiontimer
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import hub as hub_lib
 from _coltsfootroad.control import log as log_lib
@@ -115,10 +116,7 @@
         )
         self.raft.log.append(entry)
         self.raft.ready.entries.append(entry)
-        # Nobody else exists whose leader could be disturbed.
-        self.raft.heard_leader_at = float("-inf")
-        self.raft.election_at = now
-        self.raft.ticked = True
+        self.raft.timer.stand_at_once(now)
         self.tick(now)
         return True
 
@@ -479,7 +477,7 @@
         voter = identity in raft.replica_set.voter_identities()
         lag = raft.log.last_index - progress.match
         reason = "current"
-        if silent_s > raft_lib.ELECTION_MAX_S:
+        if silent_s > electiontimer.ELECTION_MAX_S:
             reason = "silent"
         elif progress.snapshot is not None:
             reason = "receiving a snapshot"
--- /dev/null
+++ b/src/_coltsfootroad/control/progress.py
@@ -0,0 +1,129 @@
+"""What the leader knows of another replica, and what is under way to it.
+
+The pattern it answers: a replica has lost its disk, or is new, and lacks a log
+of megabytes. Sent again before an answer can have come, it fills the leader's
+link; then answers of all others are late as well and the leader loses its
+lease. So no more than a window of it is under way at a time, and what is not
+answered is sent again after pauses that grow.
+"""
+
+import collections
+
+import attrs
+
+from _coltsfootroad.control import log as log_lib
+
+# Bytes of entries, or of a snapshot, that may be under way to one replica: a
+# link of 10 Mbit/s carries them in a quarter of a leader's lease.
+WINDOW_BYTES = 128 * 1024
+# Most bytes of one message, so that a window holds several.
+MESSAGE_BYTES = 64 * 1024
+# Without an answer that takes it further, a replica is sent the same again
+# after this time; the time doubles with each repetition. Messages arrive in
+# order, so a loss mostly shows sooner, by an answer that does not fit.
+RESEND_MIN_S = 0.6
+RESEND_MAX_S = 4.8
+NEVER = float("-inf")
+
+
+@attrs.frozen
+class Batch:
+    """Entries that were sent in one message: the last index, and bytes."""
+
+    last_index: int
+    size: int
+
+
+@attrs.define
+class Progress:
+    """Where another replica stands.
+
+    Attributes:
+        next_index: The entry to be sent next.
+        match: Up to here its log is the same.
+        probe: The entry before those that were sent last.
+        acked_at: When the newest message that it answered was sent.
+        snapshot: The snapshot that it is sent, None if it needs none.
+        snapshot_offset: How much of it has arrived.
+        batches: What is under way.
+        advanced_at: When it last got further, or got the first of `batches`.
+        resend_s: When what is under way counts as lost.
+    """
+
+    next_index: int
+    match: int = 0
+    probe: int = -1
+    acked_at: float = NEVER
+    snapshot: log_lib.SnapshotMeta | None = None
+    snapshot_offset: int = 0
+    batches: collections.deque[Batch] = attrs.Factory(collections.deque)
+    advanced_at: float = NEVER
+    resend_s: float = RESEND_MIN_S
+
+    @property
+    def room(self) -> int:
+        """Return how many bytes of entries may be sent now."""
+        under_way = sum(batch.size for batch in self.batches)
+        return max(0, min(MESSAGE_BYTES, WINDOW_BYTES - under_way))
+
+    def note_sent(self, entries: tuple[log_lib.Entry, ...], now: float) -> None:
+        """Note entries that are sent."""
+        if not entries:
+            return
+        if not self.batches:
+            self.advanced_at = now
+        size = sum(len(e.data) + log_lib.ENTRY_OVERHEAD for e in entries)
+        self.batches.append(Batch(entries[-1].index, size))
+        self.next_index = entries[-1].index + 1
+
+    def note_match(self, match: int, now: float) -> None:
+        """Note up to where its log is the same."""
+        if match > self.match:
+            self.advance(now)
+            self.match = match
+        while self.batches and self.batches[0].last_index <= self.match:
+            self.batches.popleft()
+        self.next_index = max(self.next_index, self.match + 1)
+        self.snapshot = None
+
+    def note_mismatch(self, match: int) -> None:
+        """Note that what precedes the entries sent last is missing there."""
+        self.batches.clear()
+        self.next_index = max(self.match, match) + 1
+
+    def note_received(self, offset: int, now: float) -> bool:
+        """Note how much of a snapshot arrived; return whether it is more."""
+        if offset <= self.snapshot_offset:
+            return False
+        self.snapshot_offset = offset
+        self.advance(now)
+        return True
+
+    def advance(self, now: float) -> None:
+        """Note that it got further."""
+        self.advanced_at = now
+        self.resend_s = RESEND_MIN_S
+
+    def begin_snapshot(self, meta: log_lib.SnapshotMeta, now: float) -> bool:
+        """Return whether a piece of a snapshot is due: new, or sent again."""
+        if self.snapshot is None or self.snapshot.index != meta.index:
+            self.snapshot = meta
+            self.snapshot_offset = 0
+            self.batches.clear()
+            self.advance(now)
+            return True
+        return self.expire(now)
+
+    def expire(self, now: float) -> bool:
+        """Return whether what is under way is to be sent again."""
+        if now < self.advanced_at + self.resend_s:
+            return False
+        self.advanced_at = now
+        self.resend_s = min(RESEND_MAX_S, 2 * self.resend_s)
+        return True
+
+    def roll_back(self, now: float) -> None:
+        """Send again from where its log is the same, if that is due."""
+        if self.batches and self.expire(now):
+            self.batches.clear()
+            self.next_index = self.match + 1
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -12,30 +12,15 @@
 
 import attrs
 
+from _coltsfootroad.control import electiontimer
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import peers
+from _coltsfootroad.control import progress as progress_lib
 from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
+from _coltsfootroad.control import snapshots
 from _coltsfootroad.core import errors
 
-# A lost packet is sent again within 0.3 s; an election must not begin for
-# that. Every 0.1 s less here is 0.15 s less without a leader after a loss,
-# during which gateways that have just started know no routes.
-HEARTBEAT_S = 0.1
-ELECTION_MIN_S = 0.6
-ELECTION_MAX_S = 1.2
-# Clocks may drift by a tenth against each other; a lease ends well before
-# any follower may elect somebody else.
-LEASE_S = 0.75 * ELECTION_MIN_S
-# A replica that has heard no leader since it started asks this often whether
-# it would get votes. Asking disturbs nobody: who hears a leader says no.
-FIRST_PAUSE_MIN_S = 0.06
-FIRST_PAUSE_MAX_S = 0.18
-# How often it asks again when votes were split, or are long on their way.
-SPLIT_PAUSE_MIN_S = 0.15
-SPLIT_PAUSE_MAX_S = 0.45
-MAX_APPEND_BYTES = 512 * 1024
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
 # Entries by which a learner may lag and still be made a voter.
 PROMOTE_LAG = 64
 
@@ -49,19 +34,6 @@
     LEADER = "leader"
 
 
-@attrs.define
-class Progress:
-    """What the leader knows of another replica."""
-
-    next_index: int
-    match: int = 0
-    probe: int = -1
-    acked_at: float = float("-inf")
-    sent_at: float = float("-inf")
-    snapshot: log_lib.SnapshotMeta | None = None
-    snapshot_offset: int = 0
-
-
 @attrs.define
 class Raft:
     """One replica of the log."""
@@ -78,25 +50,19 @@
     applied: int = 0
     # When each other replica was last heard, in any role.
     heard_at: dict[str, float] = attrs.Factory(dict)
-    election_at: float = attrs.field(init=False)
-    heard_leader_at: float = attrs.field(init=False)
-    ticked: bool = False
+    timer: electiontimer.ElectionTimer = attrs.field(init=False)
     heartbeat_at: float = 0.0
     led_since: float = 0.0
     term_start: int = 0
     votes: set[str] = attrs.Factory(set)
     idle: set[str] = attrs.Factory(set)
-    progress: dict[str, Progress] = attrs.Factory(dict)
-    incoming: bytearray = attrs.Factory(bytearray)
-    incoming_meta: log_lib.SnapshotMeta | None = None
+    progress: dict[str, progress_lib.Progress] = attrs.Factory(dict)
+    incoming: snapshots.Incoming = attrs.Factory(snapshots.Incoming)
     ready: ready_lib.Ready = attrs.Factory(ready_lib.Ready)
 
     def __attrs_post_init__(self):
         self.commit = self.applied = self.log.snapshot.index
-        # A restarted replica has forgotten whom it heard lately. It keeps
-        # to the promise it may have made to a leader: no votes for a while.
-        self.heard_leader_at = self.started_at
-        self.election_at = self.started_at
+        self.timer = electiontimer.ElectionTimer(self.rng, self.started_at)
 
     # --- facts -----------------------------------------------------------
 
@@ -123,12 +89,12 @@
         has started again, too. They need not wait until it would have ended.
         After a loss of all power that is 0.35 s less without a leader.
         """
-        return not self.is_leader and self.heard_leader_at <= self.started_at
+        return not self.is_leader and self.timer.heard_none
 
     def hears_leader(self, now: float) -> bool:
         """Return whether it leads, or has heard its leader lately."""
         return self.is_leader or bool(
-            self.leader and now < self.heard_leader_at + ELECTION_MAX_S
+            self.leader and self.timer.heard_lately(now)
         )
 
     def others(self) -> list[str]:
@@ -145,7 +111,8 @@
             return False
         acked = {i: p.acked_at for i, p in self.progress.items()}
         acked[self.identity] = now
-        return now < self.replica_set.quorum_value(acked) + LEASE_S
+        lease_s = electiontimer.LEASE_S
+        return now < self.replica_set.quorum_value(acked) + lease_s
 
     # --- input -----------------------------------------------------------
 
@@ -159,21 +126,17 @@
 
     def tick(self, now: float) -> None:
         """Run the timers."""
-        if not self.ticked:
-            # Replicas that were started at once are ready at once as well.
-            self.ticked = True
-            pause = self.rng.uniform(0.0, FIRST_PAUSE_MAX_S)
-            self.election_at = max(self.election_at, now + pause)
+        self.timer.begin(now)
         if self.is_leader:
             self.check_quorum(now)
         if self.is_leader and now >= self.heartbeat_at:
             self.broadcast(now)
-        elif not self.is_leader and now >= self.election_at:
+        elif not self.is_leader and now >= self.timer.election_at:
             self.campaign(True, now)
 
     def next_wake(self) -> float:
         """Return when `tick` is wanted next."""
-        return self.heartbeat_at if self.is_leader else self.election_at
+        return self.heartbeat_at if self.is_leader else self.timer.election_at
 
     def propose(
         self, kind: log_lib.EntryKind, data: bytes, at: float, now: float
@@ -200,7 +163,8 @@
             # A replica that needs a snapshot is behind all the time; its
             # pieces go out on its answers and on heartbeats.
             first = self.log.snapshot.index + 1
-            if first <= progress.next_index <= self.log.last_index:
+            lacks = first <= progress.next_index <= self.log.last_index
+            if lacks and progress.room:
                 self.send_append(identity, now)
 
     def synced(self, index: int, now: float) -> None:
@@ -235,11 +199,6 @@
 
     # --- elections -------------------------------------------------------
 
-    def reset_election(self, now: float) -> None:
-        """Wait a random time for a leader."""
-        pause = self.rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
-        self.election_at = now + pause
-
     def set_hard_state(self, state: ready_lib.HardState) -> None:
         """Change term or vote; both must be synced before any message."""
         if state != self.hard_state:
@@ -251,7 +210,7 @@
         if term > self.term:
             self.set_hard_state(ready_lib.HardState(term=term))
         if self.role is not Role.FOLLOWER:
-            self.reset_election(now)
+            self.timer.reset(now)
         self.role = Role.FOLLOWER
         self.leader = leader
         self.progress = {}
@@ -279,7 +238,7 @@
             identity: self.progress[identity].match
             for identity in self.replica_set.voter_identities()
             if identity != self.identity
-            and now < self.progress[identity].acked_at + LEASE_S
+            and now < self.progress[identity].acked_at + electiontimer.LEASE_S
         }
         return max(answering, key=answering.__getitem__, default="")
 
@@ -296,11 +255,10 @@
         handed_over: bool = False,
     ) -> None:
         """Ask for votes, first only whether they would be given."""
-        self.reset_election(now)
         if self.is_idle:
-            first = (FIRST_PAUSE_MIN_S, FIRST_PAUSE_MAX_S)
-            split = (SPLIT_PAUSE_MIN_S, SPLIT_PAUSE_MAX_S)
-            self.election_at = now + self.rng.uniform(*first if pre else split)
+            self.timer.reset_early(pre, now)
+        else:
+            self.timer.reset(now)
         if self.identity not in self.replica_set.voter_identities():
             return
         self.leader = ""
@@ -333,9 +291,7 @@
 
     def on_vote_request(self, message: peers.VoteRequest, now: float) -> None:
         """Vote, or say whether a vote would be given."""
-        # A follower that hears its leader protects it from replicas that
-        # do not; the leader's lease rests on this.
-        sticky = now < self.heard_leader_at + ELECTION_MIN_S
+        sticky = self.timer.is_sticky(now)
         if message.pre and sticky and self.is_idle:
             self.reply_vote(message, False, idle=self.would_vote(message))
             return
@@ -356,7 +312,7 @@
                 self.set_hard_state(
                     ready_lib.HardState(term=self.term, vote=message.sender)
                 )
-                self.reset_election(now)
+                self.timer.reset(now)
         idle = message.pre and granted and self.is_idle
         self.reply_vote(message, granted, idle)
 
@@ -419,10 +375,10 @@
         self.role = Role.LEADER
         self.leader = self.identity
         self.led_since = now
-        self.heard_leader_at = now
+        self.timer.heard_leader_at = now
         first = self.log.last_index + 1
         self.progress = {
-            identity: Progress(next_index=first)
+            identity: progress_lib.Progress(next_index=first)
             for identity in self.replica_set.everyone()
         }
         self.progress[self.identity].match = self.log.last_index
@@ -439,7 +395,7 @@
         acked = {i: p.acked_at for i, p in self.progress.items()}
         acked[self.identity] = now
         heard = max(self.replica_set.quorum_value(acked), self.led_since)
-        if now - heard > ELECTION_MAX_S:
+        if now - heard > electiontimer.ELECTION_MAX_S:
             self.become_follower(self.term, "", now)
 
     # --- replication -----------------------------------------------------
@@ -460,7 +416,7 @@
         everyone = self.replica_set.everyone()
         for identity in everyone:
             if identity not in self.progress:
-                self.progress[identity] = Progress(
+                self.progress[identity] = progress_lib.Progress(
                     next_index=self.log.last_index
                 )
         for identity in set(self.progress) - set(everyone) - {self.identity}:
@@ -468,28 +424,28 @@
 
     def broadcast(self, now: float) -> None:
         """Send a heartbeat, with entries where some are missing."""
-        self.heartbeat_at = now + HEARTBEAT_S
+        self.heartbeat_at = now + electiontimer.HEARTBEAT_S
         for identity in self.others():
-            progress = self.progress[identity]
-            if progress.acked_at < now - 3 * HEARTBEAT_S:
-                # Nothing came back lately: what was sent ahead may be lost.
-                progress.next_index = min(
-                    progress.next_index, progress.match + 1
-                )
+            self.progress[identity].roll_back(now)
             self.send_append(identity, now)
 
     def send_append(self, identity: str, now: float) -> None:
-        """Send entries from where a replica is, or the snapshot."""
+        """Send entries from where a replica is, or the snapshot.
+
+        Without room for entries it is a heartbeat, which also finds out
+        whether those that are under way have arrived.
+        """
         progress = self.progress[identity]
-        progress.sent_at = now
         prev = progress.next_index - 1
         prev_term = self.log.term_at(prev)
         if prev_term is None:
             self.send_snapshot(identity, progress, now)
             return
         progress.probe = prev
-        entries = self.log.slice(progress.next_index, MAX_APPEND_BYTES)
-        progress.next_index += len(entries)
+        entries = ()
+        if progress.room:
+            entries = self.log.slice(progress.next_index, progress.room)
+        progress.note_sent(entries, now)
         self.send(
             identity,
             peers.Append(
@@ -527,8 +483,7 @@
         """Note that the leader of the current term is alive."""
         if self.role is not Role.FOLLOWER or self.leader != leader:
             self.become_follower(self.term, leader, now)
-        self.heard_leader_at = now
-        self.reset_election(now)
+        self.timer.hear(now)
 
     def store_entries(self, entries: tuple[log_lib.Entry, ...]) -> None:
         """Append what is new, dropping what contradicts it."""
@@ -582,19 +537,21 @@
         # Only the answer to the latest probe is acted upon, once: repeated
         # ones would each cause another message, to be repeated again.
         if message.prev_index == progress.probe:
-            wanted = max(progress.match, message.match) + 1
-            progress.next_index = wanted
+            progress.note_mismatch(message.match)
             self.send_append(message.sender, now)
 
     def note_match(
-        self, sender: str, progress: Progress, match: int, now: float
+        self,
+        sender: str,
+        progress: progress_lib.Progress,
+        match: int,
+        now: float,
     ) -> None:
         """Note up to where a replica is the same, and send what follows."""
-        progress.match = max(progress.match, match)
-        progress.next_index = max(progress.next_index, progress.match + 1)
-        progress.snapshot = None
+        progress.note_match(match, now)
         self.advance_commit(now)
-        if progress.next_index <= self.log.last_index and self.is_leader:
+        lacks = progress.next_index <= self.log.last_index
+        if self.is_leader and lacks and progress.room:
             self.send_append(sender, now)
 
     def advance_commit(self, now: float) -> None:
@@ -632,16 +589,29 @@
     # --- snapshots -------------------------------------------------------
 
     def send_snapshot(
-        self, identity: str, progress: Progress, now: float
+        self, identity: str, progress: progress_lib.Progress, now: float
     ) -> None:
-        """Send the next piece of the newest snapshot."""
-        meta = self.log.snapshot
-        if progress.snapshot is None or progress.snapshot.index != meta.index:
-            progress.snapshot = meta
-            progress.snapshot_offset = 0
-        data = self.reader.read(
-            meta.index, progress.snapshot_offset, SNAPSHOT_CHUNK_BYTES
-        )
+        """Send the next piece of the newest snapshot, if one is due.
+
+        Else an empty piece is the heartbeat, as the leader has no entries
+        that the replica could be asked about.
+        """
+        due = progress.begin_snapshot(self.log.snapshot, now)
+        size = progress_lib.MESSAGE_BYTES if due else 0
+        self.send_piece(identity, progress, size, now)
+
+    def send_piece(
+        self,
+        identity: str,
+        progress: progress_lib.Progress,
+        size: int,
+        now: float,
+    ) -> None:
+        """Send up to `size` bytes of a snapshot from where a replica is."""
+        meta = progress.snapshot
+        data: bytes | None = b""
+        if size:
+            data = self.reader.read(meta.index, progress.snapshot_offset, size)
         if data is None:
             return
         self.send(
@@ -667,21 +637,15 @@
         if meta.index <= self.commit:
             self.reply_snapshot(message, meta.size, True)
             return
-        if self.incoming_meta != meta:
-            self.incoming_meta = meta
-            self.incoming = bytearray()
-        if message.offset == len(self.incoming):
-            self.incoming += message.data
-        if len(self.incoming) < meta.size:
-            self.reply_snapshot(message, len(self.incoming), False)
+        received = self.incoming.take(meta, message.offset, message.data)
+        if received < meta.size:
+            self.reply_snapshot(message, received, False)
             return
-        self.install(meta, bytes(self.incoming))
+        self.install(meta, self.incoming.finish())
         self.reply_snapshot(message, meta.size, True)
 
     def install(self, meta: log_lib.SnapshotMeta, data: bytes) -> None:
         """Replace log and state by a snapshot."""
-        self.incoming_meta = None
-        self.incoming = bytearray()
         self.log.restore(meta)
         self.commit = self.applied = meta.index
         self.ready.entries = []
@@ -722,9 +686,9 @@
         sending = progress.snapshot
         if sending is None or message.index != sending.index:
             return
-        if message.received > progress.snapshot_offset:
-            progress.snapshot_offset = message.received
-            self.send_append(message.sender, now)
+        if progress.note_received(message.received, now):
+            size = progress_lib.MESSAGE_BYTES
+            self.send_piece(message.sender, progress, size, now)
 
     def compacted(self, meta: log_lib.SnapshotMeta) -> None:
         """Drop what a stored snapshot covers."""
--- a/src/_coltsfootroad/control/voterwatch.py
+++ b/src/_coltsfootroad/control/voterwatch.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from _coltsfootroad.control import electiontimer
 from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import quorum
 from _coltsfootroad.control import raft as raft_lib
@@ -10,7 +11,7 @@
 # answers of others depend, are due five times as often.
 STALL_S = 0.5
 # A replica that wants votes has asked everybody at least once in this time.
-MISSING_WITHOUT_LEADER_S = 2 * raft_lib.ELECTION_MAX_S
+MISSING_WITHOUT_LEADER_S = 2 * electiontimer.ELECTION_MAX_S
 
 
 @attrs.define
@@ -81,7 +82,7 @@
         raft = self.raft
         if raft.identity not in raft.replica_set.voter_identities():
             return True
-        unheard_s = now - raft.heard_leader_at
+        unheard_s = now - raft.timer.heard_leader_at
         return not raft.is_leader and (
             unheard_s >= membership_lib.REJOIN_AFTER_S
         )
