Split what gateways hear from the other messages

Change: `control/watching.py` holds what gateways ask and are told, `control/outcomes.py` the answers that all calls share. No behaviour changes.

--- a/features/soak/endpoints.py
+++ b/features/soak/endpoints.py
@@ -7,6 +7,7 @@
 import attrs
 
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.core import registry
 from features.soak import audit
 from features.soak import proxy as proxy_lib
@@ -187,7 +188,7 @@
         """Announce once; return whether it was acknowledged."""
         message = messages.Announce(announcement=announcement)
         answer = await self.link.call(message, ANNOUNCE_TIMEOUT_S)
-        return answer.is_ok() and isinstance(answer.ok, messages.Done)
+        return answer.is_ok() and isinstance(answer.ok, outcomes.Done)
 
     async def announce_on(self) -> None:
         """Announce until cancelled."""
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -9,8 +9,8 @@
 from behave import then
 
 from _coltsfootroad.control import hub as hub_lib
-from _coltsfootroad.control import messages
 from _coltsfootroad.control import state as state_lib
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import enginestate
 from _coltsfootroad.core import registry
@@ -192,7 +192,7 @@
         endpoint="e1", incarnation=1, seq=1, service="s"
     )
     hub.on_watch(
-        messages.Watch(
+        watching.Watch(
             member=member,
             routes_version=-1,
             announcements=(announcement,),
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import wire
@@ -27,7 +28,7 @@
 
     async def on_call(_):
         await asyncio.sleep(context.answer_s)
-        return wire.CALLS.encode(messages.Done())
+        return wire.CALLS.encode(outcomes.Done())
 
     async def run():
         server = links.make_server(on_call, lambda *_: None)
@@ -59,7 +60,7 @@
     first, second = context.answers
     assert first.is_error(), first
     assert second.is_ok(), second
-    assert isinstance(second.ok, messages.Done), second
+    assert isinstance(second.ok, outcomes.Done), second
 
 
 @when("a call is cancelled after {seconds:g} s")
@@ -90,7 +91,7 @@
 @when("a call is made, and {seconds:g} s later the path is whole")
 def path_whole(context, seconds):
     async def on_call(_):
-        return wire.CALLS.encode(messages.Done())
+        return wire.CALLS.encode(outcomes.Done())
 
     async def run():
         server = links.make_server(on_call, lambda *_: None)
--- a/features/steps/promises_steps.py
+++ b/features/steps/promises_steps.py
@@ -7,7 +7,7 @@
 from behave import when
 from expression import Ok
 
-from _coltsfootroad.control import messages
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import work as work_lib
 from _coltsfootroad.gateway import watch as watch_lib
 from _coltsfootroad.shell import clocks
@@ -85,7 +85,7 @@
     async def call(self, _message, _timeout_s):
         """Answer late."""
         await asyncio.sleep(self.delay_s)
-        return Ok(messages.News(epoch="e", registry_mark=1))
+        return Ok(watching.News(epoch="e", registry_mark=1))
 
     def learn(self, _replicas) -> None:
         """Need no other address."""
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies
 
 from _coltsfootroad.control import hub as hub_lib
-from _coltsfootroad.control import messages
 from _coltsfootroad.control import state as state_lib
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import registry
@@ -72,9 +72,9 @@
     return hub_lib.Hub("epoch", state_lib.ControlState(), now)
 
 
-def watch(hub, now: float, mark: int, brought: tuple = ()) -> messages.News:
+def watch(hub, now: float, mark: int, brought: tuple = ()) -> watching.News:
     """Return the news since a mark."""
-    question = messages.Watch(
+    question = watching.Watch(
         member=MEMBER,
         routes_version=-1,
         epoch=hub.epoch,
--- a/features/steps/routedelta_steps.py
+++ b/features/steps/routedelta_steps.py
@@ -7,6 +7,7 @@
 
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import routestore
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import routedelta
 from _coltsfootroad.core import routes
 from _coltsfootroad.gateway import watch as watch_lib
@@ -80,10 +81,10 @@
         put(context, context.new)
 
 
-def news(context) -> messages.News:
+def news(context) -> watching.News:
     """Return what a gateway with the old version is told."""
     whole, delta = context.store.news(context.old.version)
-    return messages.News(
+    return watching.News(
         epoch="e", registry_mark=1, routes=whole, routes_delta=delta
     )
 
@@ -124,7 +125,7 @@
     watch.gateway = context.gateway
     watch.wants_whole = False
     context.taken = watch.take_routes(
-        messages.News(epoch="e", registry_mark=1, routes_delta=delta)
+        watching.News(epoch="e", registry_mark=1, routes_delta=delta)
     )
     context.watch = watch
 
--- a/features/steps/timers_steps.py
+++ b/features/steps/timers_steps.py
@@ -11,6 +11,7 @@
 from behave import when
 
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
 from _coltsfootroad.shell import controlserver
 from _coltsfootroad.shell import disk
@@ -49,7 +50,7 @@
     def call(self, _message, _now, reply):
         """Bring the timer forward and answer."""
         self.due = self.forward_to
-        reply(messages.Done())
+        reply(outcomes.Done())
 
     def process(self, _now):
         """Bring the timer forward."""
--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -11,10 +11,12 @@
 from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import node as node_lib
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.control import storage
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import registry
 from _coltsfootroad.fakes import ports
@@ -39,7 +41,7 @@
 def watch(hub: hub_lib.Hub, now: float, mark: int = 0, brought=()):
     """Return what a gateway learns."""
     return hub.on_watch(
-        messages.Watch(
+        watching.Watch(
             member=MEMBER,
             routes_version=-1,
             epoch=hub.epoch,
@@ -301,5 +303,5 @@
     answers = []
     command = messages.PutRoutes(config=gatewaybed.config(), source=b"x")
     node.call(command, START + 0.1, answers.append)
-    assert isinstance(answers[0], messages.Refused), answers
+    assert isinstance(answers[0], outcomes.Refused), answers
     assert node.state.routes.version == -1
--- a/features/support/controlmachine.py
+++ b/features/support/controlmachine.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.control import membership
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import node as node_lib
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import storage
 from _coltsfootroad.core import errors
@@ -296,7 +297,7 @@
             return
 
         def reply(answer):
-            refusal = (messages.NotLeader, messages.Refused)
+            refusal = (outcomes.NotLeader, outcomes.Refused)
             if operation.answer is None and not isinstance(answer, refusal):
                 operation.answer = answer
                 operation.answered_at = self.now
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -11,6 +11,7 @@
 from _coltsfootroad.control import electiontimer
 from _coltsfootroad.control import membership
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import quorum
 from features.support import controlmachine
 
@@ -118,7 +119,7 @@
         if leader is not None and leader is not replica:
             message = messages.LeaveReplica(replica=self.identity(replica))
             answer = self.call(leader.name, message, roam=False).answer
-            if isinstance(answer, messages.Done):
+            if isinstance(answer, outcomes.Done):
                 return
         self.at(self.now + LEAVE_EVERY_S, self.leave, replica)
 
--- a/src/_coltsfootroad/control/hub.py
+++ b/src/_coltsfootroad/control/hub.py
@@ -6,6 +6,7 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import shares as shares_lib
 from _coltsfootroad.control import state as state_lib
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import endpoints
 from _coltsfootroad.core import registry as registry_lib
@@ -95,7 +96,7 @@
             group_holds=self.groups.held_tokens(now),
         )
 
-    def on_watch(self, request: messages.Watch, now: float) -> messages.News:
+    def on_watch(self, request: watching.Watch, now: float) -> watching.News:
         """Take a gateway's watch and return what is new for it."""
         self.expire(now)
         lease_s = request.wait_s + WATCHER_MARGIN_S
@@ -107,7 +108,7 @@
         mark = request.registry_mark if request.epoch == self.epoch else 0
         silent, left = self.lost_since(mark)
         whole, delta = self.state.routes.news(request.routes_version)
-        return messages.News(
+        return watching.News(
             epoch=self.epoch,
             registry_mark=self.last_mark,
             registry_age_s=now - self.started_at,
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
 from _coltsfootroad.control import raft as raft_lib
 from _coltsfootroad.control import ready as ready_lib
@@ -20,6 +21,7 @@
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.control import storage as storage_lib
 from _coltsfootroad.control import voterwatch
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import errors
 
 SNAPSHOT_EVERY = 4_096
@@ -201,7 +203,7 @@
     def apply(self, entry: log_lib.Entry) -> None:
         """Apply a committed entry and answer whoever waits for it."""
         self.log_bytes += len(entry.data)
-        answer: object = messages.Done()
+        answer: object = outcomes.Done()
         if entry.kind is log_lib.EntryKind.COMMAND:
             command = commandlog.unpack(entry.data)
             if command.is_error():
@@ -267,7 +269,7 @@
         elif isinstance(message, COMMANDS):
             self.propose(message, now, reply)
         elif self.hub is None or not self.raft.has_lease(now):
-            reply(messages.NotLeader(hint=self.leader_address()))
+            reply(outcomes.NotLeader(hint=self.leader_address()))
         elif isinstance(message, messages.ChangeReplicas):
             self.change_replicas(message, now, reply)
         elif isinstance(message, messages.JoinReplica):
@@ -295,7 +297,7 @@
             now,
         )
         if index is None:
-            reply(messages.NotLeader(hint=self.leader_address()))
+            reply(outcomes.NotLeader(hint=self.leader_address()))
             return
         # The shell calls `process` once per turn of the loop, so that
         # commands that arrive together share one sync.
@@ -306,14 +308,14 @@
         match message:
             case messages.SyncRequest():
                 return self.hub.on_sync(message, now)
-            case messages.Watch():
+            case watching.Watch():
                 news = self.hub.on_watch(message, now)
                 return attrs.evolve(news, replicas=self.replica_addresses())
             case messages.Announce():
                 self.hub.take_announcement(
                     message.announcement, hub_lib.ANNOUNCEMENT_LEASE_S, now
                 )
-                return messages.Done()
+                return outcomes.Done()
             case messages.ReadRoutes():
                 routes = self.state.routes
                 return messages.RoutesCopy(
@@ -323,7 +325,7 @@
                 return self.hub.groups.reserve(message, now)
             case messages.GroupRelease():
                 self.hub.groups.release(message.group)
-                return messages.Done()
+                return outcomes.Done()
             case messages.ReadConfig():
                 configs = self.state.configs
                 return messages.ConfigUpdate(
@@ -337,7 +339,7 @@
                 return messages.SnapshotCopy(
                     index=self.raft.applied, data=state_lib.save(self.state)
                 )
-        return messages.Refused(
+        return outcomes.Refused(
             failure=errors.Failure(
                 errors.ErrorCode.BAD_REQUEST,
                 f"{type(message).__name__} is no call",
@@ -351,9 +353,9 @@
         current = self.raft.replica_set
         wanted = membership_lib.wanted_set(current, message)
         if wanted.is_error():
-            reply(messages.Refused(failure=wanted.error))
+            reply(outcomes.Refused(failure=wanted.error))
         elif wanted.ok == current:
-            reply(messages.Done())
+            reply(outcomes.Done())
         elif self.raft.change_replicas(wanted.ok, now):
             self.change_reason = message.reason or "asked for by an operator"
             index = self.raft.log.last_index
@@ -377,11 +379,11 @@
         )
         if fault:
             failure = errors.Failure(errors.ErrorCode.BAD_REQUEST, fault)
-            reply(messages.Refused(failure=failure))
+            reply(outcomes.Refused(failure=failure))
             return
         change = self.membership.to_learn(message.replica, current)
         if change is None:
-            reply(messages.Done())
+            reply(outcomes.Done())
         else:
             self.change_replicas(change, now, reply)
 
@@ -393,7 +395,7 @@
             message.replica, self.raft.replica_set, self.watch.silences(now)
         )
         if change is None:
-            reply(messages.Done())
+            reply(outcomes.Done())
         else:
             self.change_replicas(change, now, reply)
 
@@ -509,9 +511,9 @@
     }
 
 
-def unavailable(reason: str) -> messages.Refused:
+def unavailable(reason: str) -> outcomes.Refused:
     """Return the refusal of a call that may be tried again."""
-    return messages.Refused(
+    return outcomes.Refused(
         failure=errors.Failure(
             errors.ErrorCode.UNAVAILABLE, reason, errors.Ran.UNKNOWN, 0.5
         )
--- a/src/_coltsfootroad/control/state.py
+++ b/src/_coltsfootroad/control/state.py
@@ -10,6 +10,7 @@
 from _coltsfootroad.control import configstore
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import routestore
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import routes as routes_lib
@@ -51,12 +52,12 @@
                 return self.claims.take(command, retention_s, self.now)
             case messages.SettleClaim():
                 self.claims.settle(command)
-                return messages.Done()
+                return outcomes.Done()
             case fences.TakeLease():
                 return self.leases.take(command, self.now)
             case fences.DropLease():
                 self.leases.drop(command)
-                return messages.Done()
+                return outcomes.Done()
         raise errors.BrokenInvariantError(f"no such command: {command!r}")
 
 
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from _coltsfootroad.control import messages
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import routedelta
 from _coltsfootroad.shell import clocks
@@ -59,7 +59,7 @@
         timeout_s = TRIES * (question.wait_s + TRAVEL_S)
         answer = await self.link.call(question, timeout_s)
         news = answer.ok if answer.is_ok() else None
-        if not isinstance(news, messages.News):
+        if not isinstance(news, watching.News):
             reason = answer.error.message if news is None else str(news)
             self.note_link(False, reason)
             return False
@@ -67,10 +67,10 @@
         self.take(news, asked_at)
         return True
 
-    def question(self) -> messages.Watch:
+    def question(self) -> watching.Watch:
         """Return what is asked."""
         gateway = self.gateway
-        return messages.Watch(
+        return watching.Watch(
             member=self.member(),
             routes_version=NO_VERSION
             if self.wants_whole
@@ -112,7 +112,7 @@
             LOG.info(text, detail=detail, version=self.gateway.view.version)
         self.connected = connected
 
-    def take(self, news: messages.News, asked_at: float) -> None:
+    def take(self, news: watching.News, asked_at: float) -> None:
         """Put news in force."""
         gateway = self.gateway
         anew = news.epoch != self.epoch
@@ -138,7 +138,7 @@
         gateway.view.confirm(asked_at)
         gateway.start_up.on_news(news.registry_age_s, clocks.boot_time())
 
-    def take_routes(self, news: messages.News) -> bool:
+    def take_routes(self, news: watching.News) -> bool:
         """Put newer routes in force; return whether the version is known.
 
         A change that does not fit is asked for whole next time, and proves
--- a/src/_coltsfootroad/shell/controlrelay.py
+++ b/src/_coltsfootroad/shell/controlrelay.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import replicas
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import dumps
@@ -65,11 +66,11 @@
         """Answer an encoded call."""
         decoded = wire.CALLS.decode(data)
         if decoded.is_error():
-            answer = messages.Refused(failure=decoded.error)
+            answer = outcomes.Refused(failure=decoded.error)
         elif isinstance(decoded.ok, messages.ReplicaHello):
             answer = self.info()
         else:
-            answer = messages.NotLeader(hint=self.leader)
+            answer = outcomes.NotLeader(hint=self.leader)
         return wire.CALLS.encode(answer)
 
     def on_peer(self, sender: str, _address: str, _data: bytes) -> None:
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -10,7 +10,9 @@
 from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import node as node_lib
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import replicas
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import controlrelay
@@ -146,7 +148,7 @@
         while self.loop.time() < end:
             left_s = end - self.loop.time()
             answer = await self.link.call(message, left_s)
-            if answer.is_error() or isinstance(answer.ok, messages.Done):
+            if answer.is_error() or isinstance(answer.ok, outcomes.Done):
                 break
             # Another change of the set is under way; each takes two syncs.
             await asyncio.sleep(LEAVE_RETRY_S)
@@ -303,21 +305,21 @@
         """Answer an encoded call."""
         decoded = wire.CALLS.decode(data)
         if decoded.is_error():
-            answer = messages.Refused(failure=decoded.error)
+            answer = outcomes.Refused(failure=decoded.error)
         else:
             answer = await self.call(decoded.ok)
         return wire.CALLS.encode(answer)
 
     async def call(self, message: object) -> object:
         """Answer a call; a watch is held back while there is no news."""
-        if not isinstance(message, messages.Watch):
+        if not isinstance(message, watching.Watch):
             return await self.call_node(message)
         end = self.clock() + min(message.wait_s, MAX_WATCH_S)
         while True:
             changed = self.changed
             answer = await self.call_node(message)
             left_s = end - self.clock()
-            empty = isinstance(answer, messages.News) and answer.is_empty
+            empty = isinstance(answer, watching.News) and answer.is_empty
             if not empty or left_s <= 0:
                 return answer
             # What the watch brought along has been taken the first time.
@@ -423,7 +425,7 @@
     async def call(self, message, timeout_s):
         """Return the leader's answer."""
         answer = await self.server.call(message)
-        if not isinstance(answer, messages.NotLeader):
+        if not isinstance(answer, outcomes.NotLeader):
             return Ok(answer)
         link = self.server.link
         link.learn(self.server.node.replica_addresses())
@@ -441,6 +443,6 @@
     async def call(self, message, timeout_s):
         """Return the replica's answer."""
         answer = await asyncio.wait_for(self.server.call(message), timeout_s)
-        if isinstance(answer, messages.NotLeader):
+        if isinstance(answer, outcomes.NotLeader):
             return links.unreachable("the replica does not lead yet")
         return Ok(answer)
--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -7,6 +7,7 @@
 import attrs
 
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import calls
@@ -412,7 +413,7 @@
         try:
             while True:
                 answer = await self.control.call(message, CLAIM_TIMEOUT_S)
-                if answer.is_ok() and isinstance(answer.ok, messages.Done):
+                if answer.is_ok() and isinstance(answer.ok, outcomes.Done):
                     return
                 await asyncio.sleep(SETTLE_RETRY_S)
         finally:
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -9,7 +9,7 @@
 import grpc
 import grpc.aio
 
-from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import wire
@@ -125,7 +125,7 @@
             if isinstance(answer, str):
                 reason = f"replica {address}: {answer}"
                 self.leader = ""
-            elif isinstance(answer, messages.NotLeader):
+            elif isinstance(answer, outcomes.NotLeader):
                 reason = f"replica {address} does not lead"
                 self.leader = self.usable_hint(answer.hint, address)
             else:
--- a/src/_coltsfootroad/shell/operators.py
+++ b/src/_coltsfootroad/shell/operators.py
@@ -6,6 +6,7 @@
 import tornado.web
 
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.core import config as config_lib
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import web
@@ -37,7 +38,7 @@
     async def ask(self, message: object) -> object | None:
         """Return the answer, None after having shown a failure."""
         answer = await self.server.call(message)
-        if isinstance(answer, messages.NotLeader):
+        if isinstance(answer, outcomes.NotLeader):
             self.fail(
                 errors.Failure(
                     errors.ErrorCode.UNAVAILABLE,
@@ -48,7 +49,7 @@
                 leader=answer.hint,
             )
             return None
-        if isinstance(answer, messages.Refused):
+        if isinstance(answer, outcomes.Refused):
             self.fail(answer.failure)
             return None
         return answer
--- a/src/_coltsfootroad/shell/wire.py
+++ b/src/_coltsfootroad/shell/wire.py
@@ -6,8 +6,10 @@
 from _coltsfootroad.control import codec
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import packing
 from _coltsfootroad.control import peers
+from _coltsfootroad.control import watching
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import traffic
@@ -54,21 +56,21 @@
     messages.TakeClaim,
     messages.ClaimAnswer,
     messages.SettleClaim,
-    messages.Done,
+    outcomes.Done,
     messages.ConfigUpdate,
     messages.GroupReserve,
     messages.GroupAnswer,
     messages.GroupRelease,
     messages.SyncRequest,
     messages.SyncReply,
-    messages.NotLeader,
+    outcomes.NotLeader,
     messages.ReadConfig,
     messages.ReadStatus,
     messages.Status,
     messages.ReplicaHello,
     messages.ReplicaInfo,
     messages.ChangeReplicas,
-    messages.Refused,
+    outcomes.Refused,
     messages.TakeSnapshot,
     messages.SnapshotCopy,
     messages.PutRoutes,
@@ -77,8 +79,8 @@
     messages.Announce,
     messages.JoinReplica,
     messages.LeaveReplica,
-    messages.Watch,
-    messages.News,
+    watching.Watch,
+    watching.News,
     fences.TakeLease,
     fences.DropLease,
     fences.LeaseAnswer,
