Let relays tell gateways of their zone what is new

Cause: all 200 gateways ask the leader, 0.4 s to 1 s apart. Each change of the fleet is one answer for each, four in five to other zones; after a start each join wakes all others; a new leader is brought 117 endpoints by each gateway, uncompressed, again with each question that timed out, and answers each with everything.

Ruled out: gossip of versions (no bound, no honest proof); a relay inside gateways (a second role beside callers); batching at the leader alone (bytes between zones stay).

Change: every process of control keeps a copy of what the leader tells and answers the gateways of its zone from it; see docs/design/relays.md for marks, proofs, silence, who lives, and what a new leader goes on from. Channels that nobody used for 5 s are closed.

Tests: `features/control/relays.feature` runs mirrors, hubs, relay loops, desks and watches in virtual time: 120 drawn histories (versions that are withdrawn are never served past 5 s, all know all 6 s after calm), six planted defects, times to leave a relay that dies, stands still or is cut off, pages, newcomers, all of control starting at once.

--- a/features/steps/promises_steps.py
+++ b/features/steps/promises_steps.py
@@ -77,26 +77,21 @@
 class SlowLeader:
     """Answers a watch after a while, with nothing new."""
 
-    leader = "127.0.0.1:1"
-
     def __init__(self, delay_s: float):
         self.delay_s = delay_s
 
-    async def call(self, _message, _timeout_s):
+    async def call(self, _address, _message, _timeout_s):
         """Answer late."""
         await asyncio.sleep(self.delay_s)
         return Ok(watching.News(epoch="e", registry_mark=1))
 
-    def learn(self, _replicas) -> None:
-        """Need no other address."""
-
 
 @when("a leader answers a watch {delay:g} s after it was asked")
 def slow_watch(context, delay):
     async def story(bed):
         watch = watch_lib.Watch(bed.gateway)
-        await watch.link.close()
-        watch.link = SlowLeader(delay)
+        watch.choice.learn_seeds(("127.0.0.1:1",))
+        watch.channels = SlowLeader(delay)
         bed.prove(age_s=60.0)
         assert await watch.ask()
         context.age_s = bed.gateway.view.age_s(clocks.boot_time())
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -55,11 +55,11 @@
         """Let the gateway ask for news."""
         news = watch(self.hub, self.now, self.mark, brought)
         self.mark = news.registry_mark
-        for found in news.announcements:
+        for found in news.changes.announcements:
             self.endpoints.learn(found, self.now)
-        for name in news.gone:
+        for name in news.changes.gone:
             self.endpoints.expire(name)
-        for found in news.left:
+        for found in news.changes.left:
             self.endpoints.learn(found, self.now)
 
     def used(self) -> tuple[bool, bool]:
--- a/src/_coltsfootroad/commands/control.py
+++ b/src/_coltsfootroad/commands/control.py
@@ -83,11 +83,13 @@
     settings: settings_lib.ControlSettings, adapt: Adapt
 ) -> int:
     """Run a process without a disk until it is told to stop."""
-    relay = controlrelay.ControlRelay(settings)
+    relay = controlrelay.ControlRelay(
+        settings, controlserver.relay_of(settings)
+    )
     await relay.start()
     adapt(relay.link, settings.api_listen)
     common.on_reload(lambda: reload(relay))
-    went_well = await common.wait_for_stop([], relay.dump)
+    went_well = await common.wait_for_stop([relay.broken], relay.dump)
     await relay.stop()
     return common.EXIT_OK if went_well else common.EXIT_FAILED
 
--- a/src/_coltsfootroad/control/hub.py
+++ b/src/_coltsfootroad/control/hub.py
@@ -1,9 +1,10 @@
-"""The leader's soft state: live entries, endpoints, shares, groups."""
+"""The leader's soft state: who lives, which shares and groups are held."""
 
 import attrs
 
 from _coltsfootroad.control import groups as groups_lib
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import newsbook
 from _coltsfootroad.control import shares as shares_lib
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.control import watching
@@ -12,23 +13,46 @@
 from _coltsfootroad.core import registry as registry_lib
 
 MEMBER_LEASE_S = 4.0
-# A gateway asks again as soon as an answer has come, which is held back for
-# as long as it says; a frozen or lost one has to be out of the addresses that
-# callers get before their next connection.
+# Whoever watches asks again as soon as an answer has come, which is held back
+# for as long as it says; a frozen or lost gateway has to be out of the
+# addresses that callers get before their next connection.
 WATCHER_MARGIN_S = 1.2
+# The gateways of a relay that fell silent have this long to ask another one:
+# they notice within the time of a question, and the other one tells at once.
+MOVE_S = 1.2
+# The same after another leader took over: its relays have to find it first.
+TAKEN_OVER_S = 2.0
 # Endpoints announce themselves every second or so and at times seconds late.
 ANNOUNCEMENT_LEASE_S = 8.0
-# Changes of the registry that an entry can catch up with one by one.
-MAX_CHANGES = 4_096
+NEVER = float("inf")
 
 
 @attrs.define
 class LiveMember:
-    """An entry that has sent heartbeats lately."""
+    """An entry or gateway that has been heard of lately.
 
-    member: addresses.Member
+    Attributes:
+        attached: What it says of itself.
+        until: When its lease ends, never while its relay answers for it.
+        relay: The relay that it asks, empty if it asks the leader.
+    """
+
+    attached: watching.Attached
+    until: float
+    relay: str = ""
+
+    @property
+    def member(self) -> addresses.Member:
+        """Return what it says of itself."""
+        return self.attached.member
+
+
+@attrs.define
+class LiveRelay:
+    """A relay and when its lease ends."""
+
+    relay: watching.Relay
     until: float
-    mark: int
 
 
 @attrs.define
@@ -42,47 +66,89 @@
 
 @attrs.define
 class Hub:
-    """Answers heartbeats from memory only; it is rebuilt after a restart.
+    """Answers heartbeats from memory only.
 
-    Every change of the registry gets the next mark, and an entry is sent
-    what changed since the mark it knows, so a quiet registry costs nothing.
+    Every change of the registry gets the next mark, and whoever asks is sent
+    what changed since the mark it knows, so a quiet registry costs nothing. A
+    leader that was told by the one before it goes on from there; else all is
+    rebuilt from heartbeats.
+
+    Attributes:
+        epoch: Names this leader in this term.
+        state: The replicated state.
+        started_at: When it began to lead.
+        book: What it knows of the fleet, and what it tells.
+        heard_since: When the first of the leaders whose book it is began to
+            hear endpoints.
     """
 
     epoch: str
     state: state_lib.ControlState
     started_at: float
+    book: newsbook.NewsBook = attrs.Factory(newsbook.NewsBook)
+    heard_since: float = attrs.field()
     members: dict[str, LiveMember] = attrs.Factory(dict)
+    relays: dict[str, LiveRelay] = attrs.Factory(dict)
     registry: registry_lib.Registry = attrs.Factory(registry_lib.Registry)
     loads: dict[str, KnownLoad] = attrs.Factory(dict)
-    marks: dict[str, int] = attrs.Factory(dict)
-    gone: dict[str, int] = attrs.Factory(dict)
-    lost_members: dict[str, int] = attrs.Factory(dict)
-    last_mark: int = 0
     shares: shares_lib.ShareTable = attrs.field(init=False)
     groups: groups_lib.GroupLedger = attrs.Factory(groups_lib.GroupLedger)
 
+    @heard_since.default
+    def _since_started(self):
+        return self.started_at
+
     def __attrs_post_init__(self):
         self.shares = shares_lib.ShareTable(started_at=self.started_at)
+        self.take_over()
+
+    @property
+    def last_mark(self) -> int:
+        """Return the mark of the newest change."""
+        return self.book.last_mark
+
+    def take_over(self) -> None:
+        """Go on from what the book holds, with leases that begin now."""
+        self.book.begin(self.epoch)
+        now = self.started_at
+        for member in self.book.members.values():
+            attached = watching.Attached(member=member)
+            self.members[member.entry] = LiveMember(
+                attached, now + TAKEN_OVER_S
+            )
+        for relay in self.book.relays.values():
+            self.relays[relay.name] = LiveRelay(relay, now + TAKEN_OVER_S)
+        known = self.book.endpoints.values()
+        ended = [marked.value for marked in self.book.endpoints.gone.values()]
+        for announcement in (*known, *ended):
+            if announcement is not None:
+                until = now + ANNOUNCEMENT_LEASE_S
+                self.registry.announce(announcement, until, now, False)
+
+    # --- who asks ----------------------------------------------------------
 
     def on_sync(
         self, request: messages.SyncRequest, now: float
     ) -> messages.SyncReply:
         """Take an entry's heartbeat and return what is new for it."""
         self.expire(now)
-        self.take_member(request.member, now)
+        attached = watching.Attached(member=request.member)
+        self.take_member(attached, now + MEMBER_LEASE_S)
         lease_s = self.state.configs.config.fleet.endpoint_lease_s
         for announcement in request.announcements:
             self.take_announcement(announcement, lease_s, now)
         for aged in request.loads:
             self.take_load(aged.report, now - aged.age_s)
-        mark = request.registry_mark if request.epoch == self.epoch else 0
+        book = self.book
+        after = request.registry_mark if request.epoch == self.epoch else -1
+        changed = (after, book.last_mark)
         configs = self.state.configs
         return messages.SyncReply(
             epoch=self.epoch,
             registry_mark=self.last_mark,
             config=configs.update_since(request.config_version),
-            members=self.members_since(mark),
-            lost_members=names_since(self.lost_members, mark),
+            members=tuple(book.members.within(*changed)),
+            lost_members=newsbook.names(book.members.gone_within(*changed)),
             shares=self.shares.on_sync(
                 request.member.entry,
                 request,
@@ -90,76 +156,108 @@
                 len(self.members),
                 now,
             ),
-            announcements=self.changed_since(mark),
-            gone=names_since(self.gone, mark),
-            loads=self.loads_since(mark, now),
+            announcements=tuple(book.endpoints.within(*changed)),
+            gone=newsbook.names(book.endpoints.gone_within(*changed)),
+            loads=self.loads_since(after, now),
             group_holds=self.groups.held_tokens(now),
         )
 
     def on_watch(self, request: watching.Watch, now: float) -> watching.News:
         """Take a gateway's watch and return what is new for it."""
         self.expire(now)
-        lease_s = request.wait_s + WATCHER_MARGIN_S
-        self.take_member(request.member, now, lease_s)
+        attached = watching.Attached(
+            member=request.member, attachment=request.attachment
+        )
+        self.take_member(attached, now + request.wait_s + WATCHER_MARGIN_S)
+        return self.news(request, now)
+
+    def on_relay_watch(
+        self, request: watching.RelayWatch, now: float
+    ) -> watching.News:
+        """Take what a relay tells of its gateways; return what is new."""
+        self.expire(now)
+        name = request.relay.name
+        is_new = name not in self.relays
+        self.take_relay(request.relay, now + request.wait_s + WATCHER_MARGIN_S)
+        for attached in request.attached:
+            self.take_member(attached, NEVER, name)
+        told = {attached.member.entry for attached in request.attached}
+        for entry, live in list(self.members.items()):
+            gone = request.complete and entry not in told
+            if live.relay == name and (gone or entry in request.detached):
+                self.lose_member(entry)
+        news = self.news(request, now)
+        if is_new and not request.complete:
+            changes = attrs.evolve(news.changes, wants_complete=True)
+            return attrs.evolve(news, told=changes)
+        return news
+
+    def news(
+        self, request: watching.Watch | watching.RelayWatch, now: float
+    ) -> watching.News:
+        """Return what is new for somebody, and take what was brought along."""
         for announcement in request.announcements:
             self.take_announcement(
                 announcement, ANNOUNCEMENT_LEASE_S, now, first_hand=False
             )
-        mark = request.registry_mark if request.epoch == self.epoch else 0
-        silent, left = self.lost_since(mark)
         whole, delta = self.state.routes.news(request.routes_version)
-        return watching.News(
-            epoch=self.epoch,
-            registry_mark=self.last_mark,
-            registry_age_s=now - self.started_at,
+        return attrs.evolve(
+            self.book.page(request.epoch, request.registry_mark),
+            registry_age_s=now - self.heard_since,
             routes=whole,
             routes_delta=delta,
-            members=self.members_since(mark),
-            lost_members=names_since(self.lost_members, mark),
-            announcements=self.changed_since(mark),
-            gone=silent,
-            left=left,
         )
 
-    def lost_since(
-        self, mark: int
-    ) -> tuple[tuple[str, ...], tuple[registry_lib.Announcement, ...]]:
-        """Return who fell silent and who signed off for good after a mark."""
-        silent, left = [], []
-        for name in names_since(self.gone, mark):
-            incarnation = self.registry.left_for_good(name)
-            if incarnation is None:
-                silent.append(name)
-            else:
-                left.append(registry_lib.signed_off(name, incarnation))
-        return tuple(silent), tuple(left)
-
-    def members_since(self, mark: int) -> tuple[addresses.Member, ...]:
-        """Return the live entries and gateways that changed after a mark."""
-        return tuple(
-            live.member for live in self.members.values() if live.mark > mark
-        )
+    # --- members and relays ------------------------------------------------
 
     def take_member(
-        self,
-        member: addresses.Member,
-        now: float,
-        lease_s: float = MEMBER_LEASE_S,
+        self, attached: watching.Attached, until: float, relay: str = ""
     ) -> None:
-        """Renew an entry's lease unless a later start of it is known."""
+        """Renew an entry's lease unless later word of it is known.
+
+        A relay that tells late of a gateway which has gone on to another one
+        must not answer for it.
+        """
+        member = attached.member
         known = self.members.get(member.entry)
-        if known is not None and known.member.incarnation > member.incarnation:
+        if known is not None and known.attached.order > attached.order:
+            return
+        if known is None or known.member != member:
+            self.book.put_member(member)
+        self.members[member.entry] = LiveMember(attached, until, relay)
+
+    def lose_member(self, name: str) -> None:
+        """Tell that an entry or gateway is gone."""
+        del self.members[name]
+        self.book.drop_member(name)
+
+    def take_relay(self, relay: watching.Relay, until: float) -> None:
+        """Renew a relay's lease; its gateways are another's after a restart."""
+        known = self.relays.get(relay.name)
+        if known is not None and known.relay.incarnation > relay.incarnation:
             return
-        changed = known is None or known.member != member
-        mark = self.next_mark() if changed else known.mark
-        until = now + lease_s
-        self.members[member.entry] = LiveMember(member, until, mark)
-        self.lost_members.pop(member.entry, None)
+        if known is None or known.relay != relay:
+            self.book.put_relay(relay)
+            if known is not None:
+                self.let_move(relay.name, until)
+        if known is not None:
+            until = max(until, known.until)
+        self.relays[relay.name] = LiveRelay(relay, until)
 
-    def next_mark(self) -> int:
-        """Return a mark above all earlier ones."""
-        self.last_mark += 1
-        return self.last_mark
+    def lose_relay(self, name: str, now: float) -> None:
+        """Tell that a relay is gone; its gateways have some time to move."""
+        del self.relays[name]
+        self.book.drop_relay(name)
+        self.let_move(name, now + MOVE_S)
+
+    def let_move(self, relay: str, until: float) -> None:
+        """End the leases of a relay's gateways unless they are heard again."""
+        for live in self.members.values():
+            if live.relay == relay:
+                live.relay = ""
+                live.until = until
+
+    # --- endpoints ---------------------------------------------------------
 
     def take_announcement(
         self,
@@ -174,12 +272,20 @@
         )
         if change is not registry_lib.Change.UPDATED:
             return
-        name = announcement.endpoint
-        if name in self.registry.registrations:
-            self.marks[name] = self.next_mark()
-            self.gone.pop(name, None)
+        known = self.registry.registrations.get(announcement.endpoint)
+        if known is not None:
+            self.book.put_endpoint(known.announcement)
         else:
-            self.note_gone(name)
+            self.note_gone(announcement.endpoint)
+
+    def note_gone(self, name: str) -> None:
+        """Tell that an endpoint is gone: silent, or signed off for good."""
+        self.loads.pop(name, None)
+        incarnation = self.registry.left_for_good(name)
+        sign_off = None
+        if incarnation is not None:
+            sign_off = registry_lib.signed_off(name, incarnation)
+        self.book.drop_endpoint(name, sign_off)
 
     def take_load(
         self, report: endpoints.LoadReport, measured_at: float
@@ -192,17 +298,9 @@
                 return
         if report.endpoint in self.registry.registrations:
             self.loads[report.endpoint] = KnownLoad(
-                report, measured_at, self.next_mark()
+                report, measured_at, self.book.next_mark()
             )
 
-    def changed_since(self, mark: int) -> tuple[registry_lib.Announcement, ...]:
-        """Return the announcements that changed after a mark."""
-        return tuple(
-            self.registry.registrations[name].announcement
-            for name, changed in self.marks.items()
-            if changed > mark
-        )
-
     def loads_since(
         self, mark: int, now: float
     ) -> tuple[messages.AgedLoad, ...]:
@@ -215,28 +313,13 @@
             if known.mark > mark
         )
 
-    def note_gone(self, name: str) -> None:
-        """Tell entries that an endpoint is gone."""
-        self.marks.pop(name, None)
-        self.loads.pop(name, None)
-        self.note_lost(self.gone, name)
-
-    def note_lost(self, lost: dict[str, int], name: str) -> None:
-        """Remember that a name is gone, within a bound."""
-        lost[name] = self.next_mark()
-        while len(lost) > MAX_CHANGES:
-            del lost[next(iter(lost))]
-
     def expire(self, now: float) -> None:
-        """Drop entries and endpoints whose lease has ended."""
+        """Drop whoever's lease has ended."""
+        for name, live in list(self.relays.items()):
+            if live.until <= now:
+                self.lose_relay(name, now)
         for name, live in list(self.members.items()):
             if live.until <= now:
-                del self.members[name]
-                self.note_lost(self.lost_members, name)
+                self.lose_member(name)
         for name in self.registry.expire(now):
             self.note_gone(name)
-
-
-def names_since(marks: dict[str, int], mark: int) -> tuple[str, ...]:
-    """Return the names whose mark is later than `mark`."""
-    return tuple(name for name, changed in marks.items() if changed > mark)
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -1,21 +1,21 @@
 """One replica: consensus, state, and while leading the hub; no sockets."""
 
 from collections.abc import Callable
-import json
 import random
 
 import attrs
 
 from _coltsfootroad.control import commandlog
-from _coltsfootroad.control import electiontimer
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import hub as hub_lib
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import mirror as mirror_lib
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
 from _coltsfootroad.control import raft as raft_lib
+from _coltsfootroad.control import reads
 from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import state as state_lib
@@ -71,6 +71,8 @@
     raft: raft_lib.Raft = attrs.field(init=False)
     state: state_lib.ControlState = attrs.field(init=False)
     hub: hub_lib.Hub | None = None
+    # What it knows while another replica leads, and what it begins with.
+    mirror: mirror_lib.Mirror = attrs.field()
     waiters: dict[int, Waiter] = attrs.Factory(dict)
     pending: list[ready_lib.Ready] = attrs.Factory(list)
     blocked_until: float = 0.0
@@ -84,6 +86,13 @@
         membership_lib.Membership
     )
 
+    @mirror.default
+    def _own_mirror(self):
+        relay = watching.Relay(
+            name=self.replica.name, incarnation=0, address=self.replica.address
+        )
+        return mirror_lib.Mirror(relay)
+
     def __attrs_post_init__(self):
         loaded = self.storage.load()
         self.state = state_lib.ControlState()
@@ -191,7 +200,6 @@
             )
             if stored.is_ok():
                 self.state = state_lib.load(ready.snapshot_data)
-                self.hub = None
             return stored.is_ok()
         batch = storage_lib.Batch(
             truncate_from=ready.truncate_from,
@@ -244,16 +252,29 @@
             self.raft.applied >= self.raft.term_start
         )
         if ready and self.hub is None:
-            self.hub = hub_lib.Hub(
-                epoch=f"{self.replica.identity}/{self.raft.term}",
-                state=self.state,
-                started_at=now,
-            )
-        elif not ready:
+            self.hub = self.take_over(now)
+        elif not ready and self.hub is not None:
+            self.mirror.step_down(self.hub.heard_since, now)
             self.hub = None
         if not self.raft.is_leader and self.waiters:
             self.fail_waiters()
 
+    def take_over(self, now: float) -> hub_lib.Hub:
+        """Return the hub of a new leader, which goes on from a good copy."""
+        heard_since = self.mirror.heard_since
+        if not self.mirror.is_good(now):
+            self.mirror.book.clear()
+            heard_since = now
+        hub = hub_lib.Hub(
+            epoch=f"{self.replica.identity}/{self.raft.term}",
+            state=self.state,
+            started_at=now,
+            book=self.mirror.book,
+            heard_since=heard_since,
+        )
+        hub.take_relay(self.mirror.relay, hub_lib.NEVER)
+        return hub
+
     def fail_waiters(self) -> None:
         """Tell those who wait that the outcome is not known here."""
         waiters, self.waiters = self.waiters, {}
@@ -277,7 +298,7 @@
         elif isinstance(message, messages.LeaveReplica):
             self.leave(message, reply, now)
         else:
-            reply(self.read(message, now))
+            reply(reads.answer(self, message, now))
 
     def propose(self, command: object, now: float, reply: Reply) -> None:
         """Replicate a command; the reply comes once it is applied."""
@@ -303,49 +324,6 @@
         # commands that arrive together share one sync.
         self.waiters[index] = Waiter(self.raft.term, reply)
 
-    def read(self, message: object, now: float) -> object:
-        """Answer a read while the lease holds."""
-        match message:
-            case messages.SyncRequest():
-                return self.hub.on_sync(message, now)
-            case watching.Watch():
-                news = self.hub.on_watch(message, now)
-                return attrs.evolve(news, replicas=self.replica_addresses())
-            case messages.Announce():
-                self.hub.take_announcement(
-                    message.announcement, hub_lib.ANNOUNCEMENT_LEASE_S, now
-                )
-                return outcomes.Done()
-            case messages.ReadRoutes():
-                routes = self.state.routes
-                return messages.RoutesCopy(
-                    version=routes.version, source=routes.source
-                )
-            case messages.GroupReserve():
-                return self.hub.groups.reserve(message, now)
-            case messages.GroupRelease():
-                self.hub.groups.release(message.group)
-                return outcomes.Done()
-            case messages.ReadConfig():
-                configs = self.state.configs
-                return messages.ConfigUpdate(
-                    version=configs.version,
-                    document=json.dumps(configs.document).encode(),
-                )
-            case messages.ReadStatus():
-                document = json.dumps(self.status(now)).encode()
-                return messages.Status(document=document)
-            case messages.TakeSnapshot():
-                return messages.SnapshotCopy(
-                    index=self.raft.applied, data=state_lib.save(self.state)
-                )
-        return outcomes.Refused(
-            failure=errors.Failure(
-                errors.ErrorCode.BAD_REQUEST,
-                f"{type(message).__name__} is no call",
-            )
-        )
-
     def change_replicas(
         self, message: messages.ChangeReplicas, now: float, reply: Reply
     ) -> None:
@@ -447,70 +425,11 @@
         known = self.raft.replica_set.everyone().get(self.raft.leader)
         return known.address if known is not None else ""
 
-    def status(self, now: float) -> dict:
-        """Return what operators ask for, as plain JSON values."""
-        raft = self.raft
-        return {
-            "leader": self.replica.identity,
-            "term": raft.term,
-            "version": self.state.configs.version,
-            "commit": raft.commit,
-            "claims": len(self.state.claims.claims),
-            "replicas": [
-                self.replica_status(identity, now)
-                for identity in raft.replica_set.everyone()
-            ],
-            "entries": [
-                attrs.asdict(live.member) for live in self.hub.members.values()
-            ],
-            "endpoints": [
-                endpoint_status(known.announcement)
-                for known in self.hub.registry.registrations.values()
-            ],
-        }
-
-    def replica_status(self, identity: str, now: float) -> dict:
-        """Return where one replica stands and why it is behind."""
-        raft = self.raft
-        replica = raft.replica_set.everyone()[identity]
-        progress = raft.progress[identity]
-        own = identity == raft.identity
-        silent_s = 0.0 if own else now - progress.acked_at
-        voter = identity in raft.replica_set.voter_identities()
-        lag = raft.log.last_index - progress.match
-        reason = "current"
-        if silent_s > electiontimer.ELECTION_MAX_S:
-            reason = "silent"
-        elif progress.snapshot is not None:
-            reason = "receiving a snapshot"
-        elif lag:
-            reason = "catching up"
-        return {
-            "identity": identity,
-            "address": replica.address,
-            "voter": voter,
-            "behind": lag,
-            "state": reason,
-            "silent_s": round(silent_s, 1) if silent_s < 1e9 else None,
-        }
-
 
 def ignore_reply(_: object) -> None:
     """Drop an answer that nobody waits for; the step is tried again."""
 
 
-def endpoint_status(announcement) -> dict:
-    """Return an endpoint for operators."""
-    return {
-        "endpoint": announcement.endpoint,
-        "service": announcement.service,
-        "address": announcement.address,
-        "state": announcement.state.value,
-        "incarnation": announcement.incarnation,
-        "availability_zone": announcement.availability_zone,
-    }
-
-
 def unavailable(reason: str) -> outcomes.Refused:
     """Return the refusal of a call that may be tried again."""
     return outcomes.Refused(
--- a/src/_coltsfootroad/control/routestore.py
+++ b/src/_coltsfootroad/control/routestore.py
@@ -38,12 +38,18 @@
         An operator resends what got no clear answer, also after a later
         version; whatever came under a number first keeps that number.
         """
-        if command.config.version > self.version:
-            self.remember()
-            self.config = command.config
+        if self.adopt(command.config):
             self.source = command.source
         return messages.RoutesCopy(version=self.version)
 
+    def adopt(self, config: routes_lib.RouteConfig) -> bool:
+        """Put a higher version in force; never a lower one."""
+        if config.version <= self.version:
+            return False
+        self.remember()
+        self.config = config
+        return True
+
     def remember(self) -> None:
         """Keep the version in force, which is about to be replaced."""
         self.deltas.clear()
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -31,7 +31,7 @@
 TICK_S = 0.25
 # Age of the last word of the leader past which the gateway no longer calls
 # itself ready; callers should have moved before it refuses.
-READY_BOUND_S = 2.5
+READY_BOUND_S = 3.5
 # Age past which what it says of other gateways is not to be used.
 MEMBERS_BOUND_S = 30.0
 # A stopping gateway takes requests for this long, as callers keep addresses
@@ -157,7 +157,7 @@
 
     def reload(self, settings: settings_lib.GatewaySettings) -> None:
         """Take settings that may change while the process runs."""
-        self.watch.link.learn(settings.control())
+        self.watch.learn_seeds(settings.control())
         LOG.info("settings reloaded", control=list(settings.control()))
 
     # --- beliefs ---------------------------------------------------------
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -1,31 +1,33 @@
-"""Keeps a gateway current by asking the leader for news, again and again."""
+"""Keeps a gateway current by asking for news, again and again.
+
+It asks a relay of its availability zone, which has it from the leader, and
+goes to another one, or to the leader, when that one falls silent or behind.
+"""
 
 import asyncio
 
+from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
+from _coltsfootroad.core import relaychoice
 from _coltsfootroad.core import routedelta
+from _coltsfootroad.shell import channels as channels_lib
 from _coltsfootroad.shell import clocks
-from _coltsfootroad.shell import links
 from _coltsfootroad.shell import logs
 
 LOG = logs.logger("watch")
-# An answer without news comes after this time. Together with the time-out
-# it keeps the proof younger than a second while the leader lives, and lets
-# the leader see within 1.6 s that a gateway in use is lost.
+# An answer without news comes after this time. Together with the time-out and
+# the age of the relay's own proof it keeps the proof younger than two seconds
+# while anybody leads, and lets the loss of a gateway in use show in 1.6 s.
 HOLD_S = 0.4
 # The same for a gateway that callers are not sent to: its loss hurts nobody,
-# and most of 96 gateways ask less than half as often.
+# and most of hundreds of gateways ask less than half as often.
 SPARE_HOLD_S = 1.0
-# How much longer than it is held back an answer may take on its way. The link
-# gives half of a call's time to the first replica it tries.
-TRAVEL_S = 0.2
-TRIES = 2
+# How much longer than it is held back an answer may take on its way.
+TRAVEL_S = 0.3
 # Pause after an answer: one that brings a change each 60 ms is enough.
 MIN_PAUSE_S = 0.02
 FAILURE_PAUSE_S = 0.1
-# Stands for no version of the routes.
-NO_VERSION = -1
 
 
 class Watch:
@@ -33,10 +35,18 @@
 
     def __init__(self, gateway):
         self.gateway = gateway
-        self.link = links.GrpcControlLink(gateway.settings.control())
+        settings = gateway.settings
+        self.channels = channels_lib.Channels()
+        self.choice = relaychoice.RelayChoice(
+            gateway=settings.gateway,
+            zone=settings.availability_zone,
+            seeds=list(settings.control()),
+        )
         self.epoch = ""
         self.mark = 0
         self.connected = False
+        # Whether a leader that is new has to learn again what was known.
+        self.owes = True
         self.wants_whole = False
         self.task: asyncio.Task | None = None
 
@@ -44,6 +54,10 @@
         """Begin to ask."""
         self.task = asyncio.ensure_future(self.run())
 
+    def learn_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take further addresses of the control state."""
+        self.choice.learn_seeds(seeds)
+
     async def run(self) -> None:
         """Ask until cancelled."""
         while True:
@@ -52,33 +66,45 @@
             await asyncio.sleep(pause_s)
 
     async def ask(self) -> bool:
-        """Ask once; return whether a leader answered."""
+        """Ask once; return whether there was an answer that helps."""
         asked_at = clocks.boot_time()
+        before = self.choice.current
+        address = self.choice.choose(asked_at)
+        if address != before:
+            LOG.info("asks", address=address, before=before)
         # Held back, an answer proves no more than a quick one.
         question = self.question()
-        timeout_s = TRIES * (question.wait_s + TRAVEL_S)
-        answer = await self.link.call(question, timeout_s)
-        news = answer.ok if answer.is_ok() else None
-        if not isinstance(news, watching.News):
-            reason = answer.error.message if news is None else str(news)
-            self.note_link(False, reason)
-            return False
-        self.note_link(True, self.link.leader)
-        self.take(news, asked_at)
-        return True
+        answer = await self.channels.call(
+            address, question, question.wait_s + TRAVEL_S
+        )
+        found = answer.ok if answer.is_ok() else None
+        if isinstance(found, watching.News):
+            self.note_link(True, address)
+            self.take(found, asked_at)
+            return True
+        now = clocks.boot_time()
+        if isinstance(found, watching.AskElsewhere):
+            self.learn_relays(found.relays)
+            return True
+        hint = found.hint if isinstance(found, outcomes.NotLeader) else ""
+        self.choice.follow(hint, address, now)
+        reason = answer.error if answer.is_error() else type(found).__name__
+        self.note_link(False, f"{address}: {reason}")
+        return False
 
     def question(self) -> watching.Watch:
         """Return what is asked."""
         gateway = self.gateway
+        version = gateway.view.version
         return watching.Watch(
             member=self.member(),
-            routes_version=NO_VERSION
-            if self.wants_whole
-            else gateway.view.version,
+            attachment=self.choice.attachment,
+            routes_version=watching.NO_VERSION if self.wants_whole else version,
             epoch=self.epoch,
             registry_mark=self.mark,
             announcements=self.owed(),
             wait_s=self.hold_s(),
+            knows_relays=bool(self.choice.relays),
         )
 
     def hold_s(self) -> float:
@@ -89,7 +115,7 @@
 
     def owed(self) -> tuple:
         """Return what a leader that is new has to learn again."""
-        if self.connected:
+        if not self.owes:
             return ()
         return self.gateway.endpoints.everything()
 
@@ -106,7 +132,7 @@
         )
 
     def note_link(self, connected: bool, detail: str) -> None:
-        """Log each lost or regained leader once."""
+        """Log each lost or regained way to the control state once."""
         if connected != self.connected:
             text = "leader regained" if connected else "leader lost"
             LOG.info(text, detail=detail, version=self.gateway.view.version)
@@ -115,28 +141,61 @@
     def take(self, news: watching.News, asked_at: float) -> None:
         """Put news in force."""
         gateway = self.gateway
-        anew = news.epoch != self.epoch
-        if anew:
-            LOG.info("new epoch", epoch=news.epoch, before=self.epoch)
-            # What this leader does not know yet is brought to it next time.
-            self.connected = self.epoch == ""
+        changes = news.changes
+        if news.epoch != self.epoch:
+            LOG.info(
+                "new epoch",
+                epoch=news.epoch,
+                before=self.epoch,
+                whole=changes.whole,
+            )
+        # What such a leader does not know yet is brought to it next time.
+        self.owes = changes.whole and self.epoch != ""
         self.epoch = news.epoch
         self.mark = news.registry_mark
-        self.link.learn(news.replicas)
-        for announcement in news.announcements:
-            gateway.learn_endpoint(announcement)
-        for name in news.gone:
-            gateway.endpoints.expire(name)
-            LOG.info("endpoint silent", endpoint=name)
-        for announcement in news.left:
-            gateway.learn_endpoint(announcement)
+        self.choice.learn_seeds(news.replicas)
+        if changes.whole:
+            self.choice.relays.clear()
+        self.learn_relays(changes.relays)
+        for name in changes.lost_relays:
+            self.choice.forget(name)
+        self.take_endpoints(changes)
         gateway.view.member_view.learn(
-            news.members, news.lost_members, anew, news.registry_age_s
+            changes.members,
+            changes.lost_members,
+            changes.whole,
+            0.0 if changes.more else news.registry_age_s,
         )
         if not self.take_routes(news):
             return
-        gateway.view.confirm(asked_at)
+        gateway.view.confirm(asked_at - news.proof_age_s)
         gateway.start_up.on_news(news.registry_age_s, clocks.boot_time())
+        if news.proof_age_s > relaychoice.BEHIND_S:
+            now = clocks.boot_time()
+            LOG.info(
+                "relay is behind",
+                address=self.choice.current,
+                proof_age_s=round(news.proof_age_s, 3),
+            )
+            self.choice.avoid(self.choice.current, now)
+
+    def learn_relays(self, relays: tuple[watching.Relay, ...]) -> None:
+        """Note relays that can be asked."""
+        for relay in relays:
+            self.choice.learn(
+                relay.name, relay.address, relay.availability_zone
+            )
+
+    def take_endpoints(self, changes: watching.Changes) -> None:
+        """Take what is new of endpoints."""
+        gateway = self.gateway
+        for announcement in changes.announcements:
+            gateway.learn_endpoint(announcement)
+        for name in changes.gone:
+            gateway.endpoints.expire(name)
+            LOG.info("endpoint silent", endpoint=name)
+        for announcement in changes.left:
+            gateway.learn_endpoint(announcement)
 
     def take_routes(self, news: watching.News) -> bool:
         """Put newer routes in force; return whether the version is known.
@@ -166,4 +225,4 @@
         """Stop asking."""
         if self.task is not None:
             self.task.cancel()
-        await self.link.close()
+        await self.channels.close()
--- a/src/_coltsfootroad/shell/controlrelay.py
+++ b/src/_coltsfootroad/shell/controlrelay.py
@@ -1,48 +1,56 @@
-"""Stands in for a replica on a VM without a disk: it shows the way.
+"""Stands in for a replica on a VM without a disk.
 
 A platform may start `colts-control` on VMs that have no disk. Nothing durable
-can be kept there, so such a process takes no part in votes; it tells who asks
-where the leader is, and passes a platform's own calls on to it.
+can be kept there, so such a process takes no part in votes. It tells gateways
+of its availability zone what is new, and whoever else asks where the leader is.
 """
 
 import asyncio
 
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import mirror as mirror_lib
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import replicas
-from _coltsfootroad.shell import clocks
+from _coltsfootroad.control import watching
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import relayloop
 from _coltsfootroad.shell import settings as settings_lib
-from _coltsfootroad.shell import traffic
+from _coltsfootroad.shell import watchdesk
 from _coltsfootroad.shell import wire
 
 LOG = logs.logger("relay")
-# How often it asks for the leader, well below the second after which callers
-# of a platform move on; and how long it waits for an answer.
-FIND_EVERY_S = 0.5
-FIND_TIMEOUT_S = 1.0
 # What it says of itself in place of a replica's role.
 ROLE = "relay"
 
 
 class ControlRelay:
-    """Answers calls by naming the leader."""
+    """Answers gateways from a copy, and others by naming the leader."""
 
-    def __init__(self, settings: settings_lib.ControlSettings):
+    def __init__(
+        self, settings: settings_lib.ControlSettings, relay: watching.Relay
+    ):
         self.settings = settings
         self.link = links.GrpcControlLink(settings.peers())
+        self.mirror = mirror_lib.Mirror(relay)
+        self.desk = watchdesk.WatchDesk(self.mirror, self.name_leader)
+        self.broken: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.desk.relay = relayloop.RelayLoop(
+            self.mirror,
+            self.link,
+            lambda: False,
+            self.desk.wake,
+            self.broken,
+        )
         self.grpc_server = None
-        self.finder: asyncio.Task | None = None
-        self.leader = ""
 
     async def start(self) -> None:
-        """Open the socket and begin to look for the leader."""
+        """Open the socket and begin to ask the leader."""
         self.grpc_server = links.make_server(self.on_call, self.on_peer)
         self.grpc_server.add_insecure_port(self.settings.listen)
         await self.grpc_server.start()
-        self.finder = asyncio.ensure_future(self.find())
+        self.desk.relay.start()
         LOG.info(
             "started",
             replica=self.settings.replica,
@@ -50,29 +58,28 @@
             why="no data folder",
         )
 
-    async def find(self) -> None:
-        """Keep the leader known until cancelled."""
-        while True:
-            answer = await self.link.call(messages.ReadConfig(), FIND_TIMEOUT_S)
-            found = self.link.leader if answer.is_ok() else ""
-            if found != self.leader:
-                text = "leader regained" if found else "leader lost"
-                LOG.info(text, leader=found, before=self.leader)
-            self.leader = found
-            traffic.PROCESS.log(clocks.boot_time())
-            await asyncio.sleep(FIND_EVERY_S)
+    @property
+    def leader(self) -> str:
+        """Return the leader's address, empty if nobody leads."""
+        return self.link.leader if self.desk.relay.connected else ""
 
     async def on_call(self, data: bytes) -> bytes:
         """Answer an encoded call."""
         decoded = wire.CALLS.decode(data)
         if decoded.is_error():
             answer = outcomes.Refused(failure=decoded.error)
+        elif isinstance(decoded.ok, watching.Watch):
+            answer = await self.desk.answer(decoded.ok)
         elif isinstance(decoded.ok, messages.ReplicaHello):
             answer = self.info()
         else:
             answer = outcomes.NotLeader(hint=self.leader)
         return wire.CALLS.encode(answer)
 
+    async def name_leader(self, _: watchdesk.Question) -> outcomes.NotLeader:
+        """Return who leads; never this process."""
+        return outcomes.NotLeader(hint=self.leader)
+
     def on_peer(self, sender: str, _address: str, _data: bytes) -> None:
         """Drop a message of a replica, which takes this for another one."""
         LOG.info("peer message dropped", sender=sender)
@@ -95,7 +102,13 @@
 
     def dump(self) -> bytes:
         """Return the state of the process for people."""
-        return dumps.to_json({"settings": self.settings, "info": self.info()})
+        return dumps.to_json(
+            {
+                "settings": self.settings,
+                "info": self.info(),
+                "mirror": self.mirror,
+            }
+        )
 
     def learn(self, addresses: tuple[str, ...]) -> None:
         """Take further addresses of replicas."""
@@ -103,8 +116,7 @@
 
     async def stop(self) -> None:
         """Close everything."""
-        if self.finder is not None:
-            self.finder.cancel()
+        self.desk.relay.stop()
         if self.grpc_server is not None:
             await self.grpc_server.stop(grace=0.5)
         await self.link.close()
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -4,11 +4,11 @@
 import random
 import time
 
-import attrs
 from expression import Ok
 
 from _coltsfootroad.control import membership as membership_lib
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import mirror as mirror_lib
 from _coltsfootroad.control import node as node_lib
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import replicas
@@ -23,8 +23,10 @@
 from _coltsfootroad.shell import metrics as metrics_lib
 from _coltsfootroad.shell import operators
 from _coltsfootroad.shell import quorumlog
+from _coltsfootroad.shell import relayloop
 from _coltsfootroad.shell import settings as settings_lib
 from _coltsfootroad.shell import traffic
+from _coltsfootroad.shell import watchdesk
 from _coltsfootroad.shell import web
 from _coltsfootroad.shell import wire
 
@@ -36,8 +38,6 @@
 # its vote: ten times what both take, an eighth of the usual time to stop.
 LEAVE_S = 1.0
 LEAVE_RETRY_S = 0.1
-# A gateway may ask for its answer to be held back this long at most.
-MAX_WATCH_S = 5.0
 
 
 class ControlServer:
@@ -54,7 +54,6 @@
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
         self.clock = clocks.boot_time
-        self.changed = asyncio.Event()
         self.seen = None
         self.link = links.GrpcControlLink(settings.peers())
         self.join_task: asyncio.Task | None = None
@@ -77,6 +76,16 @@
             rng=random.Random(),
             started_at=clocks.PROCESS_STARTED,
             membership=membership_lib.Membership(settings.required_voters),
+            mirror=mirror_lib.Mirror(relay_of(settings)),
+        )
+        self.desk = watchdesk.WatchDesk(self.node.mirror, self.call_node)
+        self.desk.relay = relayloop.RelayLoop(
+            self.node.mirror,
+            self.link,
+            self.leads,
+            self.desk.wake,
+            self.broken,
+            self.node.replica_addresses,
         )
         self.quorum_log = quorumlog.QuorumLog(self.node)
         self.add_metrics()
@@ -95,6 +104,7 @@
         if listen_admin:
             self.listen_admin()
         self.wake()
+        self.desk.relay.start()
         if self.settings.peers():
             self.join_task = asyncio.ensure_future(self.join())
         LOG.info(
@@ -118,6 +128,7 @@
         """Close everything; whatever was acknowledged is on the disk."""
         if self.join_task is not None:
             self.join_task.cancel()
+        self.desk.relay.stop()
         await self.leave()
         if self.timer is not None:
             self.timer.cancel()
@@ -187,7 +198,7 @@
             found = await self.link.call_one(
                 address, messages.ReplicaHello(), JOIN_TIMEOUT_S
             )
-            role = getattr(found, "role", "")
+            role = found.map(role_of).default_value("")
             if role != controlrelay.ROLE:
                 return False
         return True
@@ -251,8 +262,7 @@
         if seen != self.seen:
             self.log_beliefs(seen)
             self.seen = seen
-            self.changed.set()
-            self.changed = asyncio.Event()
+            self.desk.wake()
 
     def log_beliefs(self, seen: tuple) -> None:
         """Log a change of leadership or of the version in force."""
@@ -312,19 +322,13 @@
 
     async def call(self, message: object) -> object:
         """Answer a call; a watch is held back while there is no news."""
-        if not isinstance(message, watching.Watch):
-            return await self.call_node(message)
-        end = self.clock() + min(message.wait_s, MAX_WATCH_S)
-        while True:
-            changed = self.changed
-            answer = await self.call_node(message)
-            left_s = end - self.clock()
-            empty = isinstance(answer, watching.News) and answer.is_empty
-            if not empty or left_s <= 0:
-                return answer
-            # What the watch brought along has been taken the first time.
-            message = attrs.evolve(message, announcements=())
-            await wait_for_event(changed, left_s)
+        if isinstance(message, watching.Watch | watching.RelayWatch):
+            return await self.desk.answer(message)
+        return await self.call_node(message)
+
+    def leads(self) -> bool:
+        """Return whether this replica answers as the leader."""
+        return self.node.hub is not None
 
     async def call_node(self, message: object) -> object:
         """Answer a call at once, or when its command is applied."""
@@ -408,12 +412,19 @@
         return float("nan") if bears is None else bears
 
 
-async def wait_for_event(event: asyncio.Event, timeout_s: float) -> None:
-    """Wait until an event is set or the time is over."""
-    try:
-        await asyncio.wait_for(event.wait(), timeout_s)
-    except TimeoutError:
-        return
+def role_of(answer: object) -> str:
+    """Return the role that a process names, empty if it names none."""
+    return getattr(answer, "role", "")
+
+
+def relay_of(settings: settings_lib.ControlSettings) -> watching.Relay:
+    """Return what gateways are told of this process."""
+    return watching.Relay(
+        name=settings.replica,
+        incarnation=time.time_ns(),
+        address=settings.address,
+        availability_zone=settings.availability_zone,
+    )
 
 
 class LeaderLink(links.ControlLink):
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -161,6 +161,8 @@
         listen: `ip:port` for entries and other replicas.
         advertise: `ip:port` told to them, where something stands between;
             `listen` if empty.
+        availability_zone: Zone of the VM; gateways of a zone ask the processes
+            of theirs for news.
         admin_listen: `ip:port` of operators, dump and metrics.
         admin_token: Secret of operators.
         data_folder: Folder that holds all durable state; empty on a VM
@@ -180,6 +182,7 @@
     replica: str = attrs.field(validator=check_name)
     listen: str = attrs.field(**LISTEN)
     advertise: str = ""
+    availability_zone: str = ""
     admin_listen: str = attrs.field(**LISTEN)
     admin_token: str = attrs.field(validator=check_token)
     data_folder: str = ""
--- a/src/_coltsfootroad/shell/wire.py
+++ b/src/_coltsfootroad/shell/wire.py
@@ -81,6 +81,8 @@
     messages.LeaveReplica,
     watching.Watch,
     watching.News,
+    watching.RelayWatch,
+    watching.AskElsewhere,
     fences.TakeLease,
     fences.DropLease,
     fences.LeaseAnswer,
