Start a gateway without what it does not speak

Cause: after a loss of everything gateways serve nobody until they run; on the large deployment they run 0.6 s after their VM is back, nearly all of it imports.

Ruled out: settings without cattrs (its faults name each key); one file for all modules (an importer of our own).

--- a/examples/traces/generate.py
+++ b/examples/traces/generate.py
@@ -3,12 +3,12 @@
 import pathlib
 import random
 
-from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.replay import trace as trace_lib
 
 FOLDER = pathlib.Path(__file__).parent
 SECONDS = 180
-PLAIN = request_lib.ServiceKind.PLAIN
+PLAIN = servicekind.ServiceKind.PLAIN
 OURS = ("short_slowdown", "ttft_all_lengths")
 
 
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -11,7 +11,7 @@
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
 from _coltsfootroad.shell import links
-from _coltsfootroad.shell import wire
+from _coltsfootroad.shell import wirecalls
 from features.soak import proxy as proxy_lib
 
 # How long messages are sent once a path is whole.
@@ -28,7 +28,7 @@
 
     async def on_call(_):
         await asyncio.sleep(context.answer_s)
-        return wire.CALLS.encode(outcomes.Done())
+        return wirecalls.CALLS.encode(outcomes.Done())
 
     async def run():
         server = links.make_server(on_call, lambda *_: None)
@@ -91,7 +91,7 @@
 @when("a call is made, and {seconds:g} s later the path is whole")
 def path_whole(context, seconds):
     async def on_call(_):
-        return wire.CALLS.encode(outcomes.Done())
+        return wirecalls.CALLS.encode(outcomes.Done())
 
     async def run():
         server = links.make_server(on_call, lambda *_: None)
--- a/features/steps/timers_steps.py
+++ b/features/steps/timers_steps.py
@@ -17,7 +17,7 @@
 from _coltsfootroad.shell import disk
 from _coltsfootroad.shell import metrics
 from _coltsfootroad.shell import settings as settings_lib
-from _coltsfootroad.shell import wire
+from _coltsfootroad.shell import wirecalls
 from features.soak import fleet as fleet_lib
 from features.support import running
 
@@ -87,7 +87,7 @@
             vote = peers.VoteReply(
                 term=1, sender="x", pre=False, granted=False, asked_term=1
             )
-            server.on_peer("x", "", wire.PEERS.encode(vote))
+            server.on_peer("x", "", wirecalls.PEERS.encode(vote))
         elif what == "a call":
             await server.call(messages.ReadStatus())
         else:
--- a/features/support/ratedlinks.py
+++ b/features/support/ratedlinks.py
@@ -9,7 +9,7 @@
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import raft as raft_lib
 from _coltsfootroad.control import replicas
-from _coltsfootroad.shell import wire
+from _coltsfootroad.shell import wirecalls
 
 STEP_S = 0.005
 TRAVEL_S = 0.001
@@ -128,7 +128,7 @@
             if ready.entries:
                 raft.synced(ready.entries[-1].index, self.now)
             for outgoing in ready.messages:
-                size = len(wire.PEERS.encode(outgoing.message)) + 60
+                size = len(wirecalls.PEERS.encode(outgoing.message)) + 60
                 arrives = self.links[identity].leave(size, at) + TRAVEL_S
                 item = (arrives, next(self.order), outgoing.to)
                 heapq.heappush(self.mail, (*item, outgoing.message))
--- a/features/support/relayworld.py
+++ b/features/support/relayworld.py
@@ -25,7 +25,7 @@
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import relayloop
 from _coltsfootroad.shell import watchdesk
-from _coltsfootroad.shell import wire
+from _coltsfootroad.shell import wirecalls
 from features.support import gatewaybed
 
 ZONES = ("za", "zb", "zc")
@@ -154,13 +154,13 @@
         if not target.up:
             return Error("unavailable")
         started = target.incarnation
-        decoded = wire.CALLS.decode(wire.CALLS.encode(message)).ok
+        decoded = wirecalls.CALLS.decode(wirecalls.CALLS.encode(message)).ok
         answer = await target.desk.answer(decoded)
         await world.thaw(target.name)
         if not target.up or target.incarnation != started:
             return Error("unavailable")
         await world.travel(target.name, self.name)
-        return Ok(wire.CALLS.decode(wire.CALLS.encode(answer)).ok)
+        return Ok(wirecalls.CALLS.decode(wirecalls.CALLS.encode(answer)).ok)
 
     def forget(self, _address):
         """Keep nothing."""
--- a/features/support/requestmachine.py
+++ b/features/support/requestmachine.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import placement
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.fakes import engine as engine_lib
 from _coltsfootroad.replay import simcontrol
 from _coltsfootroad.replay import world as world_lib
@@ -145,7 +146,7 @@
     def check_whole(self, record) -> None:
         """Check that an answer is whole and the caller's own."""
         request = record.request
-        if request.kind is request_lib.ServiceKind.PLAIN:
+        if request.kind is servicekind.ServiceKind.PLAIN:
             wanted = f"done {request.body_hash}".encode()
             assert record.answer.body == wanted, record.answer
             return
@@ -294,7 +295,7 @@
         self.submit(
             entry,
             service="billing",
-            kind=request_lib.ServiceKind.PLAIN,
+            kind=servicekind.ServiceKind.PLAIN,
             prompt_tokens=1,
             output_tokens=0,
             deadline_at=self.world.network.now + seconds,
--- a/src/_coltsfootroad/commands/standalone.py
+++ b/src/_coltsfootroad/commands/standalone.py
@@ -9,7 +9,7 @@
 from _coltsfootroad.commands import common
 from _coltsfootroad.commands import entry as entry_command
 from _coltsfootroad.control import messages
-from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.fakes import httpendpoint
 from _coltsfootroad.shell import controlserver
 from _coltsfootroad.shell import disk as disk_lib
@@ -159,7 +159,7 @@
                 service="billing",
                 address=f"{host}:{port + 99}",
                 entries=[settings.listen],
-                kind=request_lib.ServiceKind.PLAIN,
+                kind=servicekind.ServiceKind.PLAIN,
                 incarnation=entry_command.new_incarnation(),
             )
         )
--- a/src/_coltsfootroad/core/config.py
+++ b/src/_coltsfootroad/core/config.py
@@ -5,15 +5,13 @@
 
 import attrs
 from attrs import validators
-import cattrs
-import cattrs.preconf.json
-from cattrs.v import format_exception
 from expression import Error
 from expression import Ok
 from expression import Result
 
+from _coltsfootroad.core import documents
 from _coltsfootroad.core import errors
-from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 HEX_SHA256_LENGTH = 64
@@ -26,12 +24,6 @@
     TTFT_ALL_LENGTHS = "ttft_all_lengths"
 
 
-def check_positive(_, attribute, value) -> None:
-    """Reject numbers that are not above zero."""
-    if value is not None and not value > 0:
-        raise ValueError(f"{attribute.name} is {value!r}, must be above 0")
-
-
 def check_key_hashes(_, attribute, value) -> None:
     """Reject anything that is not a SHA-256 in lower-case hex."""
     for item in value:
@@ -58,24 +50,26 @@
         max_body_bytes: Largest body accepted.
     """
 
-    kind: request_lib.ServiceKind = request_lib.ServiceKind.ENGINE
+    kind: servicekind.ServiceKind = servicekind.ServiceKind.ENGINE
     objective: Objective = Objective.SHORT_SLOWDOWN
     model: str = ""
-    max_queue: int = attrs.field(default=1_000, validator=check_positive)
+    max_queue: int = attrs.field(
+        default=1_000, validator=documents.check_positive
+    )
     default_deadline_s: float = attrs.field(
-        default=120.0, validator=check_positive
+        default=120.0, validator=documents.check_positive
     )
     max_deadline_s: float = attrs.field(
-        default=3_600.0, validator=check_positive
+        default=3_600.0, validator=documents.check_positive
     )
     max_prompt_tokens: int = attrs.field(
-        default=1_200_000, validator=check_positive
+        default=1_200_000, validator=documents.check_positive
     )
     max_output_tokens: int = attrs.field(
-        default=8_192, validator=check_positive
+        default=8_192, validator=documents.check_positive
     )
     max_body_bytes: int = attrs.field(
-        default=16 * 1024 * 1024, validator=check_positive
+        default=16 * 1024 * 1024, validator=documents.check_positive
     )
 
 
@@ -96,15 +90,15 @@
         default=(), validator=check_key_hashes
     )
     services: tuple[str, ...] = ()
-    weight: float = attrs.field(default=1.0, validator=check_positive)
+    weight: float = attrs.field(default=1.0, validator=documents.check_positive)
     priority: int = attrs.field(
         default=5, validator=[validators.ge(0), validators.le(9)]
     )
     tokens_per_s: float | None = attrs.field(
-        default=None, validator=check_positive
+        default=None, validator=documents.check_positive
     )
     concurrency: int | None = attrs.field(
-        default=None, validator=check_positive
+        default=None, validator=documents.check_positive
     )
 
     @property
@@ -133,14 +127,16 @@
     """
 
     address_validity_s: float = attrs.field(
-        default=10.0, validator=check_positive
+        default=10.0, validator=documents.check_positive
     )
     staleness_bound_s: float = attrs.field(
-        default=8.0, validator=check_positive
+        default=8.0, validator=documents.check_positive
+    )
+    endpoint_lease_s: float = attrs.field(
+        default=5.0, validator=documents.check_positive
     )
-    endpoint_lease_s: float = attrs.field(default=5.0, validator=check_positive)
     key_retention_s: float = attrs.field(
-        default=86_400.0, validator=check_positive
+        default=86_400.0, validator=documents.check_positive
     )
 
 
@@ -160,33 +156,11 @@
     """Desired copies of a model over the engines of a service."""
 
     service: str
-    copies: int = attrs.field(default=1, validator=check_positive)
+    copies: int = attrs.field(default=1, validator=documents.check_positive)
     version: str = "1"
 
 
-def make_converter() -> cattrs.Converter:
-    """Return a converter that refuses unknown keys and wrong types."""
-    converter = cattrs.preconf.json.make_converter(forbid_extra_keys=True)
-    for kind in (int, float, str, bool):
-        converter.register_structure_hook(kind, strict_hook(kind))
-    return converter
-
-
-def strict_hook(kind):
-    """Return a hook that takes only `kind`, never a value like it."""
-
-    def structure(value, _):
-        if kind is float and type(value) is int:
-            return float(value)
-        if type(value) is not kind:
-            raise TypeError(f"{value!r} is not of type {kind.__name__}")
-        return value
-
-    return structure
-
-
 attrs.resolve_types(Config, globals(), locals())
-CONVERTER = make_converter()
 
 
 def merge_patch(target: object, patch: object) -> object:
@@ -202,18 +176,6 @@
     return merged
 
 
-def describe(error: Exception, kind: type | None) -> str:
-    """Return what one fault says; hooks and validators name the value."""
-    if isinstance(error, (TypeError, ValueError)) and error.args:
-        return str(error.args[0])
-    return format_exception(error, kind)
-
-
-def explain(error: Exception, path: str = "config") -> str:
-    """Return one sentence per fault, each with the path of its key."""
-    return "; ".join(cattrs.transform_error(error, path, describe))
-
-
 def invalid(message: str) -> Result[Config, errors.Failure]:
     """Return the refusal of a document."""
     return Error(errors.Failure(errors.ErrorCode.INVALID_CONFIG, message))
@@ -224,10 +186,10 @@
     if len(json.dumps(document)) > MAX_DOCUMENT_BYTES:
         return invalid(f"config is larger than {MAX_DOCUMENT_BYTES} bytes")
     try:
-        config = CONVERTER.structure(document, Config)
+        config = documents.CONVERTER.structure(document, Config)
     except Exception as error:  # pylint: disable=broad-except
         # cattrs raises groups of whatever the hooks and validators raise.
-        return invalid(explain(error))
+        return invalid(documents.explain(error))
     for name, workspace in config.workspaces.items():
         for service in workspace.services:
             if service not in config.services:
--- a/src/_coltsfootroad/core/dispatcher.py
+++ b/src/_coltsfootroad/core/dispatcher.py
@@ -15,6 +15,7 @@
 from _coltsfootroad.core import policies as policies_lib
 from _coltsfootroad.core import pool as pool_lib
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 
 # Heads that are tried in vain per pump before the rest must wait.
 MAX_VAIN_TRIES = 16
@@ -67,7 +68,7 @@
         now: float,
     ) -> float:
         """Return the predicted seconds until the answer is whole."""
-        if request.kind is request_lib.ServiceKind.PLAIN:
+        if request.kind is servicekind.ServiceKind.PLAIN:
             return 0.0
         if placement.needs_group(request, pool):
             plan = placement.plan(request, band, pool, set(), now)
@@ -83,7 +84,7 @@
         self, request: request_lib.Request, pool: pool_lib.ServicePool
     ) -> float:
         """Return the seconds that an idle engine would need."""
-        if request.kind is request_lib.ServiceKind.PLAIN:
+        if request.kind is servicekind.ServiceKind.PLAIN:
             return 0.0
         if placement.needs_group(request, pool):
             return self.decode_s(request, pool)
@@ -373,7 +374,7 @@
 
 def kv_tokens(request: request_lib.Request) -> int:
     """Return the memory that a request takes on one engine."""
-    if request.kind is request_lib.ServiceKind.PLAIN:
+    if request.kind is servicekind.ServiceKind.PLAIN:
         return 0
     return request.cost_tokens
 
--- a/src/_coltsfootroad/core/placement.py
+++ b/src/_coltsfootroad/core/placement.py
@@ -8,6 +8,7 @@
 from _coltsfootroad.core import endpoints
 from _coltsfootroad.core import pool as pool_lib
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 
 MAX_GROUP = 8
 # Part of an engine's memory that a group may ask for.
@@ -32,7 +33,7 @@
     request: request_lib.Request, pool: pool_lib.ServicePool
 ) -> bool:
     """Return whether no single engine can ever hold a request."""
-    if request.kind is request_lib.ServiceKind.PLAIN:
+    if request.kind is servicekind.ServiceKind.PLAIN:
         return False
     return request.cost_tokens > pool.largest_kv
 
--- a/src/_coltsfootroad/core/policies.py
+++ b/src/_coltsfootroad/core/policies.py
@@ -10,6 +10,7 @@
 from _coltsfootroad.core import endpoints
 from _coltsfootroad.core import pool as pool_lib
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 
 # Endpoints compared per choice; the cost of a choice does not grow with
 # the fleet.
@@ -63,7 +64,7 @@
     view: endpoints.EndpointView, request: request_lib.Request, free: bool
 ) -> bool:
     """Return whether a request fits an engine's memory (or its free part)."""
-    if request.kind is request_lib.ServiceKind.PLAIN:
+    if request.kind is servicekind.ServiceKind.PLAIN:
         return True
     room = view.kv_free if free else view.announcement.kv_tokens
     return request.cost_tokens <= room
@@ -326,7 +327,7 @@
 
 def for_service(service: config_lib.Service) -> Policy:
     """Return the policy that a service's settings ask for."""
-    if service.kind is request_lib.ServiceKind.PLAIN:
+    if service.kind is servicekind.ServiceKind.PLAIN:
         return PlainService()
     if service.objective is config_lib.Objective.TTFT_ALL_LENGTHS:
         return TtftAllLengths()
--- a/src/_coltsfootroad/core/registry.py
+++ b/src/_coltsfootroad/core/registry.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 
 # The incarnation of an endpoint that states none. Such an endpoint uses a new
 # name for each start, or lets its lease run out in between.
@@ -60,7 +60,7 @@
     seq: int
     service: str
     address: str = ""
-    kind: request_lib.ServiceKind = request_lib.ServiceKind.ENGINE
+    kind: servicekind.ServiceKind = servicekind.ServiceKind.ENGINE
     availability_zone: str = ""
     state: EndpointState = EndpointState.SERVING
     kv_tokens: int = 0
--- a/src/_coltsfootroad/core/request.py
+++ b/src/_coltsfootroad/core/request.py
@@ -1,15 +1,8 @@
 """Requests and the pieces of their answers."""
 
-import enum
-
 import attrs
 
-
-class ServiceKind(enum.Enum):
-    """What stands behind a service."""
-
-    ENGINE = "engine"
-    PLAIN = "plain"
+from _coltsfootroad.core import servicekind
 
 
 @attrs.frozen(kw_only=True)
@@ -42,7 +35,7 @@
     output_tokens: int
     arrived_at: float
     deadline_at: float
-    kind: ServiceKind = ServiceKind.ENGINE
+    kind: servicekind.ServiceKind = servicekind.ServiceKind.ENGINE
     priority: int = 5
     non_idempotent: bool = False
     idempotency_key: str = ""
--- a/src/_coltsfootroad/fakes/httpendpoint.py
+++ b/src/_coltsfootroad/fakes/httpendpoint.py
@@ -9,10 +9,11 @@
 import tornado.iostream
 import tornado.web
 
-from _coltsfootroad.core import config as config_lib
+from _coltsfootroad.core import documents
 from _coltsfootroad.core import hashing
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.fakes import engine as engine_lib
 from _coltsfootroad.shell import endpointclient
 from _coltsfootroad.shell import web
@@ -35,7 +36,7 @@
     service: str
     address: str
     entries: list[str]
-    kind: request_lib.ServiceKind = request_lib.ServiceKind.ENGINE
+    kind: servicekind.ServiceKind = servicekind.ServiceKind.ENGINE
     speed: engine_lib.EngineSpeed = engine_lib.EngineSpeed()
     availability_zone: str = ""
     token: str = ""
@@ -111,7 +112,7 @@
             max_running=self.speed.max_running,
         )
         await self.tell_all("announce", announcement)
-        if self.kind is request_lib.ServiceKind.ENGINE:
+        if self.kind is servicekind.ServiceKind.ENGINE:
             await self.report()
 
     async def report(self) -> None:
@@ -128,7 +129,7 @@
 
         Cache events go to all: nobody passes them on.
         """
-        document = config_lib.CONVERTER.unstructure(message)
+        document = documents.CONVERTER.unstructure(message)
         ranked = sorted(
             self.entries, key=lambda e: hashing.stable_hash(self.name, e)
         )
--- a/src/_coltsfootroad/fakes/serve.py
+++ b/src/_coltsfootroad/fakes/serve.py
@@ -7,8 +7,8 @@
 import attrs
 
 from _coltsfootroad.commands import common
-from _coltsfootroad.core import config as config_lib
-from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import documents
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.fakes import engine as engine_lib
 from _coltsfootroad.fakes import httpendpoint
 
@@ -20,7 +20,7 @@
     name: str
     service: str
     address: str
-    kind: request_lib.ServiceKind = request_lib.ServiceKind.ENGINE
+    kind: servicekind.ServiceKind = servicekind.ServiceKind.ENGINE
     incarnation: int = 1
     plain_s: float = 0.0
     speed: engine_lib.EngineSpeed = engine_lib.EngineSpeed()
@@ -74,7 +74,7 @@
     """Read the settings file named on the command line and serve."""
     with open(sys.argv[1], encoding="utf-8") as file:
         document = json.load(file)
-    settings = config_lib.CONVERTER.structure(document, ServeSettings)
+    settings = documents.CONVERTER.structure(document, ServeSettings)
     return asyncio.run(serve(settings))
 
 
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -14,6 +14,7 @@
 from _coltsfootroad.shell import channels as channels_lib
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import wire
 
 LOG = logs.logger("watch")
 # An answer without news comes after this time. Together with the time-out and
@@ -28,6 +29,15 @@
 # Pause after an answer: one that brings a change each 60 ms is enough.
 MIN_PAUSE_S = 0.02
 FAILURE_PAUSE_S = 0.1
+# A gateway needs no more of what the control state speaks, and starts sooner
+# without the rest.
+MESSAGES = wire.Wire.of(
+    watching.Watch,
+    watching.News,
+    watching.AskElsewhere,
+    outcomes.NotLeader,
+    outcomes.Refused,
+)
 
 
 class Watch:
@@ -36,7 +46,7 @@
     def __init__(self, gateway):
         self.gateway = gateway
         settings = gateway.settings
-        self.channels = channels_lib.Channels()
+        self.channels = channels_lib.Channels(MESSAGES)
         self.choice = relaychoice.RelayChoice(
             gateway=settings.gateway,
             zone=settings.availability_zone,
--- a/src/_coltsfootroad/replay/player.py
+++ b/src/_coltsfootroad/replay/player.py
@@ -12,6 +12,7 @@
 from _coltsfootroad.core import policies
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.fakes import engine as engine_lib
 from _coltsfootroad.replay import measure
 from _coltsfootroad.replay import simcontrol
@@ -51,7 +52,7 @@
             view.expired = True
 
     def make(settings) -> policies.Policy:
-        if settings.kind is request_lib.ServiceKind.PLAIN:
+        if settings.kind is servicekind.ServiceKind.PLAIN:
             return policies.PlainService()
         if name == policies.Oracle.name:
             return policies.Oracle(refresh)
@@ -115,7 +116,7 @@
             if e.service == line.service
         ]
         name = f"{line.service}-{len(known)}"
-        if line.kind is request_lib.ServiceKind.PLAIN:
+        if line.kind is servicekind.ServiceKind.PLAIN:
             self.world.endpoints.add_plain(name, line.service)
             return
         speed = engine_lib.EngineSpeed(
--- a/src/_coltsfootroad/replay/processes.py
+++ b/src/_coltsfootroad/replay/processes.py
@@ -7,7 +7,7 @@
 
 from _coltsfootroad.core import entry as entry_lib
 from _coltsfootroad.core import registry
-from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.fakes import engine as engine_lib
 
 FIRST_INCARNATION = 1
@@ -19,7 +19,7 @@
 
     name: str
     service: str
-    kind: request_lib.ServiceKind
+    kind: servicekind.ServiceKind
     model: engine_lib.EngineModel
     incarnation: int = FIRST_INCARNATION
     seq: int = 0
--- a/src/_coltsfootroad/replay/simendpoints.py
+++ b/src/_coltsfootroad/replay/simendpoints.py
@@ -6,6 +6,7 @@
 from _coltsfootroad.core import faults
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.fakes import engine as engine_lib
 from _coltsfootroad.replay import network as network_lib
 from _coltsfootroad.replay import processes
@@ -45,13 +46,13 @@
     ) -> None:
         """Add an engine, which announces itself."""
         model = engine_lib.EngineModel(name, speed, self.book)
-        kind = request_lib.ServiceKind.ENGINE
+        kind = servicekind.ServiceKind.ENGINE
         self.add(processes.SimEndpoint(name, service, kind, model))
 
     def add_plain(self, name: str, service: str) -> None:
         """Add a plain endpoint."""
         model = engine_lib.EngineModel(name, engine_lib.EngineSpeed())
-        kind = request_lib.ServiceKind.PLAIN
+        kind = servicekind.ServiceKind.PLAIN
         self.add(processes.SimEndpoint(name, service, kind, model))
 
     def add(self, endpoint: processes.SimEndpoint) -> None:
@@ -200,7 +201,7 @@
             if not endpoint.alive:
                 fault = faults.Fault.NOT_SENT
                 self.fail_attempt(endpoint, entry, key, fault, core)
-            elif endpoint.kind is request_lib.ServiceKind.PLAIN:
+            elif endpoint.kind is servicekind.ServiceKind.PLAIN:
                 self.run_plain(entry, endpoint, action)
             else:
                 self.run_part(entry, core, endpoint, action, part)
--- a/src/_coltsfootroad/replay/trace.py
+++ b/src/_coltsfootroad/replay/trace.py
@@ -8,8 +8,8 @@
 from expression import Ok
 from expression import Result
 
-from _coltsfootroad.core import config as config_lib
-from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import documents
+from _coltsfootroad.core import servicekind
 
 
 @attrs.frozen(kw_only=True)
@@ -25,7 +25,7 @@
     token_s: float = 0.03
     chunk_tokens: int = 8_192
     kv_tokens: int = 400_000
-    kind: request_lib.ServiceKind = request_lib.ServiceKind.ENGINE
+    kind: servicekind.ServiceKind = servicekind.ServiceKind.ENGINE
 
 
 @attrs.frozen(kw_only=True)
@@ -154,10 +154,10 @@
         names = ", ".join(LINES)
         return Error(f"kind is {kind!r}, must be one of {names}")
     try:
-        return Ok(config_lib.CONVERTER.structure(document, LINES[kind]))
+        return Ok(documents.CONVERTER.structure(document, LINES[kind]))
     except Exception as error:  # noqa: BLE001
         # cattrs raises groups of whatever the hooks raise.
-        return Error(config_lib.explain(error, "$"))
+        return Error(documents.explain(error, "$"))
 
 
 def assemble(path: str, lines: list[object]) -> Result[Trace, str]:
@@ -187,7 +187,7 @@
     lines = [trace.fleet, *trace.requests, *trace.faults, *trace.outcomes]
     with open(path, "w", encoding="utf-8") as file:
         for line in lines:
-            document = config_lib.CONVERTER.unstructure(line)
+            document = documents.CONVERTER.unstructure(line)
             defaults = {f.name: f.default for f in attrs.fields(type(line))}
             short = {
                 name: value
--- a/src/_coltsfootroad/shell/callers.py
+++ b/src/_coltsfootroad/shell/callers.py
@@ -8,11 +8,13 @@
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import claiming
 from _coltsfootroad.core import config as config_lib
+from _coltsfootroad.core import documents
 from _coltsfootroad.core import endpoints
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import prefixes
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.shell import endpointclient
 from _coltsfootroad.shell import parsing
 from _coltsfootroad.shell import web
@@ -69,7 +71,7 @@
         self.fail(failure, **more)
 
     def find_service(
-        self, name: str, kind: request_lib.ServiceKind
+        self, name: str, kind: servicekind.ServiceKind
     ) -> config_lib.Service | None:
         """Return a service's settings; None after having refused."""
         service = self.core.config.services.get(name)
@@ -155,7 +157,7 @@
             self.fail(body.error)
             return None
         service = self.find_service(
-            body.ok["model"], request_lib.ServiceKind.ENGINE
+            body.ok["model"], servicekind.ServiceKind.ENGINE
         )
         terms = self.read_terms() if service is not None else None
         if terms is None:
@@ -274,7 +276,7 @@
         caller = self.find_caller()
         if caller is None:
             return
-        service = self.find_service(name, request_lib.ServiceKind.PLAIN)
+        service = self.find_service(name, servicekind.ServiceKind.PLAIN)
         terms = self.read_terms() if service is not None else None
         if terms is None:
             return
@@ -344,10 +346,10 @@
         if self.kind is endpoints.LoadReport:
             document["measured_at"] = self.now()
         try:
-            message = config_lib.CONVERTER.structure(document, self.kind)
+            message = documents.CONVERTER.structure(document, self.kind)
         except Exception as error:  # noqa: BLE001
             # cattrs raises groups of whatever the hooks raise.
-            text = config_lib.explain(error).replace("config", "body", 1)
+            text = documents.explain(error).replace("config", "body", 1)
             self.fail(errors.Failure(errors.ErrorCode.BAD_REQUEST, text))
             return
         self.take(message)
--- a/src/_coltsfootroad/shell/channels.py
+++ b/src/_coltsfootroad/shell/channels.py
@@ -63,11 +63,13 @@
     """Open channels by address, and calls on them.
 
     Attributes:
+        calls: The messages that are exchanged.
         opened: The channels.
         used_at: When each was used last.
         closing: Channels that are being closed.
     """
 
+    calls: wire.Wire
     opened: dict[str, grpc.aio.Channel] = attrs.Factory(dict)
     used_at: dict[str, float] = attrs.Factory(dict)
     closing: set[asyncio.Future] = attrs.Factory(set)
@@ -87,7 +89,7 @@
         """Return one process's answer, or text saying why there is none."""
         method = self.channel(address).unary_unary(CALL)
         try:
-            data = await method(wire.CALLS.encode(message), timeout=timeout_s)
+            data = await method(self.calls.encode(message), timeout=timeout_s)
         except grpc.aio.UsageError:
             return Error("the channel is closed")
         except asyncio.CancelledError:
@@ -100,7 +102,7 @@
                 self.forget(address)
             return Error(error.code().name.lower())
         self.used_at[address] = clocks.boot_time()
-        return wire.CALLS.decode(data).map_error(lambda fault: fault.message)
+        return self.calls.decode(data).map_error(lambda fault: fault.message)
 
     def close_idle(self, now: float) -> None:
         """Close channels that are not used any more."""
--- a/src/_coltsfootroad/shell/controlrelay.py
+++ b/src/_coltsfootroad/shell/controlrelay.py
@@ -18,7 +18,7 @@
 from _coltsfootroad.shell import relayloop
 from _coltsfootroad.shell import settings as settings_lib
 from _coltsfootroad.shell import watchdesk
-from _coltsfootroad.shell import wire
+from _coltsfootroad.shell import wirecalls
 
 LOG = logs.logger("relay")
 # What it says of itself in place of a replica's role.
@@ -65,7 +65,7 @@
 
     async def on_call(self, data: bytes) -> bytes:
         """Answer an encoded call."""
-        decoded = wire.CALLS.decode(data)
+        decoded = wirecalls.CALLS.decode(data)
         if decoded.is_error():
             answer = outcomes.Refused(failure=decoded.error)
         elif isinstance(decoded.ok, watching.Watch):
@@ -74,7 +74,7 @@
             answer = self.info()
         else:
             answer = outcomes.NotLeader(hint=self.leader)
-        return wire.CALLS.encode(answer)
+        return wirecalls.CALLS.encode(answer)
 
     async def name_leader(self, _: watchdesk.Question) -> outcomes.NotLeader:
         """Return who leads; never this process."""
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -28,7 +28,7 @@
 from _coltsfootroad.shell import traffic
 from _coltsfootroad.shell import watchdesk
 from _coltsfootroad.shell import web
-from _coltsfootroad.shell import wire
+from _coltsfootroad.shell import wirecalls
 
 LOG = logs.logger("control")
 MAX_OPERATOR_BODY = 8 * 1024 * 1024
@@ -304,7 +304,7 @@
         self.learned_addresses[sender] = address
         if address in self.peer_links:
             self.peer_links[address].note_heard()
-        decoded = wire.PEERS.decode(data)
+        decoded = wirecalls.PEERS.decode(data)
         if decoded.is_error():
             LOG.warning("peer message dropped: {}", decoded.error.message)
             return
@@ -313,12 +313,12 @@
 
     async def on_call(self, data: bytes) -> bytes:
         """Answer an encoded call."""
-        decoded = wire.CALLS.decode(data)
+        decoded = wirecalls.CALLS.decode(data)
         if decoded.is_error():
             answer = outcomes.Refused(failure=decoded.error)
         else:
             answer = await self.call(decoded.ok)
-        return wire.CALLS.encode(answer)
+        return wirecalls.CALLS.encode(answer)
 
     async def call(self, message: object) -> object:
         """Answer a call; a watch is held back while there is no news."""
--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -15,6 +15,7 @@
 from _coltsfootroad.core import entry as entry_lib
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.core import servicekind
 from _coltsfootroad.shell import callers
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import endpointclient
@@ -246,7 +247,7 @@
 
     def dispatch(self, dispatch: actions.Dispatch) -> None:
         """Start all parts of an attempt."""
-        plain = request_lib.ServiceKind.PLAIN
+        plain = servicekind.ServiceKind.PLAIN
         for part in dispatch.parts:
             if dispatch.request.kind is plain:
                 self.spawn(self.call_plain(dispatch))
@@ -342,7 +343,7 @@
         view = self.core.view(action.endpoint)
         if address is None or view is None:
             return
-        plain = view.announcement.kind is request_lib.ServiceKind.PLAIN
+        plain = view.announcement.kind is servicekind.ServiceKind.PLAIN
         if not plain and not await self.client.cancel(address, action):
             return
         self.run(
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -15,6 +15,7 @@
 from _coltsfootroad.shell import channels as channels_lib
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import wire
+from _coltsfootroad.shell import wirecalls
 
 LOG = logs.logger("link")
 # A replica with an empty log knows nobody; the stream says who writes.
@@ -52,7 +53,7 @@
 
     def __init__(self, addresses: tuple[str, ...]):
         self.addresses = list(addresses)
-        self.channels = channels_lib.Channels()
+        self.channels = channels_lib.Channels(wirecalls.CALLS)
         # Processes that start at once begin with different replicas.
         self.place = random.randrange(len(addresses)) if addresses else 0
         self.leader = ""
@@ -118,7 +119,7 @@
         address: str,
         sender: str,
         sender_address: str,
-        encoder: wire.Wire = wire.PEERS,
+        encoder: wire.Wire = wirecalls.PEERS,
     ):
         self.address = address
         self.encoder = encoder
--- a/src/_coltsfootroad/shell/notes.py
+++ b/src/_coltsfootroad/shell/notes.py
@@ -9,7 +9,7 @@
 from _coltsfootroad.core import addresses
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import logs
-from _coltsfootroad.shell import wire
+from _coltsfootroad.shell import wirecalls
 
 LOG = logs.logger("notes")
 # Notes of this long go out as one message. Longer saves messages but lets
@@ -58,7 +58,7 @@
             self.loop.create_task(stream.close())
         for address in wanted - set(self.streams):
             self.streams[address] = links.PeerLink(
-                address, self.owner, self.listen, wire.NOTES
+                address, self.owner, self.listen, wirecalls.NOTES
             )
 
     def share(self, note: actions.DispatchNote) -> None:
@@ -69,14 +69,14 @@
 
     def flush(self) -> None:
         """Send what has collected."""
-        batch = wire.NoteBatch(notes=tuple(self.waiting))
+        batch = wirecalls.NoteBatch(notes=tuple(self.waiting))
         self.waiting = []
         for stream in self.streams.values():
             stream.send(batch)
 
     def receive(self, sender: str, _: str, data: bytes) -> None:
         """Take the notes of another entry."""
-        decoded = wire.NOTES.decode(data)
+        decoded = wirecalls.NOTES.decode(data)
         if decoded.is_error():
             LOG.warning("notes of {}: {}", sender, decoded.error.message)
             return
--- a/src/_coltsfootroad/shell/operators.py
+++ b/src/_coltsfootroad/shell/operators.py
@@ -7,7 +7,7 @@
 
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
-from _coltsfootroad.core import config as config_lib
+from _coltsfootroad.core import documents
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import web
 
@@ -132,11 +132,11 @@
     async def post(self):
         """Change the set of replicas."""
         try:
-            change = config_lib.CONVERTER.structure(
+            change = documents.CONVERTER.structure(
                 self.read_json(), messages.ChangeReplicas
             )
         except Exception as error:  # noqa: BLE001
-            text = config_lib.explain(error)
+            text = documents.explain(error)
             self.fail(errors.Failure(errors.ErrorCode.BAD_REQUEST, text))
             return
         if await self.ask(change) is not None:
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -8,7 +8,7 @@
 from expression import Ok
 from expression import Result
 
-from _coltsfootroad.core import config as config_lib
+from _coltsfootroad.core import documents
 
 MIN_TOKEN_LENGTH = 8
 MAX_PORT = 65_535
@@ -86,18 +86,18 @@
     seeds: tuple[str, ...] = ()
     control_port: int = 0
     staleness_bound_s: float = attrs.field(
-        default=4.5, validator=config_lib.check_positive
+        default=4.5, validator=documents.check_positive
     )
     shutdown_grace_s: float = attrs.field(
-        default=8.0, validator=config_lib.check_positive
+        default=8.0, validator=documents.check_positive
     )
     address_validity_s: float = attrs.field(
-        default=2.0, validator=config_lib.check_positive
+        default=2.0, validator=documents.check_positive
     )
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
     retry_window_s: float = attrs.field(
-        default=10.0, validator=config_lib.check_positive
+        default=10.0, validator=documents.check_positive
     )
     log_level: str = "INFO"
 
@@ -138,16 +138,16 @@
     endpoint_token: str = ""
     control: tuple[str, ...] = ()
     sync_interval_s: float = attrs.field(
-        default=0.5, validator=config_lib.check_positive
+        default=0.5, validator=documents.check_positive
     )
     bytes_per_token: float = attrs.field(
-        default=4.0, validator=config_lib.check_positive
+        default=4.0, validator=documents.check_positive
     )
     max_connections: int = attrs.field(
-        default=2_000, validator=config_lib.check_positive
+        default=2_000, validator=documents.check_positive
     )
     shutdown_grace_s: float = attrs.field(
-        default=3_600.0, validator=config_lib.check_positive
+        default=3_600.0, validator=documents.check_positive
     )
     log_level: str = "INFO"
 
@@ -237,7 +237,7 @@
     control: tuple[str, ...]
     admin_token: str = attrs.field(validator=check_token)
     timeout_s: float = attrs.field(
-        default=10.0, validator=config_lib.check_positive
+        default=10.0, validator=documents.check_positive
     )
 
 
@@ -273,10 +273,10 @@
     except ValueError as error:
         return Error(f"settings {path}: is not JSON: {error}")
     try:
-        return Ok(config_lib.CONVERTER.structure(document, kind))
+        return Ok(documents.CONVERTER.structure(document, kind))
     except Exception as error:  # noqa: BLE001
         # cattrs raises groups of whatever the hooks and validators raise.
-        faults = config_lib.explain(error, "$")
+        faults = documents.explain(error, "$")
         return Error(f"settings {path}: {faults}")
 
 
--- a/src/_coltsfootroad/shell/wire.py
+++ b/src/_coltsfootroad/shell/wire.py
@@ -4,13 +4,7 @@
 from expression import Result
 
 from _coltsfootroad.control import codec
-from _coltsfootroad.control import fences
-from _coltsfootroad.control import messages
-from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import packing
-from _coltsfootroad.control import peers
-from _coltsfootroad.control import watching
-from _coltsfootroad.core import actions
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import traffic
 
@@ -41,59 +35,3 @@
         kind = type(decoded.ok).__name__ if decoded.is_ok() else "unreadable"
         traffic.received(kind, len(data))
         return decoded
-
-
-@attrs.frozen(kw_only=True)
-class NoteBatch:
-    """Dispatches that an entry tells other entries of."""
-
-    notes: tuple[actions.DispatchNote, ...]
-
-
-CALLS = Wire.of(
-    messages.PatchConfig,
-    messages.PatchAnswer,
-    messages.TakeClaim,
-    messages.ClaimAnswer,
-    messages.SettleClaim,
-    outcomes.Done,
-    messages.ConfigUpdate,
-    messages.GroupReserve,
-    messages.GroupAnswer,
-    messages.GroupRelease,
-    messages.SyncRequest,
-    messages.SyncReply,
-    outcomes.NotLeader,
-    messages.ReadConfig,
-    messages.ReadStatus,
-    messages.Status,
-    messages.ReplicaHello,
-    messages.ReplicaInfo,
-    messages.ChangeReplicas,
-    outcomes.Refused,
-    messages.TakeSnapshot,
-    messages.SnapshotCopy,
-    messages.PutRoutes,
-    messages.RoutesCopy,
-    messages.ReadRoutes,
-    messages.Announce,
-    messages.JoinReplica,
-    messages.LeaveReplica,
-    watching.Watch,
-    watching.News,
-    watching.RelayWatch,
-    watching.AskElsewhere,
-    fences.TakeLease,
-    fences.DropLease,
-    fences.LeaseAnswer,
-)
-NOTES = Wire.of(NoteBatch)
-PEERS = Wire.of(
-    peers.VoteRequest,
-    peers.VoteReply,
-    peers.Append,
-    peers.AppendReply,
-    peers.SnapshotChunk,
-    peers.SnapshotReply,
-    peers.TakeOver,
-)
