Send no more than a part of the known places right after a start

Requests that had been held were let go from 47.17 s on, each gateway blind to the others: 40 were rejected as too many, 118 sends ended silent a second later at engines that had got several times their places.

Change: until a gateway has settled it has no more prompts under way than half of its part of the places that it knows (`core/startshare.py`); others wait on, up to the time they would have waited anyway.

Ruled out: waiting longer for all (those who could be served wait as well).

--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -9,6 +9,7 @@
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import sends as sends_lib
 from _coltsfootroad.core import shedding
+from _coltsfootroad.core import startshare
 from _coltsfootroad.core import urgency
 from _coltsfootroad.gateway import admission
 from _coltsfootroad.gateway import answers
@@ -142,6 +143,11 @@
             return False
         if self.admitted.prompt is None:
             return choice.load < choice.endpoint.announcement.max_running
+        gateways = len(self.gateway.view.rotation.current())
+        if self.gateway.load.own_prompts() >= startshare.allowed(
+            choice.places, gateways
+        ):
+            return False
         return choice.predicted_s <= self.route.target_s
 
     # --- attempts --------------------------------------------------------
