--- a/src/_coltsfootroad/control/electiontimer.py
+++ b/src/_coltsfootroad/control/electiontimer.py
@@ -5,8 +5,8 @@
 import attrs
 
 # A lost packet is sent again within 0.3 s; an election must not begin for
-# that. Every 0.1 s less here is 0.15 s less without a leader after a loss,
-# during which gateways that have just started know no routes.
+# that. Longer times are longer without a leader after a loss, during which
+# gateways that have just started know no routes.
 HEARTBEAT_S = 0.1
 ELECTION_MIN_S = 0.6
 ELECTION_MAX_S = 1.2
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -25,8 +25,8 @@
 from _coltsfootroad.core import errors
 
 SNAPSHOT_EVERY = 4_096
-# Complete versions of the routes take 100 KB and more each; the log has to
-# stay far below the 200 MB of memory and 64 MB of disk of a small VM.
+# The log has to stay far below the memory and disk of a small VM, and holds
+# complete versions of the routes.
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 FULL_DISK_RETRY_S = 1.0
 MAX_WAITING = 10_000
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -87,7 +87,7 @@
 
         When all voters are idle no lease can be in force: whoever held one
         has started again, too. They need not wait until it would have ended.
-        After a loss of all power that is 0.35 s less without a leader.
+        After a loss of all power a leader stands that much sooner.
         """
         return not self.is_leader and self.timer.heard_none
 
--- a/src/_coltsfootroad/control/routestore.py
+++ b/src/_coltsfootroad/control/routestore.py
@@ -7,8 +7,8 @@
 from _coltsfootroad.core import routes as routes_lib
 
 NO_VERSION = -1
-# Versions to which changes can be told: a storm of one each 60 ms leaves a
-# gateway behind by 30 if it does not ask for 2 s.
+# Versions to which changes can be told: in a storm of them a gateway that does
+# not ask for two seconds is some dozens behind.
 MAX_RECENT = 32
 
 
--- a/src/_coltsfootroad/core/patience.py
+++ b/src/_coltsfootroad/core/patience.py
@@ -16,7 +16,7 @@
 FIRST_SHARE = 0.5
 # A prediction may err by this factor before the endpoint counts as silent.
 # Under overload every answer is slow; turning away from slow endpoints then
-# sends the same work once more and made 91 requests at once 166.
+# sends the same work once more to engines that are as busy.
 PREDICTION_FACTOR = 3.0
 
 
--- a/src/_coltsfootroad/core/prefixes.py
+++ b/src/_coltsfootroad/core/prefixes.py
@@ -7,7 +7,7 @@
 MAX_BLOCKS_PER_ENGINE = 4_096
 # Belief in a block that no event has confirmed since. Lost events show as a
 # gap once a later one comes; this is for an engine that stopped publishing.
-# 30 s forgot two of three sheets that came again (shared-prefixes trace).
+# Documents are asked about again minutes later.
 BELIEF_S = 300.0
 # Engines offered to routing for their cache; more would cost it time.
 MAX_HOLDERS = 4
--- a/src/_coltsfootroad/core/rotation.py
+++ b/src/_coltsfootroad/core/rotation.py
@@ -2,10 +2,9 @@
 
 The pattern it answers: many small gateways, each with less than a request a
 second. Whoever takes requests has to know what the others have sent, so the
-work of telling grows with the square of the gateways in use: with 76 of them
-it took most of the processor time, and half of the bytes between zones. A
-part of the gateways carries the same requests; the others take over within
-the time of a membership lease when one is lost.
+work of telling grows with the square of the gateways in use. A part of the
+gateways carries the same requests; the others take over within the time of a
+membership lease when one is lost.
 """
 
 from collections.abc import Iterable
@@ -21,9 +20,8 @@
 # In use in each availability zone whatever its size: losing one of four
 # leaves room for its callers, and small deployments use all they have.
 MIN_PER_ZONE = 4
-# Part of a zone's gateways in use. A gateway of half a core passes on about
-# 40 streams a second; at a sixth, the sizes tried give each under 9 at their
-# busiest. Deployments with more requests for each gateway need more of them.
+# Part of a zone's gateways in use. Small gateways see less than a request a
+# second each; deployments with more requests for each need more of them.
 SHARE = 1 / 6
 RANK_KEY = "rotation"
 # What the gateways in use share of a limit that is split between gateways.
--- a/src/_coltsfootroad/core/routedelta.py
+++ b/src/_coltsfootroad/core/routedelta.py
@@ -1,9 +1,8 @@
 """What has changed between two versions of the routes.
 
-The pattern it answers: versions come every 60 ms, with hundreds of routes
-each, and every gateway needs the newest. Whole, a version of 500 routes is
-91,000 bytes; a change of one route is a few hundred. With 96 gateways the
-leader's link was busy for most of a second per version.
+The pattern it answers: versions come many times a second, with hundreds of
+routes each, and every gateway needs the newest. A whole version takes a
+hundred times the bytes of a change of one route.
 """
 
 import attrs
--- a/src/_coltsfootroad/core/spread.py
+++ b/src/_coltsfootroad/core/spread.py
@@ -21,8 +21,8 @@
 MAX_HELPERS = 16
 # Numbers of parts that are compared; between them the gain is small.
 PART_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
-# Shorter prompts are never split: a part costs each helper a step, and
-# 10,000 tokens are read within one pass beside writers.
+# Shorter prompts are never split: a part costs each helper a step, and they
+# are read within one pass beside writers.
 MIN_SPLIT_TOKENS = 10_000
 # Share of the aim that the first event may take by prediction before it
 # counts as endangered: parts of prompts that come later are read ahead.
--- a/src/_coltsfootroad/gateway/startup.py
+++ b/src/_coltsfootroad/gateway/startup.py
@@ -18,19 +18,17 @@
 
 # Callers of a stream leave after 2 s without an event.
 HOLD_S = 1.5
-# Endpoints announce themselves each 1.2 s: by then two thirds are known, and
+# Endpoints announce themselves each second or so: by then most are known, and
 # the first ones known are not handed everybody's requests. A request that the
 # ones known can serve in time does not wait for more.
 SETTLE_S = 0.8
-# Endpoints whose announcements found no leader make them again at once: 19 of
-# 21 were known 0.12 s after a leader stood. Requests that went to the first two
-# or three of them were rejected as too many.
+# Endpoints whose announcements found no leader make them again at once; the
+# first two or three of them have no room for all that waits.
 FIRST_S = 0.2
 # Part of a caller's stated time that a request may be held.
 PATIENCE_SHARE = 0.5
 LOOK_EVERY_S = 0.02
-# The same for what takes a choice of endpoints: about a millisecond for a long
-# prompt, and up to `MAX_HELD` may look.
+# The same for what takes a choice of endpoints, as up to `MAX_HELD` may look.
 CHOOSE_EVERY_S = 0.06
 # Requests that wait at a time; more are refused at once.
 MAX_HELD = 300
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -227,8 +227,8 @@
         """Plan the next tick, sooner than before where that is due now.
 
         A vote makes a leader, whose heartbeats are due long before the end
-        of the election that it had planned for. Without this the others
-        began new elections in 6 of 8 starts, for up to 4.5 s.
+        of the election that it had planned for; the others would begin
+        another one meanwhile.
         """
         wait_s = max(MIN_WAKE_S, self.node.next_wake() - self.clock())
         due = self.loop.time() + wait_s
--- a/src/_coltsfootroad/shell/early.py
+++ b/src/_coltsfootroad/shell/early.py
@@ -1,9 +1,9 @@
 """Opens a program's listener before its libraries are imported.
 
 The pattern it answers: all VMs lose power at once, and callers try twice within
-a second or two. Importing the libraries takes 0.3 s to 0.6 s of a small VM's
-processor; a connection that is refused in this time is one of two tries, while
-one that waits in the listener's queue is served as soon as the program runs.
+a second or two. Importing the libraries takes a good part of that on a small
+VM; a connection that is refused meanwhile is one of two tries, while one that
+waits in the listener's queue is served as soon as the program runs.
 
 Needs nothing but the standard library. Whatever is wrong is left to the checks
 of the settings and to the listener itself, which come later and say so.
@@ -16,7 +16,7 @@
 # Name of the setting that asks for this, and of the one with the address.
 ASKED = "listen_early"
 ADDRESS = "listen"
-# Connections that may wait; more than callers open in half a second.
+# Connections that may wait; more than callers open while a program starts.
 BACKLOG = 1_024
 
 opened: dict[str, socket.socket] = {}
--- a/src/_coltsfootroad/shell/endpointclient.py
+++ b/src/_coltsfootroad/shell/endpointclient.py
@@ -106,8 +106,7 @@
 class HttpEndpointClient(EndpointClient):
     """Uses tornado's curl client.
 
-    The simple client opens a connection per request and was measured at a
-    third of the throughput (docs/MEASUREMENTS.md).
+    tornado's simple client opens a connection for each request.
     """
 
     def __init__(self, max_connections: int):
--- a/src/_coltsfootroad/shell/metrics.py
+++ b/src/_coltsfootroad/shell/metrics.py
@@ -1,8 +1,8 @@
 """OpenTelemetry metrics, pulled as Prometheus text.
 
 The SDK and its exporter are imported when the metrics are pulled for the first
-time: they take a fifth of a program's start, in which a gateway serves nobody,
-and 3.6 MB of its 33 MB, which a VM whose metrics nobody pulls keeps free.
+time: they take a good part of a program's start, in which a gateway serves
+nobody, and memory, which a VM whose metrics nobody pulls keeps free.
 """
 
 from collections.abc import Callable
@@ -12,8 +12,8 @@
 # Bucket borders in seconds for first-token times.
 TTFT_BUCKETS = (0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300)
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-# Samples that are kept until the SDK takes them over; some milliseconds of
-# work and 130 KB. Whoever has had more of them loads the SDK.
+# Samples that are kept until the SDK takes them over. Whoever has had more of
+# them loads the SDK.
 MAX_PENDING = 4_096
 
 Observe = Callable[[], float]
