Let the soak's links be narrow, and give its replicas zones

Cause: what is large and sent again from its beginning fills a link; the soak's links had no rate. Its replicas had no zones, so gateways would ask relays of other zones only.

Change: `--mbits` and `--routes` of the soak; a row with 5 replicas, 900 routes and 10 Mbit/s, in which replicas are replaced and others wiped.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -24,6 +24,14 @@
       | 3     | 2    | 300    |
       | 5     | 1    | 300    |
 
+  Scenario Outline: The same with <routes> routes over links of <mbits> Mbit/s
+    When replicas, <count> of them, with <routes> routes and links of <mbits> Mbit/s are replaced in a soak of seed <seed>
+    Then no promise is broken and at least <served> requests are served
+
+    Examples:
+      | count | seed | routes | mbits | served |
+      | 5     | 7    | 900    | 10    | 300    |
+
   Scenario Outline: A seed draws the same faults, and bearable ones
     Then seeds 0 to <most> draw the same faults twice
     And no disk is lost within <clear> s of another fault of the replicas
--- a/features/soak/driver.py
+++ b/features/soak/driver.py
@@ -41,6 +41,7 @@
     book: audit.Book
     link: object
     rng: random.Random
+    idle_routes: int = 0
     version: int = 0
     keys: list[str] = attrs.Factory(callers.key_names)
 
@@ -247,7 +248,12 @@
         """Return the next version with the keys that are left."""
         self.version += 1
         holder = routes.KeyHolder(workspace="acme", keys=tuple(self.keys))
-        return gatewaybed.config(self.version, holders=(holder,))
+        config = gatewaybed.config(self.version, holders=(holder,))
+        idle = tuple(
+            attrs.evolve(config.routes[0], name=f"i{n}", prefix=f"/idle/{n}/")
+            for n in range(self.idle_routes)
+        )
+        return attrs.evolve(config, routes=config.routes + idle)
 
     async def put(self, config: routes.RouteConfig, note: str) -> float | None:
         """Send a version until it is acknowledged; return when that was."""
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -69,6 +69,8 @@
     """The replicas and gateways, with a proxy before each replica."""
 
     folder: pathlib.Path
+    # Bytes a second of the link before each replica, 0 for no limit.
+    rate: float = 0.0
     replicas: list[Program] = attrs.Factory(list)
     gateways: list[Program] = attrs.Factory(list)
     proxies: list[proxy_lib.Proxy] = attrs.Factory(list)
@@ -86,7 +88,7 @@
         """Write the settings and start everything."""
         ports = ports_lib.free_ports(replicas, HOST)
         for port in ports:
-            proxy = proxy_lib.Proxy((HOST, port))
+            proxy = proxy_lib.Proxy((HOST, port), rate=self.rate)
             await proxy.start()
             self.proxies.append(proxy)
         for place, port in enumerate(ports):
@@ -108,7 +110,7 @@
         """
         old = self.replicas[place]
         (port,) = ports_lib.free_ports(1, HOST)
-        proxy = proxy_lib.Proxy((HOST, port))
+        proxy = proxy_lib.Proxy((HOST, port), rate=self.rate)
         await proxy.start()
         self.left_proxies.append(self.proxies[place])
         self.proxies[place] = proxy
@@ -127,6 +129,7 @@
             f"replica-{place}",
             {
                 "replica": name,
+                "availability_zone": f"z{place % 2}",
                 "listen": f"{HOST}:{port}",
                 "advertise": self.proxies[place].address,
                 "admin_listen": f"{HOST}:{ports_lib.free_port(HOST)}",
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -97,6 +97,8 @@
     Attributes:
         seconds: Of faults, quiet times not counted.
         replacing: Whether replicas are replaced, and nothing else is done.
+        mbits: Rate of the link before each replica, 0 for no limit.
+        routes: Routes of each version that nobody asks for.
     """
 
     replicas: int = 3
@@ -105,6 +107,8 @@
     callers: int = 8
     seconds: float = 20.0
     replacing: bool = False
+    mbits: float = 0.0
+    routes: int = 0
 
     @property
     def end_s(self) -> float:
--- a/features/soak/proxy.py
+++ b/features/soak/proxy.py
@@ -1,6 +1,10 @@
-"""A loopback proxy before one listener: delays, resets, drops, silences."""
+"""A loopback proxy before one listener: delays, resets, drops, silences.
+
+It may also be narrow all the while: bytes then take turns on a link of a rate.
+"""
 
 import asyncio
+import time
 
 import attrs
 
@@ -26,6 +30,9 @@
 
     target: tuple[str, int]
     way: str = ""
+    # Bytes a second each way, 0 for no limit, and when each way is free.
+    rate: float = 0.0
+    free_at: list[float] = attrs.Factory(lambda: [0.0, 0.0])
     server: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = attrs.Factory(set)
 
@@ -73,6 +80,8 @@
         while data := await reader.read(CHUNK_BYTES):
             if self.way == "delay":
                 await asyncio.sleep(DELAY_S)
+            if self.rate:
+                await asyncio.sleep(self.turn(len(data), direction))
             silent = silent or not OPEN_WAYS[self.way][direction]
             if not silent:
                 writer.write(data)
@@ -82,6 +91,13 @@
         if writer.can_write_eof():
             writer.write_eof()
 
+    def turn(self, size: int, direction: int) -> float:
+        """Return after how long some bytes have gone over the link."""
+        now = time.monotonic()
+        free_at = max(self.free_at[direction], now) + size / self.rate
+        self.free_at[direction] = free_at
+        return free_at - now
+
     async def close(self) -> None:
         """Stop listening and end all connections."""
         self.server.close()
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -30,9 +30,12 @@
     "replacing", False, "Replace replicas, and wipe others soon afterwards."
 )
 CALLERS = flags.DEFINE_integer("callers", 8, "Callers.")
+MBITS = flags.DEFINE_float("mbits", 0.0, "Rate of links to replicas; 0: none.")
+ROUTES = flags.DEFINE_integer("routes", 0, "Routes that nobody asks for.")
 KEEP = flags.DEFINE_string("keep", "", "Folder for the logs of failures.")
 FIRST_VERSION_S = 20.0
 FINAL_S = 6.0
+BYTES_A_MBIT = 125_000.0
 # Fewest requests that must have been served for a soak to say anything.
 MIN_SERVED = 50
 
@@ -41,7 +44,7 @@
     """Run one seed and return what was seen."""
     book = audit.Book()
     rng = random.Random(seed)
-    fleet = fleet_lib.Fleet(folder)
+    fleet = fleet_lib.Fleet(folder, rate=size.mbits * BYTES_A_MBIT)
     stopping = threading.Event()
     threads = []
     places = []
@@ -52,7 +55,7 @@
             endpoints_lib.Place(n, book, link, rng)
             for n in range(size.endpoints)
         ]
-        driver = driver_lib.Driver(fleet, places, book, link, rng)
+        driver = driver_lib.Driver(fleet, places, book, link, rng, size.routes)
         await begin(driver, fleet)
         threads = start_callers(book, fleet, stopping, size, seed)
         began = time.monotonic()
@@ -164,6 +167,8 @@
         gateways=GATEWAYS.value,
         endpoints=ENDPOINTS.value,
         callers=CALLERS.value,
+        mbits=MBITS.value,
+        routes=ROUTES.value,
     )
     broken = 0
     for seed in seeds:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -25,6 +25,21 @@
     context.faults, context.served = run.run_seed(seed, size, "")
 
 
+@when(
+    "replicas, {count:d} of them, with {routes:d} routes and links of {mbits:g}"
+    " Mbit/s are replaced in a soak of seed {seed:d}"
+)
+def soak_narrow(context, count, routes, mbits, seed):
+    size = plan.Size(
+        replicas=count,
+        replacing=True,
+        seconds=SECONDS,
+        routes=routes,
+        mbits=mbits,
+    )
+    context.faults, context.served = run.run_seed(seed, size, "")
+
+
 @then("no promise is broken and at least {served:d} requests are served")
 def kept(context, served):
     assert not context.faults, context.faults
