--- /dev/null
+++ b/features/control/proofs.feature
@@ -0,0 +1,40 @@
+Feature: A watcher counts no version as current that it does not hold
+
+  Guards against a relay or gateway that serves an old version of the routes,
+  or a withdrawn key, under the proof of a newer one.
+
+  Scenario Outline: A <watcher> at version <held> that asked from <asked> gets <response>
+    Given a <watcher> that holds version <held>
+    When it asked from version <asked> and gets <response>
+    Then its version is <version> and it is <current>
+    And it asks from version <next> the next time
+
+    Examples: responses of a relay to a gateway, which has one request in flight
+      | watcher | held | asked | response     | version | current | next |
+      | gateway | none | none  | snapshot 4   | 4       | proved  | 4    |
+      | gateway | none | none  | delta 3 to 4 | none    | stale   | none |
+      | gateway | 2    | 2     | nothing new  | 2       | proved  | 2    |
+      | gateway | 2    | 2     | delta 2 to 4 | 4       | proved  | 4    |
+      | gateway | 2    | 2     | delta 3 to 4 | 2       | stale   | none |
+
+    Examples: responses of the leader to a relay, which may have two in flight
+      | watcher | held | asked | response     | version | current | next |
+      | relay   | none | none  | snapshot 4   | 4       | proved  | 4    |
+      | relay   | none | none  | delta 3 to 4 | none    | stale   | none |
+      | relay   | 2    | 2     | nothing new  | 2       | proved  | 2    |
+      | relay   | 2    | 2     | delta 2 to 4 | 4       | proved  | 4    |
+      | relay   | 2    | 2     | delta 3 to 4 | 2       | stale   | none |
+      | relay   | 3    | 2     | delta 2 to 4 | 3       | stale   | 3    |
+      | relay   | 4    | 2     | delta 2 to 4 | 4       | proved  | 4    |
+
+  Scenario Outline: A <watcher> asks for one snapshot after a delta that does not fit
+    Given a <watcher> that holds version 2
+    When it asked from version 2 and gets delta 3 to 4
+    And it asked from version none and gets snapshot 4
+    Then its version is 4 and it is proved
+    And it asks from version 4 the next time
+
+    Examples:
+      | watcher |
+      | gateway |
+      | relay   |
--- a/features/steps/routedelta_steps.py
+++ b/features/steps/routedelta_steps.py
@@ -104,9 +104,8 @@
     gateway = without_listener()
     gateway.view.adopt(context.old)
     decoded = wirecalls.CALLS.decode(wirecalls.CALLS.encode(news(context))).ok
-    watch = watch_lib.Watch.__new__(watch_lib.Watch)
-    watch.gateway = gateway
-    assert watch.take_routes(decoded)
+    watch = watch_lib.Watch(gateway)
+    assert watch.take_routes(watch.question(), decoded)
     config = gateway.view.table.config
     assert set(config.routes) == set(context.new.routes)
     assert attrs.evolve(config, routes=()) == attrs.evolve(
@@ -121,11 +120,10 @@
         context.gateway.view.adopt(attrs.evolve(context.old, version=2))
     context.before = context.gateway.view.version
     delta = routedelta.RouteDelta(base=5, version=6)
-    watch = watch_lib.Watch.__new__(watch_lib.Watch)
-    watch.gateway = context.gateway
-    watch.wants_whole = False
+    watch = watch_lib.Watch(context.gateway)
     context.taken = watch.take_routes(
-        watching.News(epoch="e", registry_mark=1, routes_delta=delta)
+        watch.question(),
+        watching.News(epoch="e", registry_mark=1, routes_delta=delta),
     )
     context.watch = watch
 
@@ -134,7 +132,7 @@
 def asks_whole(context):
     assert not context.taken
     assert context.gateway.view.version == context.before
-    assert context.watch.wants_whole
+    assert context.watch.question().routes_version == routes.NO_VERSION
 
 
 @then(
--- a/src/_coltsfootroad/control/mirror.py
+++ b/src/_coltsfootroad/control/mirror.py
@@ -17,7 +17,7 @@
 from _coltsfootroad.control import routestore
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import registry
-from _coltsfootroad.core import routedelta
+from _coltsfootroad.core import routesync
 
 # Whoever takes over goes on from a copy no older than this; what is older is
 # asked for anew, as nearly all of it has changed.
@@ -52,7 +52,7 @@
         copied_at: When the copy was last as good as the original.
         heard_since: When the leader began to hear endpoints.
         replicas: Addresses of the replicas.
-        wants_whole: Whether changes of the routes did not fit.
+        route_sync: What is requested of the routes.
     """
 
     relay: watching.Relay
@@ -66,7 +66,7 @@
     copied_at: float = NEVER
     heard_since: float = 0.0
     replicas: tuple[str, ...] = ()
-    wants_whole: bool = False
+    route_sync: routesync.RouteSync = attrs.Factory(routesync.RouteSync)
 
     # --- asking the leader -------------------------------------------------
 
@@ -83,13 +83,12 @@
         if complete:
             came = [watcher.attached for watcher in self.watchers.values()]
         went = [name for name, one in self.unsent.items() if one is None]
-        version = self.routes.version
         return watching.RelayWatch(
             relay=self.relay,
             attached=tuple(came),
             detached=() if complete else tuple(went),
             complete=complete,
-            routes_version=watching.NO_VERSION if self.wants_whole else version,
+            routes_version=self.route_sync.base_version(self.routes.config),
             epoch=self.book.epoch,
             registry_mark=self.book.last_mark,
             announcements=tuple(self.owed.values()),
@@ -162,20 +161,16 @@
     def take_routes(
         self, question: watching.RelayWatch, news: watching.News
     ) -> bool:
-        """Put newer routes in force; False where they are not known whole."""
-        delta = news.routes_delta
-        if delta is not None and delta.version > self.routes.version:
-            config = routedelta.apply(self.routes.config, delta)
-            if config is None:
-                # Not for having been overtaken by another answer: ask for all.
-                known = self.routes.version
-                self.wants_whole = question.routes_version == known
-                return False
-            self.routes.adopt(config)
-        elif news.routes is not None:
-            self.wants_whole = False
-            self.routes.adopt(news.routes)
-        return True
+        """Put newer routes in force; return whether those held are current."""
+        received = self.route_sync.receive(
+            self.routes.config,
+            question.routes_version,
+            news.routes,
+            news.routes_delta,
+        )
+        if received.config is not None:
+            self.routes.adopt(received.config)
+        return received.is_current
 
     # --- answering gateways ------------------------------------------------
 
--- a/src/_coltsfootroad/control/routestore.py
+++ b/src/_coltsfootroad/control/routestore.py
@@ -6,7 +6,6 @@
 from _coltsfootroad.core import routedelta
 from _coltsfootroad.core import routes as routes_lib
 
-NO_VERSION = -1
 # Versions to which changes can be told: in a storm of them a gateway that does
 # not ask for two seconds is some dozens behind.
 MAX_RECENT = 32
@@ -30,7 +29,11 @@
     @property
     def version(self) -> int:
         """Return the version in force."""
-        return NO_VERSION if self.config is None else self.config.version
+        return (
+            routes_lib.NO_VERSION
+            if self.config is None
+            else self.config.version
+        )
 
     def put(self, command: messages.PutRoutes) -> messages.RoutesCopy:
         """Take a higher version; acknowledge any other without a change.
--- a/src/_coltsfootroad/control/watching.py
+++ b/src/_coltsfootroad/control/watching.py
@@ -7,9 +7,6 @@
 from _coltsfootroad.core import routedelta
 from _coltsfootroad.core import routes as routes_lib
 
-# Stands for no version of the routes.
-NO_VERSION = -1
-
 
 @attrs.frozen(kw_only=True)
 class Relay:
@@ -84,7 +81,7 @@
     attached: tuple[Attached, ...] = ()
     detached: tuple[str, ...] = ()
     complete: bool = False
-    routes_version: int = NO_VERSION
+    routes_version: int = routes_lib.NO_VERSION
     epoch: str = ""
     registry_mark: int = 0
     announcements: tuple[registry.Announcement, ...] = ()
--- a/src/_coltsfootroad/core/routes.py
+++ b/src/_coltsfootroad/core/routes.py
@@ -11,6 +11,8 @@
 from _coltsfootroad.core import hashing
 
 HASH_RANGE = 2**64
+# Stands for no version; lower than any version.
+NO_VERSION = -1
 
 
 class RequestKind(enum.Enum):
--- a/src/_coltsfootroad/core/routeview.py
+++ b/src/_coltsfootroad/core/routeview.py
@@ -36,10 +36,16 @@
         """Return the live gateways by name."""
         return self.member_view.known
 
+    @property
+    def config(self) -> routes.RouteConfig | None:
+        """Return the routes in force."""
+        return None if self.table is None else self.table.config
+
     @property
     def version(self) -> int:
-        """Return the version in force, -1 for none."""
-        return -1 if self.table is None else self.table.config.version
+        """Return the version in force, `NO_VERSION` for none."""
+        config = self.config
+        return routes.NO_VERSION if config is None else config.version
 
     def adopt(self, config: routes.RouteConfig) -> bool:
         """Put a higher version in force; never a lower one."""
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -10,7 +10,7 @@
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import relaychoice
-from _coltsfootroad.core import routedelta
+from _coltsfootroad.core import routesync
 from _coltsfootroad.shell import channels as channels_lib
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import logs
@@ -57,7 +57,7 @@
         self.connected = False
         # Whether a leader that is new has to learn again what was known.
         self.owes = True
-        self.wants_whole = False
+        self.route_sync = routesync.RouteSync()
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -90,7 +90,7 @@
         found = answer.ok if answer.is_ok() else None
         if isinstance(found, watching.News):
             self.note_link(True, address)
-            self.take(found, asked_at)
+            self.take(question, found, asked_at)
             return True
         now = clocks.boot_time()
         if isinstance(found, watching.AskElsewhere):
@@ -104,12 +104,12 @@
 
     def question(self) -> watching.Watch:
         """Return what is asked."""
-        gateway = self.gateway
-        version = gateway.view.version
         return watching.Watch(
             member=self.member(),
             attachment=self.choice.attachment,
-            routes_version=watching.NO_VERSION if self.wants_whole else version,
+            routes_version=self.route_sync.base_version(
+                self.gateway.view.config
+            ),
             epoch=self.epoch,
             registry_mark=self.mark,
             announcements=self.owed(),
@@ -148,8 +148,10 @@
             LOG.info(text, detail=detail, version=self.gateway.view.version)
         self.connected = connected
 
-    def take(self, news: watching.News, asked_at: float) -> None:
-        """Put news in force."""
+    def take(
+        self, question: watching.Watch, news: watching.News, asked_at: float
+    ) -> None:
+        """Put the answer to a question in force."""
         gateway = self.gateway
         changes = news.changes
         if news.epoch != self.epoch:
@@ -176,7 +178,7 @@
             changes.whole,
             0.0 if changes.more else news.registry_age_s,
         )
-        if not self.take_routes(news):
+        if not self.take_routes(question, news):
             return
         gateway.view.confirm(asked_at - news.proof_age_s)
         gateway.start_up.on_news(news.registry_age_s, clocks.boot_time())
@@ -207,29 +209,26 @@
         for announcement in changes.left:
             gateway.learn_endpoint(announcement)
 
-    def take_routes(self, news: watching.News) -> bool:
-        """Put newer routes in force; return whether the version is known.
-
-        A change that does not fit is asked for whole next time, and proves
-        nothing of the version in force.
-        """
+    def take_routes(
+        self, question: watching.Watch, news: watching.News
+    ) -> bool:
+        """Put newer routes in force; return whether those held are current."""
         gateway = self.gateway
-        config = news.routes
-        if news.routes_delta is not None:
-            table = gateway.view.table
-            known = None if table is None else table.config
-            config = routedelta.apply(known, news.routes_delta)
-            self.wants_whole = config is None
-            if config is None:
-                LOG.warning(
-                    "changes do not fit",
-                    base=news.routes_delta.base,
-                    version=gateway.view.version,
-                )
-                return False
-        if config is not None:
-            gateway.adopt(config)
-        return True
+        received = self.route_sync.receive(
+            gateway.view.config,
+            question.routes_version,
+            news.routes,
+            news.routes_delta,
+        )
+        if received.config is not None:
+            gateway.adopt(received.config)
+        if not received.is_current:
+            LOG.warning(
+                "delta does not fit",
+                base=news.routes_delta.base,
+                version=gateway.view.version,
+            )
+        return received.is_current
 
     async def close(self) -> None:
         """Stop asking."""
