tests: prove that relays, gateways and deposed leaders prove nothing they lack

Cause: four changes of one line, each a wrong proof or a wrong liveness, stayed green in relays.feature: a misfit counted as current by relay or gateway, a deposed leader that dates its proof when it steps down, a relay that takes a request of an earlier attachment.

Ruled out: a hole in today's code; all scenarios hold without a change of it.

Change: scenarios for each in proofs.feature, and each line planted as a defect that has to be noticed. The relay world let a frozen leader step down while it stood still, which hid the third defect; it steps down when it runs again now.

Conclusion: the four lines are guarded.

--- a/features/control/proofs.feature
+++ b/features/control/proofs.feature
@@ -38,3 +38,30 @@
       | watcher |
       | gateway |
       | relay   |
+
+  Scenario: A deposed leader serves nothing as current before its successor has answered it
+    Given 4 gateways that watch, each asking a relay of its zone
+    When the leader stands still while another one takes a version
+    Then the gateways that reach only the deposed leader have no proof from it
+
+  Scenario Outline: A late request of an earlier <what> changes nothing at a relay
+    Given a relay that gateway g watches with incarnation 2 and attachment 3
+    When a request of incarnation <incarnation> and attachment <attachment> arrives late
+    Then the relay reports incarnation 2 and attachment 3 of gateway g
+    And the lease of gateway g is not renewed
+
+    Examples:
+      | incarnation | attachment | what       |
+      | 2           | 2          | attachment |
+      | 1           | 7          | process    |
+
+  Scenario Outline: A planted defect shows: <defect>
+    When the proof defect "<defect>" is planted
+    Then a scenario of this feature fails
+
+    Examples:
+      | defect                                                  |
+      | a relay proves the version held when a delta does not fit   |
+      | a gateway proves the version held when a delta does not fit |
+      | a deposed leader proves its routes from when it stepped down |
+      | a relay takes a request of an earlier attachment        |
--- a/features/steps/proofs_steps.py
+++ b/features/steps/proofs_steps.py
@@ -1,5 +1,7 @@
 """Steps on what watchers of the routes count as current."""
 
+from unittest import mock
+
 import attrs
 from behave import given
 from behave import then
@@ -7,16 +9,21 @@
 
 from _coltsfootroad.control import mirror as mirror_lib
 from _coltsfootroad.control import watching
+from _coltsfootroad.core import addresses
 from _coltsfootroad.core import routedelta
 from _coltsfootroad.core import routes
 from _coltsfootroad.gateway import watch as watch_lib
+from features.steps import relays_steps
 from features.support import gatewaybed
+from features.support import virtualloop
 
 NONE = routes.NO_VERSION
 ASKED_AT_S = 2_000.0
 RELAY = watching.Relay(
     name="r", incarnation=1, address="10.0.0.1:1", availability_zone="za"
 )
+FROZEN_S = 8.0
+OBSERVED_S = 4.0
 
 
 def number(text: str) -> int:
@@ -119,3 +126,191 @@
 @then("it asks from version {version} the next time")
 def asks_from(context, version):
     assert context.watcher.asks_from == number(version)
+
+
+# --- deposed leaders ---------------------------------------------------------
+
+
+@when("the leader stands still while another one takes a version")
+def leader_stands_still(context):
+    depose(context.world, context.go)
+
+
+@then("the gateways that reach only the deposed leader have no proof from it")
+def no_proof(context):
+    check_deposed(context.world, context.go)
+
+
+def depose(world, go) -> None:
+    """Freeze the leader, and leave the gateways of its zone nobody else."""
+    assert world.leader().name == "replica-0"
+    world.isolate("replica-0")
+    for name, gateway in world.gateways.items():
+        if gateway.settings.availability_zone == "za":
+            for process in relays_steps.PROCESSES:
+                if process != "replica-0":
+                    world.cut(name, process)
+    world.frozen["replica-0"] = world.now + FROZEN_S
+    go(1.5)
+    assert world.leader().name != "replica-0"
+    world.put_version()
+
+
+def check_deposed(world, go) -> None:
+    """Check that a deposed leader that runs again proves nothing."""
+    put_at = world.acked[-1][0]
+    go(FROZEN_S + OBSERVED_S)
+    near = [
+        gateway.view
+        for gateway in world.gateways.values()
+        if gateway.settings.availability_zone == "za"
+    ]
+    assert near
+    for view in near:
+        assert view.version < world.acked[-1][1]
+        assert view.confirmed_at < put_at, view.confirmed_at - put_at
+
+
+# --- attachments -------------------------------------------------------------
+
+
+def request(incarnation: int, attachment: int) -> watching.Watch:
+    """Return a request of gateway g."""
+    member = addresses.Member(
+        entry="g",
+        incarnation=incarnation,
+        address=f"10.0.0.9:{incarnation}",
+        availability_zone="za",
+    )
+    return watching.Watch(
+        member=member, attachment=attachment, routes_version=NONE, wait_s=0.4
+    )
+
+
+@given(
+    "a relay that gateway g watches with incarnation {incarnation:d} and"
+    " attachment {attachment:d}"
+)
+def watched_relay(context, incarnation, attachment):
+    context.mirror = mirror_lib.Mirror(RELAY)
+    context.mirror.take_watcher(request(incarnation, attachment), ASKED_AT_S)
+    context.lease_end = context.mirror.watchers["g"].until
+
+
+@when(
+    "a request of incarnation {incarnation:d} and attachment {attachment:d}"
+    " arrives late"
+)
+def late_request(context, incarnation, attachment):
+    late = request(incarnation, attachment)
+    context.mirror.take_watcher(late, ASKED_AT_S + 1.0)
+
+
+@then(
+    "the relay reports incarnation {incarnation:d} and attachment"
+    " {attachment:d} of gateway g"
+)
+def reports(context, incarnation, attachment):
+    (reported,) = context.mirror.question(ASKED_AT_S + 1.0, 0.0).attached
+    assert reported.order == (incarnation, attachment), reported.order
+
+
+@then("the lease of gateway g is not renewed")
+def not_renewed(context):
+    assert context.mirror.watchers["g"].until == context.lease_end
+
+
+# --- defects -----------------------------------------------------------------
+
+RIGHT_STEP_DOWN = mirror_lib.Mirror.step_down
+
+
+def proves_misfit(right):
+    """Return a change of `take_routes` that counts a misfit as a proof."""
+
+    def take_routes(self, *response):
+        right(self, *response)
+        return True
+
+    return take_routes
+
+
+def proves_stepping_down(self, heard_since, now):
+    """Count the version held as current at the end of the own term."""
+    RIGHT_STEP_DOWN(self, heard_since, now)
+    self.confirmed_at = now
+
+
+def takes_any_watcher(self, request, now):
+    """Take a request whatever is known of the gateway."""
+    attached = watching.Attached(
+        member=request.member, attachment=request.attachment
+    )
+    self.unsent[request.member.entry] = attached
+    self.watchers[request.member.entry] = mirror_lib.Watcher(
+        attached, now + request.wait_s
+    )
+
+
+def check_misfit(kind: str) -> None:
+    """Check that a delta that does not fit proves nothing."""
+    with virtualloop.virtual_time():
+        subject = WATCHERS[kind](2)
+        subject.receive(2, response("delta 3 to 4"))
+        assert subject.proved_at != ASKED_AT_S
+
+
+def check_stepping_down() -> None:
+    """Check that a deposed leader proves nothing."""
+    with relays_steps.fleet(4) as (world, go):
+        depose(world, go)
+        check_deposed(world, go)
+
+
+def check_late_request() -> None:
+    """Check that a late request changes nothing."""
+    mirror = mirror_lib.Mirror(RELAY)
+    mirror.take_watcher(request(2, 3), ASKED_AT_S)
+    mirror.take_watcher(request(2, 2), ASKED_AT_S)
+    assert mirror.watchers["g"].attached.order == (2, 3)
+
+
+DEFECTS = {
+    "a relay proves the version held when a delta does not fit": (
+        mirror_lib.Mirror,
+        "take_routes",
+        proves_misfit(mirror_lib.Mirror.take_routes),
+        lambda: check_misfit("relay"),
+    ),
+    "a gateway proves the version held when a delta does not fit": (
+        watch_lib.Watch,
+        "take_routes",
+        proves_misfit(watch_lib.Watch.take_routes),
+        lambda: check_misfit("gateway"),
+    ),
+    "a deposed leader proves its routes from when it stepped down": (
+        mirror_lib.Mirror,
+        "step_down",
+        proves_stepping_down,
+        check_stepping_down,
+    ),
+    "a relay takes a request of an earlier attachment": (
+        mirror_lib.Mirror,
+        "take_watcher",
+        takes_any_watcher,
+        check_late_request,
+    ),
+}
+
+
+@when('the proof defect "{label}" is planted')
+def planted(context, label):
+    context.defect = DEFECTS[label]
+
+
+@then("a scenario of this feature fails")
+def caught(context):
+    owner, name, wrong, check = context.defect
+    check()
+    with mock.patch.object(owner, name, wrong):
+        assert relays_steps.broke(check), "the defect was not noticed"
--- a/features/support/relayworld.py
+++ b/features/support/relayworld.py
@@ -49,13 +49,15 @@
     frozen_until: float = 0.0
     incarnation: int = 0
     hub: hub_lib.Hub | None = None
+    # Its hub of a term that has ended while it stood still.
+    deposed: hub_lib.Hub | None = None
     mirror: mirror_lib.Mirror = attrs.field(init=False)
     desk: watchdesk.WatchDesk = attrs.field(init=False)
 
     def start(self) -> None:
         """Start, knowing nothing."""
         self.up = True
-        self.hub = None
+        self.hub = self.deposed = None
         self.incarnation += 1
         relay = watching.Relay(
             name=self.name,
@@ -79,7 +81,7 @@
     def stop(self) -> None:
         """Die."""
         self.up = False
-        self.hub = None
+        self.hub = self.deposed = None
         self.desk.relay.stop()
         self.desk.wake()
 
@@ -101,10 +103,16 @@
         self.desk.wake()
 
     def step_down(self) -> None:
-        """Lead no longer."""
+        """Lead no longer; a process that stands still learns of it later."""
         if self.hub is not None:
-            self.mirror.step_down(self.hub.heard_since, self.world.now)
-            self.hub = None
+            self.deposed, self.hub = self.hub, None
+            self.note_deposed()
+
+    def note_deposed(self) -> None:
+        """Go on as a relay after having led, unless it stands still."""
+        if self.deposed is not None and not self.world.stands_still(self.name):
+            self.mirror.step_down(self.deposed.heard_since, self.world.now)
+            self.deposed = None
 
     async def ask_leader(self, question) -> object:
         """Answer as the leader, or say who leads."""
@@ -375,6 +383,7 @@
             await asyncio.sleep(STEP_S)
             self.elect()
             for process in self.processes.values():
+                process.note_deposed()
                 if process.hub is not None:
                     mark = process.hub.last_mark
                     process.hub.expire(self.now)
