--- a/features/control/replacement.feature
+++ b/features/control/replacement.feature
@@ -37,6 +37,8 @@
       | 1     | follower restarted for 1.5 s; follower restarted for 1.5 s; leader wiped for 1.5 s       |
       | 1     | leader gone; 1.5 s; d added; 2.5 s; follower restarted for 1.5 s; follower restarted for 1.5 s; leader wiped for 1.5 s |
       | 1     | leader gone; 1.5 s; d added; 2.5 s; follower wiped for 1.5 s; follower restarted for 1.5 s; leader restarted for 1.5 s |
+      | 1     | follower gone; 1.4 s; d added; 6.6 s; leader gone; 1.4 s; e added; 13 s; leader wiped; 10 s; follower gone; 1.4 s; f added; 7 s; follower restarted; 8 s; all restarted for 1.5 s |
+      | 1     | leader gone; 1.4 s; d added; 7 s; leader restarted; 8 s; leader wiped; 9.5 s; follower gone; 1.4 s; e added; 7 s; follower restarted; 8 s; all restarted for 1.5 s |
       | 2     | follower gone; leader gone; 1.5 s; f added; g added; 2.5 s; follower wiped; leader wiped |
       | 2     | f added; 3 s; follower gone; 2.5 s; follower wiped; leader wiped                   |
 
