shell: report an address that cannot be listened at in one line

Operators saw a traceback, and a program that kept running where gRPC shared the address.

Cause: no listener's OSError was caught, and gRPC binds with SO_REUSEPORT unless told not to, so two programs with one address each got a part of the calls. An adapter that could not listen failed after the gRPC server ran, whose threads kept the process.

Ruled out: a retry; a supervisor restarts the program, and an operator needs the reason.

Change: `listening.at` turns the OSError into ListenError with the address; `run_loop` prints it and ends with 1; reuse of gRPC ports is off; adapters listen first. A relay without a disk opens its admin address now, with metrics and dumps, as its settings have always allowed.

--- a/features/control/relay.feature
+++ b/features/control/relay.feature
@@ -4,6 +4,7 @@
     Given <replicas> replicas and <relays> relays in processes of their own
     Then a version is taken within 10 s by way of each of them
     And it is read back by way of each of them
+    And each relay shows operators the version and who leads
 
     Examples: the relays come first in the order of the seeds, then last
       | replicas | relays | 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -4,6 +4,7 @@
 import json
 import sys
 import time
+import urllib.request
 
 from behave import given
 from behave import then
@@ -14,9 +15,11 @@
 from _coltsfootroad.shell import links
 from features.soak import fleet as fleet_lib
 from features.support import gatewaybed
+from features.support import running
 
 TOKEN = "soak-token"
 SEEDS = 3
+VERSION = "colts_control_config_version"
 
 
 @given("{replicas:d} replicas and {relays:d} relays in processes of their own")
@@ -27,11 +30,17 @@
     context.addresses = [f"127.0.0.1:{port}" for port in found]
     context.relays = context.addresses[:relays]
     context.programs = []
+    context.admin = {
+        address: f"127.0.0.1:{port}"
+        for address, port in zip(
+            context.addresses, ports.free_ports(count), strict=True
+        )
+    }
     for place, address in enumerate(context.addresses):
         settings = {
             "replica": f"r{place}",
             "listen": address,
-            "admin_listen": f"127.0.0.1:{ports.free_port()}",
+            "admin_listen": context.admin[address],
             "admin_token": TOKEN,
             "data_folder": "",
             "seeds": context.addresses[:SEEDS],
@@ -99,6 +108,34 @@
         assert found is not None and found.version == wanted, found
 
 
+def admin(address: str, path: str) -> str:
+    """Return what a program shows to operators."""
+    request = urllib.request.Request(
+        f"http://{address}{path}", headers={"Authorization": f"Bearer {TOKEN}"}
+    )
+    with urllib.request.urlopen(request, timeout=5.0) as response:
+        return response.read().decode()
+
+
+def metric(address: str, name: str) -> float:
+    """Return a metric without labels of ours."""
+    lines = admin(address, "/metrics").splitlines()
+    (line,) = [line for line in lines if line.startswith(name)]
+    return float(line.rpartition(" ")[2])
+
+
+@then("each relay shows operators the version and who leads")
+def shown(context):
+    for address in context.relays:
+        at = context.admin[address]
+        running.wait_until(
+            lambda at=at: metric(at, VERSION) == len(context.addresses),
+            "the metrics do not show the version",
+        )
+        state = json.loads(admin(at, "/admin/dump"))
+        assert state["info"]["leader"] in context.addresses, state["info"]
+
+
 @then("the relay names no leader and ends well when told to stop")
 def alone(context):
     async def hello():
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -16,6 +16,8 @@
 SENDING_S = 2.5
 GAP_S = 0.002
 STOP_S = 15.0
+# Modules of the commands that do not bear a program's name.
+MODULES = {"replica": "control", "relay": "control"}
 
 
 def address() -> str:
@@ -29,12 +31,17 @@
         names = ("listen", "ready_listen", "directory_listen", "peer_listen")
         listen = {name: address() for name in names}
         return {"gateway": "g", "seeds": [address()], **listen}
+    names = {"listen": address(), "admin_listen": address()}
+    names["admin_token"] = "soak-token"
+    if program == "entry":
+        names["peer_listen"] = address()
+        return {"entry": "e", "control": [address()], **names}
+    if program == "relay":
+        return {"replica": "r", "seeds": [address()], **names}
     return {
         "replica": "r",
-        "listen": address(),
-        "admin_listen": address(),
-        "admin_token": "soak-token",
         "data_folder": str(context.folder / "data"),
+        **names,
     }
 
 
@@ -42,7 +49,7 @@
 def write_settings(context, program):
     path = context.folder / "settings.json"
     path.write_text(json.dumps(settings_of(context, program)))
-    name = {"gateway": "gateway", "replica": "control"}[program]
+    name = MODULES.get(program, program)
     context.command = [sys.executable, "-m", f"_coltsfootroad.commands.{name}"]
     context.command += ["--settings", str(path)]
 
@@ -112,11 +119,11 @@
         time.sleep(GAP_S)
 
 
-@then("it has ended with exit code 0")
-def ended_well(context):
+@then("it has ended with exit code {code:d}")
+def ended_with(context, code):
     process = context.process
     try:
-        assert process.poll() == 0, process.returncode
+        assert process.poll() == code, process.returncode
     finally:
         if process.poll() is None:
             process.kill()
--- a/src/_coltsfootroad/commands/common.py
+++ b/src/_coltsfootroad/commands/common.py
@@ -9,6 +9,7 @@
 from absl import flags
 
 from _coltsfootroad import version
+from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import settings as settings_lib
 
@@ -81,8 +82,15 @@
 
 
 def run_loop(main) -> int:
-    """Run a program's coroutine function on one loop."""
-    return asyncio.run(main())
+    """Run a program's coroutine function on one loop; return the exit code.
+
+    A failure to listen is reported in one line, without a traceback.
+    """
+    try:
+        return asyncio.run(main())
+    except listening.ListenError as error:
+        complain(str(error))
+        return EXIT_FAILED
 
 
 async def wait_for_stop(
--- a/src/_coltsfootroad/commands/control.py
+++ b/src/_coltsfootroad/commands/control.py
@@ -69,8 +69,8 @@
             " already; start without the flag"
         )
         return common.EXIT_USAGE
-    await server.start()
     adapt(controlserver.LeaderLink(server), settings.api_listen)
+    await server.start()
     common.on_reload(lambda: reload(server))
     # They may have changed between the first reading and now.
     reload(server)
@@ -86,8 +86,8 @@
     relay = controlrelay.ControlRelay(
         settings, controlserver.relay_of(settings)
     )
-    await relay.start()
     adapt(relay.link, settings.api_listen)
+    await relay.start()
     common.on_reload(lambda: reload(relay))
     went_well = await common.wait_for_stop([relay.broken], relay.dump)
     await relay.stop()
--- a/src/_coltsfootroad/commands/standalone.py
+++ b/src/_coltsfootroad/commands/standalone.py
@@ -82,7 +82,7 @@
         self.admin = web.listen(
             operators.application(routes),
             self.settings.admin_listen,
-            controlserver.MAX_OPERATOR_BODY,
+            operators.MAX_BODY_BYTES,
         )
 
     def dump(self) -> bytes:
--- a/src/_coltsfootroad/gateway/front.py
+++ b/src/_coltsfootroad/gateway/front.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.gateway import sockets
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import early
+from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
 
 LOG = logs.logger("front")
@@ -123,7 +124,8 @@
             max_buffer_size=limits.body_bytes + limits.header_bytes,
             idle_connection_timeout=limits.idle_timeout_s + IDLE_MARGIN_S,
         )
-        self.server.add_sockets([early.take(address)])
+        with listening.at(address):
+            self.server.add_sockets([early.take(address)])
 
     def apply(self, limits: routes.CallerLimits) -> None:
         """Put a version's limits in force for new connections."""
--- a/src/_coltsfootroad/gateway/gossip.py
+++ b/src/_coltsfootroad/gateway/gossip.py
@@ -16,6 +16,7 @@
 from _coltsfootroad.core import fanout
 from _coltsfootroad.core import workload
 from _coltsfootroad.shell import clocks
+from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import settings as settings_lib
 from _coltsfootroad.shell import traffic
@@ -122,9 +123,10 @@
     async def start(self, address: str) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=settings_lib.split_address(address)
-        )
+        with listening.at(address):
+            await loop.create_datagram_endpoint(
+                lambda: self, local_addr=settings_lib.split_address(address)
+            )
 
     def connection_made(self, transport):
         """Keep the socket."""
--- a/src/_coltsfootroad/shell/channels.py
+++ b/src/_coltsfootroad/shell/channels.py
@@ -18,6 +18,9 @@
 OPTIONS = [
     ("grpc.enable_retries", 0),
     ("grpc.enable_http_proxy", 0),
+    # Otherwise a second program may bind the same address and take a share of
+    # its calls.
+    ("grpc.so_reuseport", 0),
     ("grpc.service_config_disable_resolution", 1),
     # Connections go silent without a reset: a ping each second finds that,
     # and the servers must not take the pings for abuse.
--- a/src/_coltsfootroad/shell/controlrelay.py
+++ b/src/_coltsfootroad/shell/controlrelay.py
@@ -15,9 +15,13 @@
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import metrics as metrics_lib
+from _coltsfootroad.shell import operators
 from _coltsfootroad.shell import relayloop
 from _coltsfootroad.shell import settings as settings_lib
+from _coltsfootroad.shell import traffic
 from _coltsfootroad.shell import watchdesk
+from _coltsfootroad.shell import web
 from _coltsfootroad.shell import wirecalls
 
 LOG = logs.logger("relay")
@@ -44,11 +48,40 @@
             self.broken,
         )
         self.grpc_server = None
+        self.http_server = None
+        self.metrics = metrics_lib.Metrics.start("colts-control")
+        self.add_metrics()
+
+    def add_metrics(self) -> None:
+        """Register the metrics of this relay."""
+        self.metrics.gauge(
+            "colts_control_config_version",
+            "Configuration version served here",
+            lambda: self.mirror.routes.version,
+        )
+        self.metrics.gauge(
+            "colts_control_relay_connected",
+            "1 while the leader answers this relay",
+            lambda: self.desk.relay.connected,
+        )
+        traffic.PROCESS.add_metrics(self.metrics)
+
+    def listen_admin(self) -> None:
+        """Open the operators' listener."""
+        routes = web.admin_routes(
+            self.settings.admin_token, self.dump, self.metrics
+        )
+        self.http_server = web.listen(
+            operators.application(routes),
+            self.settings.admin_listen,
+            operators.MAX_BODY_BYTES,
+        )
 
     async def start(self) -> None:
-        """Open the socket and begin to ask the leader."""
+        """Open the sockets and begin to watch the leader."""
+        self.listen_admin()
         self.grpc_server = links.make_server(self.on_call, self.on_peer)
-        self.grpc_server.add_insecure_port(self.settings.listen)
+        links.listen(self.grpc_server, self.settings.listen)
         await self.grpc_server.start()
         self.desk.relay.start()
         LOG.info(
@@ -117,6 +150,8 @@
     async def stop(self) -> None:
         """Close everything."""
         self.desk.relay.stop()
+        if self.http_server is not None:
+            self.http_server.stop()
         if self.grpc_server is not None:
             await self.grpc_server.stop(grace=0.5)
         await self.link.close()
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -31,7 +31,6 @@
 from _coltsfootroad.shell import wirecalls
 
 LOG = logs.logger("control")
-MAX_OPERATOR_BODY = 8 * 1024 * 1024
 MIN_WAKE_S = 0.005
 JOIN_TIMEOUT_S = 2.0
 # Longest that a stopping replica waits for another leader and for the end of
@@ -94,15 +93,11 @@
 
     async def start(self, listen_admin: bool = True) -> None:
         """Open the sockets and start the timers."""
-        self.grpc_server = links.make_server(self.on_call, self.on_peer)
-        port = self.grpc_server.add_insecure_port(self.settings.listen)
-        if not port:
-            raise disk_lib.DiskError(
-                f"address {self.settings.listen} is in use"
-            )
-        await self.grpc_server.start()
         if listen_admin:
             self.listen_admin()
+        self.grpc_server = links.make_server(self.on_call, self.on_peer)
+        links.listen(self.grpc_server, self.settings.listen)
+        await self.grpc_server.start()
         self.wake()
         self.desk.relay.start()
         if self.settings.peers():
@@ -121,7 +116,7 @@
         )
         app = operators.application(routes)
         self.http_server = web.listen(
-            app, self.settings.admin_listen, MAX_OPERATOR_BODY
+            app, self.settings.admin_listen, operators.MAX_BODY_BYTES
         )
 
     async def stop(self) -> None:
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import channels as channels_lib
+from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import wire
 from _coltsfootroad.shell import wirecalls
@@ -24,6 +25,7 @@
 MAX_QUEUED = 512
 # Pause before a broken stream is opened again, unless the other side is heard.
 RECONNECT_S = 0.3
+BIND_FAILED = "in use, or not an address of this VM"
 
 
 class ControlLink(abc.ABC):
@@ -214,3 +216,16 @@
         (grpc.method_handlers_generic_handler(channels_lib.SERVICE, handlers),)
     )
     return server
+
+
+def listen(server: grpc.aio.Server, address: str) -> None:
+    """Let a server listen.
+
+    Raises:
+        ListenError: The address cannot be bound. gRPC writes the reason of the
+            system to standard error.
+    """
+    try:
+        server.add_insecure_port(address)
+    except RuntimeError as error:
+        raise listening.ListenError(address, BIND_FAILED) from error
--- a/src/_coltsfootroad/shell/notes.py
+++ b/src/_coltsfootroad/shell/notes.py
@@ -36,7 +36,7 @@
         if not self.listen:
             return
         self.server = links.make_server(refuse_call, self.receive)
-        self.server.add_insecure_port(self.listen)
+        links.listen(self.server, self.listen)
         await self.server.start()
 
     async def stop(self) -> None:
--- a/src/_coltsfootroad/shell/operators.py
+++ b/src/_coltsfootroad/shell/operators.py
@@ -12,6 +12,7 @@
 from _coltsfootroad.shell import web
 
 MAX_PATCH_ID = 200
+MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
 def application(routes: list[tuple]) -> tornado.web.Application:
--- a/src/_coltsfootroad/shell/web.py
+++ b/src/_coltsfootroad/shell/web.py
@@ -8,6 +8,7 @@
 import tornado.web
 
 from _coltsfootroad.core import errors
+from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import settings as settings_lib
 
@@ -33,7 +34,8 @@
         idle_connection_timeout=IDLE_TIMEOUT_S,
     )
     host, port = settings_lib.split_address(address)
-    server.listen(port, host)
+    with listening.at(address):
+        server.listen(port, host)
     return server
 
 
