control: bring endpoints to a new leader in bounded requests

A relay whose leader lacked endpoints put all of them into each request until one was answered; a gateway did the same towards its relay. At the target size that is 6,800 announcements again and again from 12 relays, right after a loss of everything, when links carry elections.

Ruled out: a limit on attached gateways (43 a relay at the target size, told once).

Change: `core/backlog.py` keeps the newest announcement of each endpoint until a request that carried it is answered, and gives out 500 at a time. It replaces the relay's own dict and the gateway's flag. The gateway looks up what it knows now for each request, as before.

The cost of a cold restart at the target size is bounded by request; its total still grows with gateways times endpoints (CAPACITY.md).

--- a/src/_coltsfootroad/control/mirror.py
+++ b/src/_coltsfootroad/control/mirror.py
@@ -16,6 +16,7 @@
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import routestore
 from _coltsfootroad.control import watching
+from _coltsfootroad.core import backlog as backlog_lib
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routesync
 
@@ -44,8 +45,8 @@
         watchers: The gateways that ask it, by name.
         unsent: Gateways that came, changed, or, with None, went since the
             leader was told.
-        owed: Endpoints that the leader may not know: those of a leader before
-            it, and those that gateways remember.
+        backlog: Endpoints that the leader may not know: those of a leader
+            before it, and those that gateways remember.
         told_epoch: The leader that knows all of `watchers` but `unsent`.
         confirmed_at: When the question was sent that a leader answered last,
             and so when the version in force was surely current.
@@ -60,7 +61,7 @@
     routes: routestore.RouteStore = attrs.Factory(routestore.RouteStore)
     watchers: dict[str, Watcher] = attrs.Factory(dict)
     unsent: dict[str, watching.Attached | None] = attrs.Factory(dict)
-    owed: dict[str, registry.Announcement] = attrs.Factory(dict)
+    backlog: backlog_lib.Backlog = attrs.Factory(backlog_lib.Backlog)
     told_epoch: str = ""
     confirmed_at: float = NEVER
     copied_at: float = NEVER
@@ -73,10 +74,10 @@
     @property
     def has_report(self) -> bool:
         """Return whether there is something to tell the leader."""
-        return bool(self.unsent or self.owed)
+        return bool(self.unsent or self.backlog.pending)
 
     def question(self, now: float, wait_s: float) -> watching.RelayWatch:
-        """Return what is asked, with all that the leader lacks."""
+        """Return what is asked, with a page of what the leader lacks."""
         self.expire(now)
         complete = self.told_epoch != self.book.epoch
         came = [one for one in self.unsent.values() if one is not None]
@@ -91,7 +92,7 @@
             routes_version=self.route_sync.base_version(self.routes.config),
             epoch=self.book.epoch,
             registry_mark=self.book.last_mark,
-            announcements=tuple(self.owed.values()),
+            announcements=self.backlog.page(),
             wait_s=wait_s,
         )
 
@@ -132,9 +133,7 @@
         for name, one in sent.items():
             if name in self.unsent and self.unsent[name] == one:
                 del self.unsent[name]
-        for announcement in question.announcements:
-            if self.owed.get(announcement.endpoint) == announcement:
-                del self.owed[announcement.endpoint]
+        self.backlog.settle(question.announcements)
         if question.complete:
             self.told_epoch = question.epoch
         if news.changes.wants_complete or news.epoch != question.epoch:
@@ -145,19 +144,12 @@
 
         What it told of endpoints is brought to the present one.
         """
-        for announcement in self.book.endpoints.values():
-            self.owe(announcement)
+        self.backlog.add_all(self.book.endpoints.values())
         for marked in self.book.endpoints.gone.values():
             if marked.value is not None:
-                self.owe(marked.value)
+                self.backlog.add(marked.value)
         self.book.clear()
 
-    def owe(self, announcement: registry.Announcement) -> None:
-        """Keep a word of an endpoint for the leader, unless a later one is."""
-        known = self.owed.get(announcement.endpoint)
-        if known is None or registry.is_newer(announcement, known):
-            self.owed[announcement.endpoint] = announcement
-
     def take_routes(
         self, question: watching.RelayWatch, news: watching.News
     ) -> bool:
@@ -209,7 +201,7 @@
         self.watchers[name] = Watcher(attached, until)
         for announcement in request.announcements:
             if not self.knows(announcement):
-                self.owe(announcement)
+                self.backlog.add(announcement)
 
     def knows(self, announcement: registry.Announcement) -> bool:
         """Return whether the leader has told of this word, or a later one."""
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -9,6 +9,8 @@
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
+from _coltsfootroad.core import backlog as backlog_lib
+from _coltsfootroad.core import registry
 from _coltsfootroad.core import relaychoice
 from _coltsfootroad.core import routesync
 from _coltsfootroad.shell import channels as channels_lib
@@ -55,8 +57,8 @@
         self.epoch = ""
         self.mark = 0
         self.connected = False
-        # Whether a leader that is new has to learn again what was known.
-        self.owes = True
+        # Endpoints that a leader which knows nothing of them has to learn.
+        self.backlog = backlog_lib.Backlog()
         self.route_sync = routesync.RouteSync()
         self.task: asyncio.Task | None = None
 
@@ -112,7 +114,7 @@
             ),
             epoch=self.epoch,
             registry_mark=self.mark,
-            announcements=self.owed(),
+            announcements=self.backlog_page(),
             wait_s=self.hold_s(),
             knows_relays=bool(self.choice.relays),
         )
@@ -123,11 +125,11 @@
         used = gateway.view.rotation.uses(gateway.settings.gateway)
         return HOLD_S if used else SPARE_HOLD_S
 
-    def owed(self) -> tuple:
-        """Return what a leader that is new has to learn again."""
-        if not self.owes:
-            return ()
-        return self.gateway.endpoints.everything()
+    def backlog_page(self) -> tuple[registry.Announcement, ...]:
+        """Return what the next request tells of endpoints, as known now."""
+        if self.backlog.pending:
+            self.backlog.refresh(self.gateway.endpoints.everything())
+        return self.backlog.page()
 
     def member(self) -> addresses.Member:
         """Return what the other gateways learn of this one."""
@@ -161,8 +163,9 @@
                 before=self.epoch,
                 whole=changes.whole,
             )
-        # What such a leader does not know yet is brought to it next time.
-        self.owes = changes.whole and self.epoch != ""
+        self.backlog.settle(question.announcements)
+        if changes.whole and self.epoch:
+            self.backlog.add_all(gateway.endpoints.everything())
         self.epoch = news.epoch
         self.mark = news.registry_mark
         self.choice.learn_seeds(news.replicas)
