--- a/.ci/verdict.py
+++ b/.ci/verdict.py
@@ -1,4 +1,4 @@
-"""Reads behave's JUnit report and prints the closing line of a CI run.
+"""Reads behave's JUnit reports and prints the closing line of a CI run.
 
 Tests that `KNOWN-RED.txt` lists may fail; each that does is printed. A line
 there holds a test's name, its cause and its issue, divided by bars.
@@ -16,7 +16,7 @@
     """Return how many scenarios passed and the names of those that failed."""
     passed = 0
     failed = []
-    for path in sorted(folder.glob("*.xml")):
+    for path in sorted(folder.rglob("*.xml")):
         for case in ElementTree.parse(path).getroot().iter("testcase"):
             if any(case.find(kind) is not None for kind in FAILED):
                 failed.append(case.get("name", ""))
--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,10 @@
 demo: $(VENV)/installed
 	$(PYTHON) examples/demo.py
 
+# Processes that run features beside each other.
+JOBS ?= 8
 test: $(VENV)/installed
-	$(PYTHON) -m behave --format progress --junit --junit-directory build/junit
+	$(PYTHON) -m features.support.parallel --jobs $(JOBS)
 
 lint: $(VENV)/installed
 	$(PYTHON) -m pyink --check --quiet $(SOURCES)
