tests: run features in several processes, the longest first

A process that ends without a whole report counts as a failed scenario, so none is lost; the verdict reads all reports.

--- /dev/null
+++ b/features/parallel.feature
@@ -0,0 +1,21 @@
+Feature: Features run in several processes and no scenario is lost
+
+  Scenario: The plan names every scenario once and is the same each time
+    Given the plan of all features
+    Then it names every scenario once
+    And longer units come first
+    And it is the same when it is made again
+
+  Scenario Outline: <reported> of <scenarios> scenarios, <failed> failed, exit code <status>
+    Given a process that ends with <status> and reports <reported> of <scenarios> scenarios, <failed> failed
+    When the verdict is given on its report
+    Then the verdict is "<passed> passed, <red> failed" with exit code <code>
+
+    Examples:
+      | scenarios | reported | failed | status | passed | red | code |
+      | 3         | 3        | 0      | 0      | 3      | 0   | 0    |
+      | 3         | 3        | 1      | 1      | 2      | 1   | 1    |
+      | 3         | 2        | 0      | 0      | 2      | 1   | 1    |
+      | 3         | 3        | 0      | 1      | 3      | 1   | 1    |
+      | 3         | 2        | 1      | 1      | 1      | 2   | 1    |
+      | 3         | 0        | 0      | -9     | 0      | 1   | 1    |
--- /dev/null
+++ b/features/steps/parallel_steps.py
@@ -0,0 +1,92 @@
+"""Steps on features that run in several processes."""
+
+import json
+import subprocess
+import sys
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from features.steps import verdict_steps
+from features.support import parallel
+
+
+def make_plan() -> list[parallel.Unit]:
+    """Return the plan that `make test` follows."""
+    durations = json.loads(parallel.DURATIONS.read_text())
+    return parallel.plan(parallel.FEATURES.rglob("*.feature"), durations)
+
+
+@given("the plan of all features")
+def plan(context):
+    context.units = make_plan()
+
+
+@then("it names every scenario once")
+def every_scenario(context):
+    planned = []
+    for unit in context.units:
+        name, _, line = unit.target.partition(":")
+        lines = parallel.scenario_lines(parallel.ROOT / name)
+        planned += [(name, int(line))] if line else [(name, x) for x in lines]
+    wanted = {
+        (str(path.relative_to(parallel.ROOT)), line)
+        for path in parallel.FEATURES.rglob("*.feature")
+        for line in parallel.scenario_lines(path)
+    }
+    assert len(planned) == len(set(planned))
+    assert set(planned) == wanted
+    assert sum(unit.scenarios for unit in context.units) == len(wanted)
+
+
+@then("longer units come first")
+def longest_first(context):
+    seconds = [unit.seconds for unit in context.units]
+    assert seconds == sorted(seconds, reverse=True)
+
+
+@then("it is the same when it is made again")
+def same_again(context):
+    assert make_plan() == context.units
+
+
+@given(
+    "a process that ends with {status:d} and reports {reported:d} of"
+    " {scenarios:d} scenarios, {failed:d} failed"
+)
+def process(context, status, reported, scenarios, failed):
+    folder = context.folder / "junit" / "000"
+    folder.mkdir(parents=True)
+    words = ["fail"] * failed + ["pass"] * (reported - failed)
+    cases = "".join(
+        f'<testcase name="{word}">{verdict_steps.CHILDREN[word]}</testcase>'
+        for word in words
+    )
+    if words:
+        text = f"<testsuite>{cases}</testsuite>"
+        (folder / "TESTS-x.xml").write_text(text)
+    ended = subprocess.CompletedProcess([], status, stdout="")
+    unit = parallel.Unit("features/x.feature", scenarios, 1.0)
+    with mock.patch.object(subprocess, "run", return_value=ended):
+        parallel.run_unit(unit, folder)
+    context.status = status
+
+
+@when("the verdict is given on its report")
+def verdict(context):
+    command = [sys.executable, str(verdict_steps.VERDICT), "junit"]
+    context.outcome = subprocess.run(
+        [*command, str(context.status), "0"],
+        cwd=context.folder,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@then('the verdict is "{line}" with exit code {code:d}')
+def verdict_is(context, line, code):
+    assert context.outcome.stdout.strip().endswith(line), context.outcome.stdout
+    assert context.outcome.returncode == code
