tests: move histories of relays out of their steps

Change: `support/relayhistories.py` holds the fleet, drawn and directed histories and defects; one `give_verdict`, one `RELAY`.

Conclusion: no check changes.

--- a/features/steps/backlog_steps.py
+++ b/features/steps/backlog_steps.py
@@ -10,12 +10,11 @@
 from _coltsfootroad.core import registry
 from _coltsfootroad.gateway import watch as watch_lib
 from features.support import gatewaybed
+from features.support import relayhistories
 
 NOW_S = 2_000.0
 MOST_REQUESTS = 50
-RELAY = watching.Relay(
-    name="r", incarnation=1, address="10.0.0.1:1", availability_zone="za"
-)
+RELAY = relayhistories.RELAY
 
 
 def announcement(number: int, seq: int = 1) -> registry.Announcement:
--- a/features/steps/parallel_steps.py
+++ b/features/steps/parallel_steps.py
@@ -2,7 +2,6 @@
 
 import json
 import subprocess
-import sys
 from unittest import mock
 
 from behave import given
@@ -76,13 +75,8 @@
 
 @when("the verdict is given on its report")
 def verdict(context):
-    command = [sys.executable, str(verdict_steps.VERDICT), "junit"]
-    context.outcome = subprocess.run(
-        [*command, str(context.status), "0"],
-        cwd=context.folder,
-        capture_output=True,
-        text=True,
-        check=False,
+    context.outcome = verdict_steps.give_verdict(
+        context.folder, str(context.status), "0"
     )
 
 
--- a/features/steps/proofs_steps.py
+++ b/features/steps/proofs_steps.py
@@ -13,15 +13,13 @@
 from _coltsfootroad.core import routedelta
 from _coltsfootroad.core import routes
 from _coltsfootroad.gateway import watch as watch_lib
-from features.steps import relays_steps
 from features.support import gatewaybed
+from features.support import relayhistories
 from features.support import virtualloop
 
 NONE = routes.NO_VERSION
 ASKED_AT_S = 2_000.0
-RELAY = watching.Relay(
-    name="r", incarnation=1, address="10.0.0.1:1", availability_zone="za"
-)
+RELAY = relayhistories.RELAY
 FROZEN_S = 8.0
 OBSERVED_S = 4.0
 
@@ -147,7 +145,7 @@
     world.isolate("replica-0")
     for name, gateway in world.gateways.items():
         if gateway.settings.availability_zone == "za":
-            for process in relays_steps.PROCESSES:
+            for process in relayhistories.PROCESSES:
                 if process != "replica-0":
                     world.cut(name, process)
     world.frozen["replica-0"] = world.now + FROZEN_S
@@ -262,7 +260,7 @@
 
 def check_stepping_down() -> None:
     """Check that a deposed leader proves nothing."""
-    with relays_steps.fleet(4) as (world, go):
+    with relayhistories.fleet(4) as (world, go):
         depose(world, go)
         check_deposed(world, go)
 
@@ -313,4 +311,4 @@
     owner, name, wrong, check = context.defect
     check()
     with mock.patch.object(owner, name, wrong):
-        assert relays_steps.broke(check), "the defect was not noticed"
+        assert relayhistories.broke(check), "the defect was not noticed"
--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -32,9 +32,14 @@
     if known != "none":
         listed = f"{known} | its cause | issue 2\n"
         (context.folder / "KNOWN-RED.txt").write_text(listed)
-    context.outcome = subprocess.run(
-        [sys.executable, str(VERDICT), str(folder), tests, lint],
-        cwd=context.folder,
+    context.outcome = give_verdict(context.folder, tests, lint)
+
+
+def give_verdict(folder, tests: str, lint: str) -> subprocess.CompletedProcess:
+    """Run the script on the reports below a folder."""
+    return subprocess.run(
+        [sys.executable, str(VERDICT), str(folder / "junit"), tests, lint],
+        cwd=folder,
         capture_output=True,
         text=True,
         check=False,
