soak: start a gateway again that SIGHUP ended before it ran any code

Cause: soak reported "gateway 3 ends with version -1". Its log has one start: it was killed at 4.11 s, started again at 7.71 s, and the plan's SIGHUP of 7.69 s met it then. Sent 0 to 30 ms after a start SIGHUP ended each of 6 processes, from 40 ms on none of 4: until then the interpreter has run nothing of ours that could ignore it. A platform starts such a process again; the soak left it down and blamed it.

Ruled out: a gateway that does not find its relay (no second `started` line); ignoring the signal earlier (our first module does, nothing of ours runs before it).

Change: the soak asks the system whether the process handles SIGHUP before it sends it, and starts it again only where it did not. A process that ends although it handles SIGHUP is still reported.

Conclusion: a fault of the soak, not of the programs.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -14,6 +14,7 @@
       | 12   | 20      | 500    | an attempt to connect held on for 20 s     |
       | 14   | 20      | 500    | SIGHUP ended a process that was stopping  |
       | 3009 | 20      | 500    | a second SIGTERM ended a stopping process |
+      | 189717 | 20    | 500    | SIGHUP ended a process before it ran any code |
 
   Scenario Outline: Of <count> replicas some are replaced, then others wiped
     When replicas, <count> of them, are replaced in a soak of seed <seed>
@@ -40,6 +41,17 @@
       | most | clear |
       | 200  | 8     |
 
+  Scenario Outline: A gateway that <does> on SIGHUP runs <starts> times
+    Given a gateway of the soak that <does> on SIGHUP
+    When the soak lets it read its settings again
+    Then it was started <starts> times and <runs>
+
+    Examples:
+      | does                      | starts | runs             |
+      | has not run any code      | 2      | runs             |
+      | reads its settings        | 1      | runs             |
+      | ends by itself             | 1      | does not run     |
+
   Scenario Outline: The audit notices <fault>
     Given what was seen in a soak without a fault
     When it is changed so that <fault>
--- a/features/soak/driver.py
+++ b/features/soak/driver.py
@@ -16,6 +16,7 @@
 from features.soak import fleet as fleet_lib
 from features.soak import plan
 from features.support import gatewaybed
+from features.support import running
 
 SLOW_SYNC_S = 0.4
 CLOCK_STEP_S = {"forward": 3_600.0, "back": -3_600.0}
@@ -47,7 +48,7 @@
 
     async def carry_out(self, faults: list[plan.Fault], began: float) -> None:
         """Begin each fault at its time; they end on their own."""
-        running = []
+        under_way = []
         for fault in faults:
             await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
             print(
@@ -57,8 +58,8 @@
             )
             name = "do_" + fault.kind.name.lower()
             act = getattr(self, name)(fault)
-            running.append(asyncio.ensure_future(act))
-        await asyncio.gather(*running)
+            under_way.append(asyncio.ensure_future(act))
+        await asyncio.gather(*under_way)
 
     def disturb(self, gateway: int, fault: plan.Fault, after_s: float) -> None:
         """Note that a gateway is disturbed by a fault that begins now."""
@@ -89,8 +90,19 @@
         await self.stop_and_start(self.fleet.gateways[fault.target], fault)
 
     async def do_reload_gateway(self, fault):
-        """Let a gateway read its settings again."""
-        self.fleet.gateways[fault.target].signal(signal.SIGHUP)
+        """Let a gateway read its settings again.
+
+        The signal ends a process whose interpreter has not run any of our code
+        yet; a platform starts it again.
+        """
+        program = self.fleet.gateways[fault.target]
+        if not program.is_running:
+            return
+        bears = running.bears(program.process.pid, signal.SIGHUP)
+        program.signal(signal.SIGHUP)
+        if not bears:
+            await asyncio.sleep(DOWN_S)
+            self.restart(program)
 
     # --- replicas --------------------------------------------------------
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -1,4 +1,10 @@
-"""Steps that run soaks, and that try their audit on made-up faults."""
+"""Steps that run soaks, and that try their parts on made-up faults."""
+
+import asyncio
+import random
+import signal
+import sys
+from unittest import mock
 
 import attrs
 from behave import given
@@ -6,8 +12,11 @@
 from behave import when
 
 from features.soak import audit
+from features.soak import driver as driver_lib
+from features.soak import fleet as fleet_lib
 from features.soak import plan
 from features.soak import run
+from features.support import running
 
 # Enough for two replacements and two wipes after them.
 SECONDS = 14
@@ -46,6 +55,61 @@
     assert context.served >= served, context.served
 
 
+# What a program does with SIGHUP, in place of a gateway.
+ON_SIGHUP = {
+    "has not run any code": "import time; time.sleep(60)",
+    "reads its settings": (
+        "import signal, time\n"
+        "signal.signal(signal.SIGHUP, lambda *_: None)\n"
+        "time.sleep(60)"
+    ),
+    "ends by itself": (
+        "import os, signal, time\n"
+        "signal.signal(signal.SIGHUP, lambda *_: os._exit(1))\n"
+        "time.sleep(60)"
+    ),
+}
+
+
+@given("a gateway of the soak that {does} on SIGHUP")
+def gateway_on_sighup(context, does):
+    context.program = fleet_lib.Program(
+        name="gateway-0",
+        command=[sys.executable, "-c", ON_SIGHUP[does]],
+        log=context.folder / "gateway-0.log",
+    )
+    # A module of the programs that behave has imported ignores it, and what a
+    # process ignores its children ignore.
+    before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    context.program.start()
+    signal.signal(signal.SIGHUP, before)
+    context.add_cleanup(context.program.kill)
+    if does != "has not run any code":
+        running.wait_until(
+            lambda: running.bears(context.program.process.pid, signal.SIGHUP),
+            "the program does not handle SIGHUP",
+        )
+
+
+@when("the soak lets it read its settings again")
+def reload_gateway(context):
+    fleet = mock.Mock(gateways=[context.program])
+    driver = driver_lib.Driver(fleet, [], None, None, random.Random(1))
+    fault = plan.Fault(at=0.0, kind=plan.Kind.RELOAD_GATEWAY)
+    asyncio.run(driver.do_reload_gateway(fault))
+
+
+@then("it was started {starts:d} times and {runs}")
+def started(context, starts, runs):
+    assert context.program.starts == starts, context.program.starts
+    if runs == "runs":
+        assert context.program.is_running
+    else:
+        running.wait_until(
+            lambda: not context.program.is_running, "it goes on running"
+        )
+
+
 @then("seeds 0 to {most:d} draw the same faults twice")
 def same_faults(context, most):
     context.draws = [plan.draw(seed, plan.Size()) for seed in range(most)]
