--- a/src/_coltsfootroad/control/mirror.py
+++ b/src/_coltsfootroad/control/mirror.py
@@ -77,7 +77,7 @@
         return bool(self.unsent or self.backlog.pending)
 
     def question(self, now: float, wait_s: float) -> watching.RelayWatch:
-        """Return what is asked, with a page of what the leader lacks."""
+        """Return the next request, with a page of what the leader lacks."""
         self.expire(now)
         complete = self.told_epoch != self.book.epoch
         came = [one for one in self.unsent.values() if one is not None]
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -126,7 +126,7 @@
         return HOLD_S if used else SPARE_HOLD_S
 
     def backlog_page(self) -> tuple[registry.Announcement, ...]:
-        """Return what the next request tells of endpoints, as known now."""
+        """Return the announcements of the next request, as known now."""
         if self.backlog.pending:
             self.backlog.refresh(self.gateway.endpoints.everything())
         return self.backlog.page()
