quorum: log fault tolerance, elections, refused votes and links

Ruled out: nothing yet; this adds sight before logic. Change: a voter that has lacked committed entries for a second counts as unavailable in the fault tolerance, which is logged at each change and each 10 s while reduced; lines for elections won and lost, for campaigns without a result with the reasons of refusals, and for links between replicas. The metric is named colts_control_failures_tolerated; a follower observes nothing in place of a number that is none. Votes are granted and refused as before.

--- a/features/control/quorum.feature
+++ b/features/control/quorum.feature
@@ -25,4 +25,22 @@
       | replica set changed | voters  |
       | replica set changed | why     |
       | replica set changed | silent  |
-      | quorum lost         | missing |
+      | quorum lost         | silent  |
+      | fault tolerance reduced | silent |
+      | elected             | commit  |
+      | not elected         | unanswered |
+
+  Scenario: A voter that responds and stores nothing more does not count
+    Given three replicas of which one responds and takes no entries
+    Then the replicas log "fault tolerance reduced" naming it as lagging
+    And they log it again each 10 s
+
+  Scenario Outline: A vote that is refused for <reason> is logged with that reason
+    Given a replica that seeks votes, and one refuses for <reason>
+    Then "not elected" gives that reason
+
+    Examples:
+      | reason       |
+      | log          |
+      | term         |
+      | heard_leader |
--- a/features/steps/quorum_steps.py
+++ b/features/steps/quorum_steps.py
@@ -1,13 +1,16 @@
 """Steps on what a set of replicas bears, and how that is logged."""
 
 import random
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 import logbook
 
+from _coltsfootroad.control import peers
 from _coltsfootroad.control import quorum
+from _coltsfootroad.control import raft as raft_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.shell import quorumlog
 from features.support import controlmachine
@@ -27,7 +30,7 @@
 @when("{count:d} of them do not answer")
 def do_not_answer(context, count):
     silent = {voter.identity for voter in context.set.voters[:count]}
-    context.bears = quorum.losses_borne(context.set, silent)
+    context.bears = quorum.failures_tolerated(context.set, silent)
 
 
 @then("the set bears {bears:d} more losses")
@@ -71,3 +74,91 @@
     found = [r for r in context.records if r.message == what]
     assert found, [r.message for r in context.records]
     assert all(field in record.kwargs for record in found), found[0].kwargs
+
+
+@given("three replicas of which one responds and takes no entries")
+def takes_no_entries(context):
+    site = replacements.Site(random.Random(2), losses=1)
+    site.begin()
+    context.lagging = site.follower()
+    right = raft_lib.Raft.on_append
+
+    def take_nothing(raft, message, now):
+        if not raft.identity.startswith(context.lagging):
+            right(raft, message, now)
+            return
+        raft.follow(message.sender, now)
+        raft.reply_append(message, False, raft.commit)
+
+    logs = {}
+    with (
+        logbook.TestHandler() as handler,
+        mock.patch.object(raft_lib.Raft, "on_append", take_nothing),
+    ):
+        for _ in range(1_500):
+            step(site, logs)
+    context.records = handler.records
+
+
+@then('the replicas log "{what}" naming it as lagging')
+def names_lagging(context, what):
+    found = lines(context, what)
+    named = [list(record.kwargs["lagging"]) for record in found]
+    assert named and all(
+        [i.partition("#")[0] for i in names] == [context.lagging]
+        for names in named
+    ), named
+    assert not any(record.kwargs["silent"] for record in found), found
+
+
+@then("they log it again each {seconds:g} s")
+def again_each(context, seconds):
+    found = lines(context, "fault tolerance reduced")
+    reduced_s = [record.kwargs["reduced_for_s"] for record in found]
+    pauses = [b - a for a, b in zip(reduced_s, reduced_s[1:], strict=False)]
+    assert len(pauses) >= 2, reduced_s
+    assert all(seconds <= p <= 1.2 * seconds for p in pauses), pauses
+
+
+@given("a replica that seeks votes, and one refuses for {reason}")
+def seeks_votes(context, reason):
+    site = replacements.Site(random.Random(3), losses=1)
+    site.begin()
+    alone, other, _ = site.voters()
+    for name in site.voters():
+        if name != alone:
+            site.gone(name)
+    context.refuser = site.identity(site.replicas[other]).identity
+    context.reason = peers.Refusal(reason)
+    logs = {}
+    with logbook.TestHandler() as handler:
+        for _ in range(300):
+            step(site, logs)
+            refuse(site.replicas[alone].node, context, site.now)
+    context.records = handler.records
+
+
+def refuse(node, context, now: float) -> None:
+    """Refuse the pre-vote that a replica seeks."""
+    node.on_peer(
+        peers.VoteReply(
+            term=0,
+            sender=context.refuser,
+            pre=True,
+            granted=False,
+            asked_term=node.raft.term + 1,
+            refusal=context.reason,
+        ),
+        now,
+    )
+
+
+@then('"{what}" gives that reason')
+def logged_with_reason(context, what):
+    last = lines(context, what)[-1]
+    assert last.kwargs["refused"] == {context.refuser: context.reason}, last
+
+
+def lines(context, what: str) -> list:
+    """Return the records of one message."""
+    return [r for r in context.records if r.message == what]
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -242,7 +242,7 @@
             for voter in current.voters
             if not self.votes_as(voter)
         }
-        return quorum.losses_borne(current, silent)
+        return quorum.failures_tolerated(current, silent)
 
     def votes_as(self, voter) -> bool:
         """Return whether a voter runs on the disk that it votes with."""
--- a/src/_coltsfootroad/control/membership.py
+++ b/src/_coltsfootroad/control/membership.py
@@ -192,8 +192,8 @@
         silent = {i for i, s in silences.items() if s >= SILENT_S}
         if identity not in silent:
             return False
-        bears = quorum.losses_borne(current, silent)
-        return bears < self.losses or silences[identity] >= RETIRE_S
+        tolerated = quorum.failures_tolerated(current, silent)
+        return tolerated < self.losses or silences[identity] >= RETIRE_S
 
 
 def longest_silent(
--- a/src/_coltsfootroad/control/peers.py
+++ b/src/_coltsfootroad/control/peers.py
@@ -1,10 +1,21 @@
 """Messages between replicas."""
 
+import enum
+
 import attrs
 
 from _coltsfootroad.control import log as log_lib
 
 
+class Refusal(enum.StrEnum):
+    """Why a replica refuses its vote."""
+
+    HEARD_LEADER = "heard_leader"
+    TERM = "term"
+    LOG = "log"
+    VOTED = "voted"
+
+
 @attrs.frozen(kw_only=True)
 class VoteRequest:
     """Ask for a vote; with `pre` only whether one would be given.
@@ -38,6 +49,7 @@
     granted: bool
     asked_term: int
     idle: bool = False
+    refusal: Refusal | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/control/progress.py
+++ b/src/_coltsfootroad/control/progress.py
@@ -43,6 +43,7 @@
         match: Up to here its log is the same.
         probe: The entry before those that were sent last.
         acked_at: When the newest message that it answered was sent.
+        current_at: When it last held all that was committed a heartbeat before.
         snapshot: The snapshot that it is sent, None if it needs none.
         snapshot_offset: How much of it has arrived.
         batches: What is under way.
@@ -54,6 +55,7 @@
     match: int = 0
     probe: int = -1
     acked_at: float = NEVER
+    current_at: float = NEVER
     snapshot: log_lib.SnapshotMeta | None = None
     snapshot_offset: int = 0
     batches: collections.deque[Batch] = attrs.Factory(collections.deque)
@@ -86,6 +88,11 @@
         self.next_index = max(self.next_index, self.match + 1)
         self.snapshot = None
 
+    def note_commit(self, commit: int, now: float) -> None:
+        """Note whether it holds what is committed."""
+        if self.match >= commit:
+            self.current_at = now
+
     def note_mismatch(self, match: int) -> None:
         """Note that what precedes the entries sent last is missing there."""
         self.batches.clear()
--- a/src/_coltsfootroad/control/quorum.py
+++ b/src/_coltsfootroad/control/quorum.py
@@ -1,4 +1,4 @@
-"""How many more losses a set of replicas bears, and who of it is missing."""
+"""Fault tolerance of a replica set, and which of its voters are unavailable."""
 
 import attrs
 
@@ -10,31 +10,40 @@
     """What one replica knows of the voters.
 
     Attributes:
-        bears: Voters that may still be lost with a quorum left; below zero
-            when there is none now, None for a follower, which hears only its
+        failures_tolerated: Voters that may still fail with a quorum left;
+            negative without one, None on a follower, which hears only its
             leader.
-        missing: Seconds for which each voter that does not answer has been
-            silent, by identity; None for one that was never heard.
+        silent: Seconds since each unresponsive voter was heard, by identity;
+            None for one that was never heard.
+        lagging: Seconds for which each voter that responds has lacked
+            committed entries, by identity; only the leader knows.
     """
 
-    bears: int | None
-    missing: dict[str, float | None]
+    failures_tolerated: int | None
+    silent: dict[str, float | None] = attrs.Factory(dict)
+    lagging: dict[str, float] = attrs.Factory(dict)
 
     @property
     def is_lost(self) -> bool:
-        """Return whether too few voters answer for anything to be decided."""
-        return self.bears is not None and self.bears < 0
+        """Return whether too few voters are available for any decision."""
+        return (
+            self.failures_tolerated is not None and self.failures_tolerated < 0
+        )
 
 
-def losses_borne(current: replicas.ReplicaSet, silent: set[str]) -> int:
-    """Return how many more voters may fall silent with a quorum left."""
-    spare = spare_votes(current.voters, silent)
+def failures_tolerated(
+    current: replicas.ReplicaSet, unavailable: set[str]
+) -> int:
+    """Return how many more voters may fail with a quorum left."""
+    spare = spare_votes(current.voters, unavailable)
     if not current.is_joint:
         return spare
-    return min(spare, spare_votes(current.old_voters, silent))
+    return min(spare, spare_votes(current.old_voters, unavailable))
 
 
-def spare_votes(voters: tuple[replicas.Replica, ...], silent: set[str]) -> int:
-    """Return by how many the voters that answer exceed a majority."""
-    answering = sum(1 for voter in voters if voter.identity not in silent)
-    return answering - (len(voters) // 2 + 1)
+def spare_votes(
+    voters: tuple[replicas.Replica, ...], unavailable: set[str]
+) -> int:
+    """Return by how many the available voters exceed a majority."""
+    available = sum(1 for v in voters if v.identity not in unavailable)
+    return available - (len(voters) // 2 + 1)
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -52,9 +52,13 @@
     heard_at: dict[str, float] = attrs.Factory(dict)
     timer: electiontimer.ElectionTimer = attrs.field(init=False)
     heartbeat_at: float = 0.0
+    # Commit index at the previous heartbeat.
+    heartbeat_commit: int = 0
     led_since: float = 0.0
     term_start: int = 0
     votes: set[str] = attrs.Factory(set)
+    # Why others refused their votes in the last campaign, by identity.
+    refusals: dict[str, peers.Refusal] = attrs.Factory(dict)
     idle: set[str] = attrs.Factory(set)
     progress: dict[str, progress_lib.Progress] = attrs.Factory(dict)
     incoming: snapshots.Incoming = attrs.Factory(snapshots.Incoming)
@@ -263,6 +267,7 @@
             return
         self.leader = ""
         self.votes = {self.identity}
+        self.refusals = {}
         self.idle = {self.identity} if self.is_idle else set()
         if pre:
             self.role = Role.PRE_CANDIDATE
@@ -293,44 +298,51 @@
         """Vote, or say whether a vote would be given."""
         sticky = self.timer.is_sticky(now)
         if message.pre and sticky and self.is_idle:
-            self.reply_vote(message, False, idle=self.would_vote(message))
+            self.reply_vote(
+                message,
+                peers.Refusal.HEARD_LEADER,
+                idle=self.refusal_of(message) is None,
+            )
             return
         sticky = sticky and not (message.all_idle and self.is_idle)
         sticky = sticky and not message.handed_over
         if sticky or self.is_leader_with_lease(now):
-            self.reply_vote(message, False)
+            self.reply_vote(message, peers.Refusal.HEARD_LEADER)
             return
         if message.term > self.term and not message.pre:
             self.become_follower(message.term, "", now)
-        if message.pre:
-            granted = self.would_vote(message)
-        else:
-            free = self.hard_state.vote in ("", message.sender)
-            granted = free and message.term == self.term
-            granted = granted and self.is_current(message)
-            if granted:
-                self.set_hard_state(
-                    ready_lib.HardState(term=self.term, vote=message.sender)
-                )
-                self.timer.reset(now)
-        idle = message.pre and granted and self.is_idle
-        self.reply_vote(message, granted, idle)
+        refusal = self.refusal_of(message)
+        if refusal is None and not message.pre:
+            self.set_hard_state(
+                ready_lib.HardState(term=self.term, vote=message.sender)
+            )
+            self.timer.reset(now)
+        idle = message.pre and refusal is None and self.is_idle
+        self.reply_vote(message, refusal, idle)
+
+    def refusal_of(self, message: peers.VoteRequest) -> peers.Refusal | None:
+        """Return why a candidate gets no vote, None if it gets one."""
+        least_term = self.term + 1 if message.pre else self.term
+        if message.term < least_term:
+            return peers.Refusal.TERM
+        if not message.pre and self.hard_state.vote not in ("", message.sender):
+            return peers.Refusal.VOTED
+        return None if self.is_current(message) else peers.Refusal.LOG
 
     def is_current(self, message: peers.VoteRequest) -> bool:
         """Return whether a candidate's log has all that the own one has."""
         mark = (message.last_term, message.last_index)
         return mark >= (self.log.last_term, self.log.last_index)
 
-    def would_vote(self, message: peers.VoteRequest) -> bool:
-        """Return whether a candidate would get the vote in a new term."""
-        return message.term > self.term and self.is_current(message)
-
     def is_leader_with_lease(self, now: float) -> bool:
         """Return whether this leader is surely still followed."""
         return self.has_lease(now)
 
     def reply_vote(
-        self, message: peers.VoteRequest, granted: bool, idle: bool = False
+        self,
+        message: peers.VoteRequest,
+        refusal: peers.Refusal | None,
+        idle: bool = False,
     ) -> None:
         """Answer a vote request."""
         self.send(
@@ -339,9 +351,10 @@
                 term=self.term,
                 sender=self.identity,
                 pre=message.pre,
-                granted=granted,
+                granted=refusal is None,
                 asked_term=message.term,
                 idle=idle,
+                refusal=refusal,
             ),
         )
 
@@ -355,6 +368,8 @@
             self.idle.add(message.sender)
         if message.granted:
             self.votes.add(message.sender)
+        elif message.refusal is not None:
+            self.refusals[message.sender] = message.refusal
         self.count_votes(now)
 
     def count_votes(self, now: float) -> None:
@@ -375,6 +390,7 @@
         self.role = Role.LEADER
         self.leader = self.identity
         self.led_since = now
+        self.heartbeat_commit = self.commit
         self.timer.heard_leader_at = now
         first = self.log.last_index + 1
         self.progress = {
@@ -426,8 +442,11 @@
         """Send a heartbeat, with entries where some are missing."""
         self.heartbeat_at = now + electiontimer.HEARTBEAT_S
         for identity in self.others():
-            self.progress[identity].roll_back(now)
+            progress = self.progress[identity]
+            progress.note_commit(self.heartbeat_commit, now)
+            progress.roll_back(now)
             self.send_append(identity, now)
+        self.heartbeat_commit = self.commit
 
     def send_append(self, identity: str, now: float) -> None:
         """Send entries from where a replica is, or the snapshot.
--- a/src/_coltsfootroad/control/voterwatch.py
+++ b/src/_coltsfootroad/control/voterwatch.py
@@ -1,4 +1,4 @@
-"""Which voters answer, by what one replica has heard of them."""
+"""Which voters are available, by what one replica has heard of them."""
 
 import attrs
 
@@ -12,6 +12,9 @@
 STALL_S = 0.5
 # A replica that wants votes has asked everybody at least once in this time.
 MISSING_WITHOUT_LEADER_S = 2 * electiontimer.ELECTION_MAX_S
+# A voter that has lacked committed entries for this long counts as unavailable:
+# with it alone the leader commits nothing.
+LAGGING_S = 1.0
 
 
 @attrs.define
@@ -62,21 +65,42 @@
         raft = self.raft
         follows = not raft.is_leader and raft.hears_leader(now)
         if follows or not raft.replica_set.voters:
-            return quorum.QuorumView(bears=None, missing={})
+            return quorum.QuorumView(failures_tolerated=None)
         silences, bound_s = self.unheard(now), MISSING_WITHOUT_LEADER_S
         if raft.is_leader:
             silences, bound_s = self.silences(now), membership_lib.SILENT_S
         voters = raft.replica_set.voter_identities()
-        missing = {
+        silent = {
             identity: round(silence_s, 2) if silence_s < 1e9 else None
             for identity, silence_s in silences.items()
             if identity in voters and silence_s >= bound_s
         }
+        lagging = {
+            identity: round(lag_s, 2)
+            for identity, lag_s in self.lags(now).items()
+            if identity in voters
+            and identity not in silent
+            and lag_s >= LAGGING_S
+        }
         return quorum.QuorumView(
-            bears=quorum.losses_borne(raft.replica_set, set(missing)),
-            missing=missing,
+            failures_tolerated=quorum.failures_tolerated(
+                raft.replica_set, silent.keys() | lagging.keys()
+            ),
+            silent=silent,
+            lagging=lagging,
         )
 
+    def lags(self, now: float) -> dict[str, float]:
+        """Return for how long others lack entries that are committed."""
+        if not self.raft.is_leader:
+            return {}
+        since = max(self.raft.led_since, self.since)
+        return {
+            identity: now - max(progress.current_at, since)
+            for identity, progress in self.raft.progress.items()
+            if identity != self.raft.identity
+        }
+
     def has_no_vote(self, now: float) -> bool:
         """Return whether this replica is no voter, or may be none any more."""
         raft = self.raft
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -388,9 +388,9 @@
         gauge("colts_control_term", "Raft term", lambda: raft.term)
         gauge("colts_control_is_leader", "1 if leading", lambda: raft.is_leader)
         gauge(
-            "colts_control_losses_borne",
-            "Voters that may still be lost with a quorum left, on the leader",
-            self.losses_borne,
+            "colts_control_failures_tolerated",
+            "Voters that may still fail with a quorum left, on the leader",
+            self.failures_tolerated,
         )
         gauge("colts_control_commit", "Commit index", lambda: raft.commit)
         gauge(
@@ -411,10 +411,9 @@
         counter("colts_control_syncs", "Syncs to disk", lambda: node.syncs)
         traffic.PROCESS.add_metrics(self.metrics)
 
-    def losses_borne(self) -> float:
-        """Return what the set bears; not a number where only a leader knows."""
-        bears = self.node.watch.view(self.clock()).bears
-        return float("nan") if bears is None else bears
+    def failures_tolerated(self) -> float | None:
+        """Return the fault tolerance, None where only a leader knows it."""
+        return self.node.watch.view(self.clock()).failures_tolerated
 
 
 def role_of(answer: object) -> str:
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import channels as channels_lib
+from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import wire
@@ -23,6 +24,8 @@
 SENDER_KEY = "colts-sender"
 SENDER_ADDRESS_KEY = "colts-sender-address"
 MAX_QUEUED = 512
+# Peers may come and go in storms.
+LINK_LINES = logs.LineLimit(40, 10.0)
 # Pause before a broken stream is opened again, unless the other side is heard.
 RECONNECT_S = 0.3
 BIND_FAILED = "in use, or not an address of this VM"
@@ -154,13 +157,11 @@
             try:
                 await self.write_stream()
             except grpc.aio.AioRpcError as error:
-                LOG.debug(
-                    "peer stream to {} ended: {}", self.address, error.code()
-                )
+                self.log("link to peer lost", reason=error.code().name.lower())
             except (grpc.aio.UsageError, asyncio.InvalidStateError):
                 # A write to a stream that has ended already, as when the
                 # other process restarted.
-                LOG.debug("peer stream to {} broke", self.address)
+                self.log("link to peer lost", reason="ended")
             while not self.queue.empty():
                 self.queue.get_nowait()
             await self.pause()
@@ -179,10 +180,17 @@
         self.heard.clear()
         method = self.channel.stream_unary(channels_lib.PEER)
         stream = method(metadata=self.metadata)
+        await stream.wait_for_connection()
+        self.log("link to peer opened")
         while True:
             message = await self.queue.get()
             await stream.write(self.encoder.encode(message))
 
+    def log(self, event: str, **fields: str) -> None:
+        """Log a change of this link."""
+        if LINK_LINES.allows(clocks.boot_time()):
+            LOG.info(event, address=self.address, **fields)
+
     async def close(self) -> None:
         """Stop sending."""
         self.task.cancel()
--- a/src/_coltsfootroad/shell/metrics.py
+++ b/src/_coltsfootroad/shell/metrics.py
@@ -16,7 +16,8 @@
 # them loads the SDK.
 MAX_PENDING = 4_096
 
-Observe = Callable[[], float]
+# None while there is nothing to observe.
+Observe = Callable[[], float | None]
 ObserveAll = Callable[[], dict[str, float]]
 
 
@@ -161,7 +162,8 @@
     def callback(_):
         from opentelemetry import metrics as otel
 
-        return [otel.Observation(observe())]
+        value = observe()
+        return [] if value is None else [otel.Observation(value)]
 
     return callback
 
--- a/src/_coltsfootroad/shell/quorumlog.py
+++ b/src/_coltsfootroad/shell/quorumlog.py
@@ -1,11 +1,18 @@
-"""Logs changes of the replica set, and a quorum that is lost or regained."""
+"""Logs elections, changes of the replica set, and its fault tolerance."""
 
 from _coltsfootroad.control import node as node_lib
 from _coltsfootroad.control import quorum
+from _coltsfootroad.control import raft as raft_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.shell import logs
 
 LOG = logs.logger("quorum")
+# Pause between lines that repeat an unresolved state.
+REPEAT_S = 10.0
+# Pause between lines of a replica that seeks votes and gets too few.
+CAMPAIGN_REPEAT_S = 2.0
+CANDIDATES = (raft_lib.Role.PRE_CANDIDATE, raft_lib.Role.CANDIDATE)
+NEVER = float("-inf")
 
 
 class QuorumLog:
@@ -15,6 +22,11 @@
         self.node = node
         self.logged_set = node.raft.replica_set
         self.is_lost = False
+        self.led_term = 0
+        self.tolerated: int | None = None
+        self.reduced_since = NEVER
+        self.tolerance_logged_at = NEVER
+        self.campaign_logged_at = NEVER
 
     def note(self, now: float) -> None:
         """Log what has changed since the last call."""
@@ -22,10 +34,78 @@
         if current != self.logged_set:
             self.log_set(self.logged_set, current, now)
             self.logged_set = current
+        self.note_role(now)
         view = self.node.watch.view(now)
-        if view.is_lost != self.is_lost and view.bears is not None:
+        if view.is_lost != self.is_lost and view.failures_tolerated is not None:
             self.is_lost = view.is_lost
             self.log_quorum(view)
+        self.note_tolerance(view, now)
+
+    def note_role(self, now: float) -> None:
+        """Log an election won or lost, and a campaign without a result."""
+        raft = self.node.raft
+        if raft.is_leader and self.led_term != raft.term:
+            self.led_term = raft.term
+            LOG.info(
+                "elected",
+                term=raft.term,
+                votes=sorted(raft.votes),
+                last_index=raft.log.last_index,
+                commit=raft.commit,
+            )
+        elif not raft.is_leader and self.led_term:
+            LOG.info("stepped down", led_term=self.led_term, term=raft.term)
+            self.led_term = 0
+        if raft.role in CANDIDATES and not raft.timer.heard_lately(now):
+            self.log_campaign(now)
+
+    def log_campaign(self, now: float) -> None:
+        """Log who refuses a vote, and why, and who does not respond."""
+        if now < self.campaign_logged_at + CAMPAIGN_REPEAT_S:
+            return
+        self.campaign_logged_at = now
+        raft = self.node.raft
+        responded = raft.votes | raft.refusals.keys()
+        LOG.info(
+            "not elected",
+            role=raft.role.value,
+            term=raft.term,
+            last_term=raft.log.last_term,
+            last_index=raft.log.last_index,
+            votes=sorted(raft.votes),
+            refused=dict(raft.refusals),
+            unanswered=sorted(raft.replica_set.voter_identities() - responded),
+        )
+
+    def note_tolerance(self, view: quorum.QuorumView, now: float) -> None:
+        """Log a change of the fault tolerance; repeat while it is reduced."""
+        tolerated = view.failures_tolerated
+        if tolerated is None:
+            self.tolerated = None
+            return
+        is_reduced = tolerated < self.node.membership.losses
+        if not is_reduced:
+            self.reduced_since = now
+        is_repeat = tolerated == self.tolerated
+        is_due = is_reduced and now >= self.tolerance_logged_at + REPEAT_S
+        if is_repeat and not is_due:
+            return
+        if self.tolerated is None:
+            self.reduced_since = now
+        raft = self.node.raft
+        LOG.warning(
+            "fault tolerance reduced" if is_reduced else "fault tolerance",
+            failures_tolerated=tolerated,
+            before=self.tolerated,
+            reduced_for_s=round(now - self.reduced_since, 1),
+            voters=names(raft.replica_set.voters),
+            silent=view.silent,
+            lagging=view.lagging,
+            term=raft.term,
+            commit=raft.commit,
+        )
+        self.tolerated = tolerated
+        self.tolerance_logged_at = now
 
     def log_set(
         self,
@@ -42,21 +122,22 @@
             voters=names(after.voters),
             joint=after.is_joint,
             learners=names(after.learners),
-            why=self.node.change_reason if raft.is_leader else "told by leader",
-            silent=view.missing,
-            bears=view.bears,
+            why=self.node.change_reason if raft.is_leader else "replicated",
+            silent=view.silent,
+            failures_tolerated=view.failures_tolerated,
             term=raft.term,
             index=raft.replica_set_index(),
         )
 
     def log_quorum(self, view: quorum.QuorumView) -> None:
-        """Log that no quorum answers any more, or that one does again."""
+        """Log that no quorum is available any more, or that one is again."""
         raft = self.node.raft
         LOG.warning(
             "quorum lost" if view.is_lost else "quorum regained",
             voters=names(raft.replica_set.voters),
-            missing=view.missing,
-            bears=view.bears,
+            silent=view.silent,
+            lagging=view.lagging,
+            failures_tolerated=view.failures_tolerated,
             term=raft.term,
         )
 
