--- a/features/control/flow.feature
+++ b/features/control/flow.feature
@@ -38,3 +38,24 @@
     And a log of 100 commands of 30000 bytes
     When 2 replicas with empty disks begin to learn
     Then a change that is proposed meanwhile is committed within 0.5 s
+
+  # Guards against a voter that responds all day and is never brought up to date.
+  Scenario Outline: An old leader with <old> uncommitted changes of <size> bytes is repaired beside <new> newer ones
+    Given 3 replicas with links of <mbits> Mbit/s and disks that sync in 1 ms
+    And a log of 20 commands of 300 bytes
+    When the leader is cut off and accepts <old> changes of <size> bytes
+    And another one leads and accepts <new> changes of <size> bytes
+    And the old leader is back while a change of <size> bytes comes each <gap> s
+    Then it has the log of the new leader within <seconds> s
+    And the new leader sent it at most 1.3 times what it lacked and 16 KB
+
+    Examples:
+      | old | size  | new | gap   | mbits | seconds |
+      | 1   | 300   | 10  | 0.08  | 100   | 0.5     |
+      | 10  | 300   | 10  | 0.08  | 100   | 0.5     |
+      | 40  | 3000  | 60  | 0.08  | 100   | 1.0     |
+      | 40  | 3000  | 60  | 0.026 | 100   | 1.0     |
+      | 100 | 300   | 60  | 0.08  | 100   | 1.0     |
+      | 10  | 15000 | 60  | 0.08  | 100   | 1.0     |
+      | 100 | 15000 | 200 | 10    | 100   | 2.0     |
+      | 200 | 3000  | 400 | 0.2   | 10    | 4.0     |
--- a/features/steps/flow_steps.py
+++ b/features/steps/flow_steps.py
@@ -103,3 +103,84 @@
     )
     links.run(seconds, stop=lambda: links.leader.commit >= index)
     assert links.leader.commit >= index, (links.leader.commit, index)
+
+
+# Longest wait for another leader.
+ELECTION_S = 3.0
+MARGIN_BYTES = 16 * 1024
+
+
+@when("the leader is cut off and accepts {count:d} changes of {size:d} bytes")
+def cut_off(context, count, size):
+    links = context.links
+    context.old = links.leader
+    links.cut = {context.old.identity}
+    links.propose(count, size, context.old)
+    links.carry_out(context.old.identity)
+
+
+@when("another one leads and accepts {count:d} changes of {size:d} bytes")
+def another_leads(context, count, size):
+    links = context.links
+    links.run(ELECTION_S, stop=lambda: other_leader(context) is not None)
+    links.leader = other_leader(context)
+    for _ in range(count):
+        links.propose(1, size)
+        links.run(0.3, stop=lambda: committed_all(links))
+    assert committed_all(links)
+
+
+def other_leader(context):
+    """Return a leader that is not the one that was cut off."""
+    for raft in context.links.rafts.values():
+        if raft.is_leader and raft is not context.old:
+            return raft
+    return None
+
+
+@when(
+    "the old leader is back while a change of {size:d} bytes comes each"
+    " {gap:g} s"
+)
+def old_leader_back(context, size, gap):
+    links = context.links
+    context.size, context.gap = size, gap
+    lacked = links.leader.log.slice(links.leader.term_start, 1 << 40)
+    context.lacks = sum(len(entry.data) for entry in lacked)
+    context.before = sent_to_old(context)
+    links.cut = set()
+
+
+def sent_to_old(context) -> int:
+    """Return the bytes that the leader has sent to the old leader."""
+    links = context.links
+    own = links.links[links.leader.identity]
+    return own.sent_to[context.old.identity]
+
+
+@then("it has the log of the new leader within {seconds:g} s")
+def has_log(context, seconds):
+    links, old = context.links, context.old
+    end = links.now + seconds
+    while links.now < end and not is_repaired(context):
+        links.run(context.gap, stop=lambda: is_repaired(context))
+        if not is_repaired(context):
+            links.propose(1, context.size)
+            context.lacks += context.size
+    assert is_repaired(context), (
+        old.log.last_index,
+        links.leader.log.last_index,
+        f"{sent_to_old(context) - context.before} bytes",
+    )
+
+
+def is_repaired(context) -> bool:
+    """Return whether the old leader holds what the new one has committed."""
+    return context.old.commit >= context.links.leader.commit
+
+
+@then("the new leader sent it at most {share:g} times what it lacked and 16 KB")
+def sent_it_at_most(context, share):
+    sent = sent_to_old(context) - context.before
+    most = share * context.lacks + MARGIN_BYTES
+    assert sent <= most, (sent, context.lacks)
--- a/features/support/ratedlinks.py
+++ b/features/support/ratedlinks.py
@@ -1,5 +1,6 @@
 """Replicas of the log behind links of a limited rate, in virtual time."""
 
+import collections
 import heapq
 import itertools
 import random
@@ -29,15 +30,18 @@
         rate: Bytes a second.
         free_at: When what was written so far has left.
         sent: Bytes so far.
+        sent_to: The same by receiver.
     """
 
     rate: float
     free_at: float = 0.0
     sent: int = 0
+    sent_to: collections.Counter = attrs.Factory(collections.Counter)
 
-    def leave(self, size: int, now: float) -> float:
-        """Write a message; return when its last byte has left."""
+    def leave(self, size: int, now: float, to: str) -> float:
+        """Write a message to a replica; return when its last byte has left."""
         self.sent += size
+        self.sent_to[to] += size
         self.free_at = max(self.free_at, now) + size / self.rate
         return self.free_at
 
@@ -57,6 +61,8 @@
         # When each disk has done what it was given.
         self.disks = {}
         self.lost_lease_s = 0.0
+        # Replicas whose messages are lost in both directions.
+        self.cut: set[str] = set()
         self.rate = mbits * MBIT
         first = log_lib.Entry(
             term=0,
@@ -109,7 +115,7 @@
         """Hand over the messages that have arrived."""
         while self.mail and self.mail[0][0] <= self.now:
             _, _, to, message = heapq.heappop(self.mail)
-            if to in self.rafts:
+            if to in self.rafts and not self.cut & {to, message.sender}:
                 self.rafts[to].step(message, self.now)
                 self.carry_out(to)
 
@@ -129,14 +135,18 @@
                 raft.synced(ready.entries[-1].index, self.now)
             for outgoing in ready.messages:
                 size = len(wirecalls.PEERS.encode(outgoing.message)) + 60
-                arrives = self.links[identity].leave(size, at) + TRAVEL_S
+                link = self.links[identity]
+                arrives = link.leave(size, at, outgoing.to) + TRAVEL_S
                 item = (arrives, next(self.order), outgoing.to)
                 heapq.heappush(self.mail, (*item, outgoing.message))
 
-    def propose(self, count: int, size: int) -> None:
-        """Append commands that do not compress."""
+    def propose(
+        self, count: int, size: int, raft: raft_lib.Raft | None = None
+    ) -> None:
+        """Append commands that do not compress, to the leader or another."""
+        raft = raft or self.leader
         for _ in range(count):
-            self.leader.propose(
+            raft.propose(
                 log_lib.EntryKind.COMMAND,
                 self.rng.randbytes(size),
                 0.0,
