membership: count a learner's silence from when it joined

Cause: a replica that had never responded counted as silent since the leader was elected. Beside a leader of more than ten seconds each new learner was therefore removed at the next heartbeat, 0.1 s later, and only a replica that responded within that heartbeat ever got its vote. Change: progress of a follower keeps since when it is sent to, and silence and lag count from there. A learner with a short log to catch up with must have stored an entry before it votes; the false silence had prevented that so far.

--- a/features/control/replacement.feature
+++ b/features/control/replacement.feature
@@ -68,6 +68,19 @@
       | 1     | follower gone; 1.5 s; d added; 2.5 s; leader wiped   |
       | 1     | d added; 3 s; a frozen for 15 s; 18 s; leader wiped  |
 
+  # Guards against a learner that is removed before it could respond once.
+  Scenario Outline: A learner that first responds after <after> s gets its vote from a leader of <age> s
+    Given a leader that has led for <age> s and a replica that is gone
+    When a new replica asks for a vote and its messages are lost for <after> s
+    Then it votes within <most> s and was not removed before
+
+    Examples:
+      | age | after | most |
+      | 12  | 0.05  | 1.0  |
+      | 12  | 0.3   | 1.5  |
+      | 40  | 0.3   | 1.5  |
+      | 40  | 2.0   | 3.5  |
+
   Scenario: A replica that is told to stop leaves a whole set before it ends
     Then these histories end with a whole set that bears the losses it has to
       | bears | history                                                              |
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -1,6 +1,10 @@
 """Steps on VMs that are replaced, restarted, frozen and wiped in a row."""
 
+import random
+
+from behave import given
 from behave import then
+from behave import when
 import hypothesis
 from hypothesis import strategies as st
 
@@ -104,3 +108,42 @@
         assert not faults, (losses, history, seed, faults)
 
     holds()
+
+
+@given("a leader that has led for {age:g} s and a replica that is gone")
+def old_leader(context, age):
+    site = context.site = replacements.Site(random.Random(5))
+    site.begin()
+    leader = site.known_leader()
+    site.run_until(max(site.now, age))
+    assert site.known_leader() == leader
+    site.gone(site.follower())
+    site.run_until(site.now + replacements.START_S)
+
+
+@when(
+    "a new replica asks for a vote and its messages are lost for {seconds:g} s"
+)
+def messages_lost(context, seconds):
+    site = context.site
+    site.added("d")
+    site.ask_leader(site.replicas["d"])
+    # The call has arrived; what the replica sends next is lost.
+    others = set(site.replicas) - {"d"}
+    site.cuts |= {("d", other) for other in others}
+    site.run_until(site.now + seconds)
+    assert "d" not in site.voters(), "votes before it responded"
+    site.joined("d")
+
+
+@then("it votes within {seconds:g} s and was not removed before")
+def votes_within(context, seconds):
+    site = context.site
+    end = site.now + seconds
+    while site.now < end and "d" not in site.voters():
+        site.run_until(site.now + 0.05)
+    assert "d" in site.voters(), site.voters()
+    entries = site.leader().node.raft.log.entries
+    sets = [e.replica_set for e in entries if e.replica_set is not None]
+    known = [any("d#" in i for i in found.everyone()) for found in sets]
+    assert all(known[known.index(True) :]), known
--- a/src/_coltsfootroad/control/progress.py
+++ b/src/_coltsfootroad/control/progress.py
@@ -39,6 +39,7 @@
     """Where another replica stands.
 
     Attributes:
+        since: When the leader began to send it anything.
         next_index: The entry to be sent next.
         match: Up to here its log is the same.
         probe: The entry before those that were sent last.
@@ -51,6 +52,7 @@
         resend_s: When what is under way counts as lost.
     """
 
+    since: float
     next_index: int
     match: int = 0
     probe: int = -1
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -155,7 +155,7 @@
             at=at,
             data=data,
         )
-        self.append_own(entry)
+        self.append_own(entry, now)
         return entry.index
 
     def flush_appends(self, now: float) -> None:
@@ -394,7 +394,7 @@
         self.timer.heard_leader_at = now
         first = self.log.last_index + 1
         self.progress = {
-            identity: progress_lib.Progress(next_index=first)
+            identity: progress_lib.Progress(since=now, next_index=first)
             for identity in self.replica_set.everyone()
         }
         self.progress[self.identity].match = self.log.last_index
@@ -402,7 +402,8 @@
         self.append_own(
             log_lib.Entry(
                 term=self.term, index=first, kind=log_lib.EntryKind.NOOP
-            )
+            ),
+            now,
         )
         self.broadcast(now)
 
@@ -420,20 +421,20 @@
         """Queue a message for after the sync."""
         self.ready.messages.append(ready_lib.Outgoing(to=to, message=message))
 
-    def append_own(self, entry: log_lib.Entry) -> None:
+    def append_own(self, entry: log_lib.Entry, now: float) -> None:
         """Append an entry as leader."""
         self.log.append(entry)
         self.ready.entries.append(entry)
         if entry.kind is log_lib.EntryKind.REPLICAS:
-            self.track_replicas()
+            self.track_replicas(now)
 
-    def track_replicas(self) -> None:
+    def track_replicas(self, now: float) -> None:
         """Keep progress of exactly the replicas in force."""
         everyone = self.replica_set.everyone()
         for identity in everyone:
             if identity not in self.progress:
                 self.progress[identity] = progress_lib.Progress(
-                    next_index=self.log.last_index
+                    since=now, next_index=self.log.last_index
                 )
         for identity in set(self.progress) - set(everyone) - {self.identity}:
             del self.progress[identity]
@@ -737,7 +738,8 @@
                 index=self.log.last_index + 1,
                 kind=log_lib.EntryKind.REPLICAS,
                 replica_set=wanted,
-            )
+            ),
+            now,
         )
         self.flush_appends(now)
         return True
@@ -752,9 +754,9 @@
         )
 
     def has_caught_up(self, identity: str) -> bool:
-        """Return whether a replica lacks few entries, and so may vote."""
+        """Return whether a replica has most entries, and so may vote."""
         progress = self.progress.get(identity)
-        if progress is None:
+        if progress is None or not progress.match:
             return False
         return progress.match + PROMOTE_LAG >= self.log.last_index
 
--- a/src/_coltsfootroad/control/voterwatch.py
+++ b/src/_coltsfootroad/control/voterwatch.py
@@ -40,10 +40,12 @@
         self.ticked_at = now
 
     def silences(self, now: float) -> dict[str, float]:
-        """Return for how many seconds others have not answered this leader."""
-        since = max(self.raft.led_since, self.since)
+        """Return for how many seconds others have not answered this leader.
+
+        A replica that joined lately counts from when it was first sent to.
+        """
         return {
-            identity: now - max(progress.acked_at, since)
+            identity: now - max(progress.acked_at, progress.since, self.since)
             for identity, progress in self.raft.progress.items()
             if identity != self.raft.identity
         }
@@ -94,9 +96,8 @@
         """Return for how long others lack entries that are committed."""
         if not self.raft.is_leader:
             return {}
-        since = max(self.raft.led_since, self.since)
         return {
-            identity: now - max(progress.current_at, since)
+            identity: now - max(progress.current_at, progress.since, self.since)
             for identity, progress in self.raft.progress.items()
             if identity != self.raft.identity
         }
