raft: send entries only to followers whose log is known to match

What callers saw: after the loss of one disk nothing was served and no version could be read, though two of three replicas ran. Cause: while the leader searched for where its log and a follower's agree, it went on pipelining entries. Each batch moved next_index and the probe ahead of what the last rejection had taught, the response to the earlier probe was discarded, and the search began anew, as fast as the link allowed. The follower responded all the time, so it counted as a voter, and the next loss ended the quorum for good. Ruled out: lost messages, slow disks. Change: progress has two states. Probing, one empty append follows each response that teaches something, or each heartbeat; replicating, entries are pipelined within the window. A rejection carries the term of the last index that may be common, so the search skips a term at once. A response that teaches nothing is not acted upon, so a follower that lost what it had acknowledged costs one probe a heartbeat. The search among 20 terms takes 21 appends.

--- a/features/control/flow.feature
+++ b/features/control/flow.feature
@@ -59,3 +59,22 @@
       | 10  | 15000 | 60  | 0.08  | 100   | 1.0     |
       | 100 | 15000 | 200 | 10    | 100   | 2.0     |
       | 200 | 3000  | 400 | 0.2   | 10    | 4.0     |
+
+  Scenario Outline: The common part of two logs that differ in <terms> terms of <entries> entries is found by few probes
+    Given a leader and a follower whose logs differ in <terms> terms of <entries> entries each
+    When the leader probes and gets each response <times> times
+    Then it has sent at most <most> appends before the first with entries
+    And the follower has the log of the leader
+
+    Examples:
+      | terms | entries | times | most |
+      | 1     | 1       | 1     | 2    |
+      | 1     | 500     | 1     | 2    |
+      | 5     | 100     | 1     | 6    |
+      | 5     | 100     | 3     | 6    |
+      | 20    | 3       | 2     | 21   |
+
+  Scenario: A follower that lost what it had acknowledged is probed once a heartbeat
+    Given a leader and a follower that lost entries which it had acknowledged
+    When time passes for 5 s
+    Then the leader sent it at most 60 appends and no entries
--- a/features/control/replacement.feature
+++ b/features/control/replacement.feature
@@ -55,6 +55,19 @@
       | 2     | follower wiped for 1.5 s; leader wiped for 1.5 s; rest restarted for 1.5 s                  |
       | 2     | follower gone; leader gone; 1.5 s; f added; g added; 2.5 s; f wiped; g wiped; rest restarted |
 
+  # Guards against an old leader that follows again and is never brought up to date.
+  Scenario: A storm of changes at a leader that is cut off leaves a whole set
+    Then these histories end with a whole set that bears the losses it has to
+      | bears | history                                                                              |
+      | 1     | all storm for 6 s; leader cut for 3 s; 8 s                                           |
+      | 1     | all storm for 6 s; leader cut for 3 s; 8 s; leader wiped                             |
+      | 1     | all storm for 6 s; leader cut for 3 s; 8 s; follower wiped                           |
+      | 1     | all storm for 6 s; leader cut for 3 s; 5.5 s; leader restarted; 4 s; leader wiped    |
+      | 1     | all storm for 9 s; leader cut for 2 s; 4.5 s; leader cut for 2 s; 6 s; leader wiped  |
+      | 1     | all storm for 5 s; leader cut for 4 s; 7 s; leader cut for 3 s; 6 s; leader wiped    |
+      | 1     | all storm for 6 s; leader frozen for 3 s; 8 s; leader wiped                          |
+      | 2     | all storm for 6 s; leader cut for 3 s; follower wiped; 8 s; follower wiped; leader wiped |
+
   Scenario: Of 200 drawn histories none leaves a set that bears less
     Then 200 drawn histories end with a whole set that bears the losses it has to
 
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -19,6 +19,7 @@
     "restarted",
     "frozen",
     "cut",
+    "cut in a storm",
     "all restarted",
     "wiped, rest restarted",
 )
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -24,6 +24,9 @@
 LEAVE_EVERY_S = 0.1
 FORM_S = 12.0
 WRITE_EVERY_S = 0.8
+STORM_EVERY_S = 0.05
+# Trailing blanks of a change in a storm, so that a few fill a message.
+STORM_PADDING = b" " * 3000
 # Time from a loss, return or replacement until the next ones are borne.
 PROMISED_S = 2.5
 # Longest from the last event of a history to the end of what it leads to:
@@ -43,6 +46,7 @@
 
     losses: int = 1
     writes: int = 0
+    storm_until: float = 0.0
     is_gone: set[str] = attrs.Factory(set)
     stopping: set[str] = attrs.Factory(set)
 
@@ -85,10 +89,27 @@
             self.patch(leader)
         self.at(self.now + WRITE_EVERY_S, self.write)
 
-    def patch(self, leader: controlmachine.SimReplica):
+    def storm(self, _: str, for_s: float) -> None:
+        """Let operators send many changes to every replica that leads."""
+        begins = self.now >= self.storm_until
+        self.storm_until = self.now + for_s
+        if begins:
+            self.write_storm()
+
+    def write_storm(self) -> None:
+        """Send a change to every replica that leads, and go on."""
+        if self.now >= self.storm_until:
+            return
+        for replica in self.replicas.values():
+            runs = replica.node is not None and self.is_up(replica.name)
+            if runs and replica.node.raft.is_leader:
+                self.patch(replica, STORM_PADDING)
+        self.at(self.now + STORM_EVERY_S, self.write_storm)
+
+    def patch(self, leader: controlmachine.SimReplica, padding: bytes = b""):
         """Send one change to a leader; return the operation."""
         self.writes += 1
-        patch = b'{"fleet": {"address_validity_s": %d}}' % self.writes
+        patch = b'{"fleet": {"address_validity_s": %d}}' % self.writes + padding
         command = messages.PatchConfig(
             patch_id=f"w{self.writes}",
             base_version=leader.node.state.configs.version,
@@ -220,9 +241,13 @@
         found = []
         change = self.patch(leader)
         last = self.call(leader.name, messages.ReadConfig(), roam=False)
+        committed = leader.node.raft.commit
         self.run_until(self.now + 1.0)
         if change.answer is None or last.answer is None:
             found.append("no answer")
+        lagging = [n for n in self.voters() if self.lags(n, committed)]
+        if lagging:
+            found.append(f"{lagging} lack entry {committed}")
         bears = self.bears()
         if bears < self.losses:
             found.append(f"bears {bears} losses, not {self.losses}")
@@ -244,6 +269,11 @@
         }
         return quorum.failures_tolerated(current, silent)
 
+    def lags(self, name: str, committed: int) -> bool:
+        """Return whether a replica runs and lacks a committed entry."""
+        replica = self.replicas[name]
+        return self.is_up(name) and replica.node.raft.commit < committed
+
     def votes_as(self, voter) -> bool:
         """Return whether a voter runs on the disk that it votes with."""
         replica = self.replicas[voter.name]
@@ -321,6 +351,9 @@
     if kind == "wiped, rest restarted":
         wipes = [f"{who} wiped for {away_s:.1f} s" for who in whom]
         return [*wipes, f"rest restarted for {away_s:.1f} s"]
+    if kind == "cut in a storm":
+        cuts = [f"{who} cut for {away_s:.1f} s" for who in whom]
+        return [f"all storm for {away_s + 1.0:.1f} s", *cuts]
     if kind == "gone":
         new = [f"{spare.pop()} added" for _ in whom]
         return [*(f"{who} gone" for who in whom), f"{away_s:.1f} s", *new]
--- a/src/_coltsfootroad/control/log.py
+++ b/src/_coltsfootroad/control/log.py
@@ -63,6 +63,17 @@
             return self.entries[index - self.snapshot.index - 1].term
         return None
 
+    def last_index_within(self, index: int, term: int) -> int:
+        """Return the largest index up to `index` whose term is at most `term`.
+
+        Two logs that differ at an index agree at none whose term is later
+        than both terms there, so a search for their common part can skip it.
+        """
+        index = min(index, self.last_index)
+        while index > self.snapshot.index and self.term_at(index) > term:
+            index -= 1
+        return index
+
     def entry(self, index: int) -> Entry:
         """Return the entry at an index that is in the log."""
         if not self.snapshot.index < index <= self.last_index:
--- a/src/_coltsfootroad/control/peers.py
+++ b/src/_coltsfootroad/control/peers.py
@@ -67,7 +67,15 @@
 
 @attrs.frozen(kw_only=True)
 class AppendReply:
-    """Answer to an append; `sent_at` comes back for the leader's lease."""
+    """Answer to an append.
+
+    Attributes:
+        prev_index: As in the append.
+        match: Up to here the log is the leader's; of a rejection, the last
+            index at which it may be.
+        match_term: Term of the entry at `match`, 0 where it is not known.
+        sent_at: As in the append, for the leader's lease.
+    """
 
     term: int
     sender: str
@@ -75,6 +83,7 @@
     prev_index: int
     match: int
     sent_at: float
+    match_term: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/control/progress.py
+++ b/src/_coltsfootroad/control/progress.py
@@ -1,13 +1,14 @@
-"""What the leader knows of another replica, and what is under way to it.
+"""Replication progress of a follower, as the leader tracks it.
 
-The pattern it answers: a replica has lost its disk, or is new, and lacks a log
-of megabytes. Sent again before an answer can have come, it fills the leader's
-link; then answers of all others are late as well and the leader loses its
-lease. So no more than a window of it is under way at a time, and what is not
-answered is sent again after pauses that grow.
+Entries go out only to a follower whose log is known to match up to the entry
+before them. Until then empty appends probe for that entry, one per response or
+heartbeat, so a search costs no bulk. Afterwards entries are pipelined within a
+window, and are sent again after growing pauses: a log of megabytes must not
+fill the leader's link and delay heartbeats.
 """
 
 import collections
+import enum
 
 import attrs
 
@@ -34,6 +35,13 @@
     size: int
 
 
+class State(enum.Enum):
+    """How a follower is sent entries."""
+
+    PROBE = "probe"
+    REPLICATE = "replicate"
+
+
 @attrs.define
 class Progress:
     """Where another replica stands.
@@ -42,7 +50,7 @@
         since: When the leader began to send it anything.
         next_index: The entry to be sent next.
         match: Up to here its log is the same.
-        probe: The entry before those that were sent last.
+        state: Whether the end of the common log is known.
         acked_at: When the newest message that it answered was sent.
         current_at: When it last held all that was committed a heartbeat before.
         snapshot: The snapshot that it is sent, None if it needs none.
@@ -55,7 +63,7 @@
     since: float
     next_index: int
     match: int = 0
-    probe: int = -1
+    state: State = State.PROBE
     acked_at: float = NEVER
     current_at: float = NEVER
     snapshot: log_lib.SnapshotMeta | None = None
@@ -67,6 +75,8 @@
     @property
     def room(self) -> int:
         """Return how many bytes of entries may be sent now."""
+        if self.state is State.PROBE:
+            return 0
         under_way = sum(batch.size for batch in self.batches)
         return max(0, min(MESSAGE_BYTES, WINDOW_BYTES - under_way))
 
@@ -85,6 +95,9 @@
         if match > self.match:
             self.advance(now)
             self.match = match
+        if self.state is State.PROBE:
+            self.state = State.REPLICATE
+            self.next_index = self.match + 1
         while self.batches and self.batches[0].last_index <= self.match:
             self.batches.popleft()
         self.next_index = max(self.next_index, self.match + 1)
@@ -95,10 +108,31 @@
         if self.match >= commit:
             self.current_at = now
 
-    def note_mismatch(self, match: int) -> None:
-        """Note that what precedes the entries sent last is missing there."""
+    def note_rejected(self, prev_index: int, common_index: int) -> bool:
+        """Note an append that did not fit; return whether to probe at once.
+
+        Args:
+            prev_index: The entry that the append was to follow.
+            common_index: Last entry that both logs may have in common.
+        """
+        if self.state is State.REPLICATE:
+            # Messages were lost, or unsynced entries in a crash.
+            if prev_index <= self.match:
+                return False
+            self.probe_from_match()
+            return True
+        if prev_index != self.next_index - 1:
+            # Response to an earlier probe, or to a repetition of one.
+            return False
+        earlier = self.next_index
+        self.next_index = max(self.match, common_index) + 1
+        return self.next_index < earlier
+
+    def probe_from_match(self) -> None:
+        """Find out whether the follower still has what it acknowledged."""
+        self.state = State.PROBE
         self.batches.clear()
-        self.next_index = max(self.match, match) + 1
+        self.next_index = self.match + 1
 
     def note_received(self, offset: int, now: float) -> bool:
         """Note how much of a snapshot arrived; return whether it is more."""
@@ -134,5 +168,4 @@
     def roll_back(self, now: float) -> None:
         """Send again from where its log is the same, if that is due."""
         if self.batches and self.expire(now):
-            self.batches.clear()
-            self.next_index = self.match + 1
+            self.probe_from_match()
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -461,7 +461,6 @@
         if prev_term is None:
             self.send_snapshot(identity, progress, now)
             return
-        progress.probe = prev
         entries = ()
         if progress.room:
             entries = self.log.slice(progress.next_index, progress.room)
@@ -487,12 +486,12 @@
         self.follow(message.sender, now)
         prev = message.prev_index
         if prev < self.log.snapshot.index:
-            # All of it up to the snapshot is committed and the same.
-            self.reply_append(message, False, self.log.snapshot.index)
+            # Every leader has the same entries up to the commit index.
+            self.reply_append(message, True, self.commit)
             return
         if self.log.term_at(prev) != message.prev_term:
-            hint = min(self.log.last_index, prev - 1)
-            self.reply_append(message, False, max(hint, self.commit))
+            common = self.log.last_index_within(prev, message.prev_term)
+            self.reply_append(message, False, max(common, self.commit))
             return
         self.store_entries(message.entries)
         match = prev + len(message.entries)
@@ -539,6 +538,7 @@
                 success=success,
                 prev_index=message.prev_index,
                 match=match,
+                match_term=self.log.term_at(match) or 0,
                 sent_at=message.sent_at,
             ),
         )
@@ -554,10 +554,8 @@
         if message.success:
             self.note_match(message.sender, progress, message.match, now)
             return
-        # Only the answer to the latest probe is acted upon, once: repeated
-        # ones would each cause another message, to be repeated again.
-        if message.prev_index == progress.probe:
-            progress.note_mismatch(message.match)
+        common = self.log.last_index_within(message.match, message.match_term)
+        if progress.note_rejected(message.prev_index, common):
             self.send_append(message.sender, now)
 
     def note_match(
--- a/src/_coltsfootroad/control/voterwatch.py
+++ b/src/_coltsfootroad/control/voterwatch.py
@@ -53,20 +53,25 @@
     def unheard(self, now: float) -> dict[str, float]:
         """Return how long ago others were heard; inf where never."""
         raft = self.raft
-        # Nothing can be said of others before there was time to answer.
-        if now < raft.started_at + MISSING_WITHOUT_LEADER_S:
-            return {}
         never = float("-inf")
         return {i: now - raft.heard_at.get(i, never) for i in raft.others()}
 
-    def view(self, now: float) -> quorum.QuorumView:
-        """Return which voters do not answer, and what may still be lost.
+    def is_uncertain(self, now: float) -> bool:
+        """Return whether this replica cannot judge who is available.
 
-        A replica that follows, or has not heard of any voter yet, cannot say.
+        A follower hears only its leader, and one that has just started has
+        not had the time to hear others.
         """
         raft = self.raft
-        follows = not raft.is_leader and raft.hears_leader(now)
-        if follows or not raft.replica_set.voters:
+        if raft.is_leader or not raft.replica_set.voters:
+            return not raft.replica_set.voters
+        is_new = now < raft.started_at + MISSING_WITHOUT_LEADER_S
+        return is_new or raft.hears_leader(now)
+
+    def view(self, now: float) -> quorum.QuorumView:
+        """Return which voters are unavailable, and how many more may fail."""
+        raft = self.raft
+        if self.is_uncertain(now):
             return quorum.QuorumView(failures_tolerated=None)
         silences, bound_s = self.unheard(now), MISSING_WITHOUT_LEADER_S
         if raft.is_leader:
--- a/src/_coltsfootroad/shell/quorumlog.py
+++ b/src/_coltsfootroad/shell/quorumlog.py
@@ -93,7 +93,8 @@
         if self.tolerated is None:
             self.reduced_since = now
         raft = self.node.raft
-        LOG.warning(
+        log = LOG.warning if is_reduced else LOG.info
+        log(
             "fault tolerance reduced" if is_reduced else "fault tolerance",
             failures_tolerated=tolerated,
             before=self.tolerated,
