raft: learn a later term from a refused pre-vote

What callers would see: no leader for good with two of three replicas running. Cause: a replica in an earlier term with the longer log is refused for its term, the other one for its log, and an exception kept the first from taking the later term out of a refused pre-vote. Nothing else raises its term. Ruled out: that the exception protects a leader: a response carries the sender's own term, and who grants a pre-vote is in no later term than who asks. Change: the exception is gone.

--- a/features/control/elections.feature
+++ b/features/control/elections.feature
@@ -71,3 +71,19 @@
   Scenario: Replicas that are ready at the same instant seldom split their votes
     When all of three replicas start again at the same instant, 200 times
     Then 9 in 10 have a leader within 0.3 s, all within 1.2 s
+
+  # Guards against two voters that refuse each other for good.
+  Scenario Outline: Two of three voters with terms <terms> and logs <logs> elect a leader
+    Given two of three voters in terms <terms> whose logs end at <logs>
+    Then one of them leads within 3 s
+
+    Examples:
+      | terms | logs  |
+      | 5, 5  | 11, 10 |
+      | 5, 6  | 11, 10 |
+      | 5, 6  | 10, 10 |
+      | 5, 7  | 11, 10 |
+      | 5, 9  | 11, 10 |
+
+  Scenario: Two of three voters elect a leader whatever they hold and have heard
+    Then of all pairs of terms, logs and last contacts each leads within 3 s
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -185,7 +185,7 @@
         if isinstance(message, peers.VoteRequest):
             self.on_vote_request(message, now)
             return
-        if message.term > self.term and not is_pre_grant(message):
+        if message.term > self.term:
             self.become_follower(message.term, "", now)
         match message:
             case peers.VoteReply():
@@ -757,8 +757,3 @@
         if progress is None or not progress.match:
             return False
         return progress.match + PROMOTE_LAG >= self.log.last_index
-
-
-def is_pre_grant(message: peers.PeerMessage) -> bool:
-    """Return whether a message is a pre-vote answer of a future term."""
-    return isinstance(message, peers.VoteReply) and message.pre
