links: replace a stream between replicas that acknowledges nothing

What callers would see: as with the other faults, no leader after one loss. Cause: nothing told a stream that works from one that gRPC only takes for healthy: a handler on the other side that was cancelled, a write or a connection that never returns, a cancelled write that ended the task of the link, a close that never returns. Ruled out: a wrong address; the replica's own messages named it. Change: the stream returns an acknowledgement, at most four a second. A message that is due one and has none for 1.5 s has the stream and its channel replaced; writing, reading and closing run beside the watch, and whatever ends them is logged with a reason and never ends the link. One mutant follows a signature that changed.

--- a/features/shell/links.feature
+++ b/features/shell/links.feature
@@ -30,3 +30,30 @@
       | way     |
       | silence |
       | drop_in |
+
+  # Guards against a replica that gets nothing more while it reaches everybody.
+  Scenario Outline: A stream between replicas whose <part> is replaced
+    Given a peer stream whose <part>
+    When messages are sent to the peer for 4 s
+    Then messages arrive by a later stream within 3.5 s
+
+    Examples:
+      | part                                |
+      | handler ends as unavailable         |
+      | handler is cancelled                |
+      | handler fails                       |
+      | handler reads nothing more          |
+      | write never returns                 |
+      | write is cancelled                  |
+      | connection is never made            |
+      | write never returns, nor does close |
+
+  Scenario: A stream between replicas that works is kept
+    Given a peer stream that works
+    When messages are sent to the peer for 4 s
+    Then all arrive by the first stream
+
+  Scenario: A stream between replicas that has nothing to carry is kept
+    Given a peer stream that works
+    When messages are sent to the peer, 0.1 s apart, and more of them 3 s later
+    Then all arrive by the first stream
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -6,10 +6,13 @@
 from behave import given
 from behave import then
 from behave import when
+import grpc
+import grpc.aio
 
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
+from _coltsfootroad.shell import channels
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import wirecalls
 from features.soak import proxy as proxy_lib
@@ -168,3 +171,184 @@
     after = [at for at in context.got if at > context.whole_at]
     assert after, "none after"
     assert after[0] - context.whole_at <= seconds, after[0] - context.whole_at
+
+
+# --- streams that break, one way each ------------------------------------------
+
+
+class PeerStream:
+    """Counts the messages of each stream; the first one breaks."""
+
+    def __init__(self, fault: str):
+        self.fault = fault
+        self.arrived: list[tuple[int, float]] = []
+        self.streams = 0
+
+    async def serve(self, requests, context):
+        """Take the messages of one stream as our server does, or break."""
+        self.streams += 1
+        stream = self.streams
+
+        def on_peer(*_):
+            self.arrived.append((stream, time.monotonic()))
+
+        if stream == 1 and self.fault.startswith("handler"):
+            await self.break_handler(requests, on_peer, context)
+        async for ack in links.acknowledged(requests, on_peer, context):
+            yield ack
+
+    async def break_handler(self, requests, on_peer, context):
+        """End the first stream on the side that reads it."""
+        async for _ in requests:
+            on_peer()
+            break
+        if self.fault == "handler ends as unavailable":
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "ends")
+        if self.fault == "handler is cancelled":
+            raise asyncio.CancelledError
+        if self.fault == "handler fails":
+            raise ValueError("fails")
+        await asyncio.Event().wait()
+
+
+class BrokenStream:
+    """A stream on the writing side that never works."""
+
+    def __init__(self, fault: str):
+        self.fault = fault
+
+    async def wait_for_connection(self) -> None:
+        """Connect, or never do."""
+        if self.fault == "connection is never made":
+            await asyncio.Event().wait()
+
+    async def write(self, _: bytes) -> None:
+        """Write, or never return."""
+        if self.fault == "write is cancelled":
+            raise asyncio.CancelledError
+        await asyncio.Event().wait()
+
+    async def read(self) -> bytes:
+        """Wait for a response that never comes."""
+        await asyncio.Event().wait()
+
+    def cancel(self) -> None:
+        """Give the stream up, which changes nothing."""
+
+
+class BrokenChannel:
+    """A channel whose streams never work."""
+
+    def __init__(self, fault: str):
+        self.fault = fault
+
+    def stream_stream(self, _: str):
+        """Return what opens a stream."""
+        return lambda metadata: BrokenStream(self.fault)
+
+    stream_unary = stream_stream
+
+    async def close(self, _: float | None = None) -> None:
+        """Close, or never return."""
+        if "nor does close" in self.fault:
+            await asyncio.Event().wait()
+
+
+def opener(fault: str):
+    """Return what opens channels, of which the first may be broken."""
+    opened = []
+
+    def open_channel(address: str):
+        opened.append(address)
+        broken = fault.startswith(("write", "connection"))
+        if broken and len(opened) == 1:
+            return BrokenChannel(fault)
+        return channels.open_channel(address)
+
+    return open_channel
+
+
+@given("a peer stream whose {fault}")
+def peer_stream_whose(context, fault):
+    context.peer = PeerStream(fault)
+
+
+@given("a peer stream that works")
+def peer_stream_works(context):
+    context.peer = PeerStream("")
+
+
+def with_peer_link(context, send) -> None:
+    """Run a server of the peer and a link to it."""
+    peer = context.peer
+
+    async def run():
+        server = grpc.aio.server(options=channels.OPTIONS)
+        handler = grpc.stream_stream_rpc_method_handler(peer.serve)
+        server.add_generic_rpc_handlers(
+            (
+                grpc.method_handlers_generic_handler(
+                    channels.SERVICE, {"Peer": handler}
+                ),
+            )
+        )
+        port = server.add_insecure_port("127.0.0.1:0")
+        await server.start()
+        context.began_at = time.monotonic()
+        link = links.PeerLink(
+            f"127.0.0.1:{port}",
+            "r1",
+            "127.0.0.1:1",
+            open_channel=opener(peer.fault),
+        )
+        await send(link)
+        await asyncio.wait_for(link.close(), 5.0)
+        await server.stop(grace=0)
+
+    asyncio.run(run())
+
+
+VOTE = peers.VoteReply(
+    term=1, sender="r1", pre=False, granted=False, asked_term=1
+)
+
+
+@when("messages are sent to the peer for {seconds:g} s")
+def sent_to_peer(context, seconds):
+    async def send(link):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            link.send(VOTE)
+            link.note_heard()
+            await asyncio.sleep(0.05)
+
+    with_peer_link(context, send)
+
+
+@when(
+    "messages are sent to the peer, {gap:g} s apart, and more of them"
+    " {seconds:g} s later"
+)
+def sent_later(context, gap, seconds):
+    async def send(link):
+        for pause in (gap, seconds, gap, seconds):
+            link.send(VOTE)
+            await asyncio.sleep(pause)
+
+    with_peer_link(context, send)
+    assert len(context.peer.arrived) == 4, context.peer.arrived
+
+
+@then("messages arrive by a later stream within {seconds:g} s")
+def later_stream(context, seconds):
+    peer = context.peer
+    first = 1 if peer.fault.startswith(("write", "connection")) else 2
+    later = [at for stream, at in peer.arrived if stream >= first]
+    assert later, f"{len(peer.arrived)} messages, {peer.streams} streams"
+    assert later[0] - context.began_at <= seconds, later[0] - context.began_at
+    assert len(later) >= 5, len(later)
+
+
+@then("all arrive by the first stream")
+def first_stream_only(context):
+    assert {stream for stream, _ in context.peer.arrived} == {1}
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -430,7 +430,8 @@
                 index=self.log.last_index + 1,
                 kind=raft.log_lib.EntryKind.REPLICAS,
                 replica_set=single,
-            )
+            ),
+            now,
         )
         return True
 
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -2,6 +2,8 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
+import contextlib
 import random
 
 from expression import Error
@@ -28,6 +30,15 @@
 LINK_LINES = logs.LineLimit(40, 10.0)
 # Pause before a broken stream is opened again, unless the other side is heard.
 RECONNECT_S = 0.3
+# The receiver acknowledges a stream at most this often, to save bytes.
+ACK_EVERY_S = 0.25
+ACK = b""
+# A stream on which nothing was acknowledged for this long is replaced.
+SILENT_S = 1.5
+SILENT = "silent"
+CLOSE_S = 1.0
+NEVER = float("-inf")
+OpenChannel = Callable[[str], grpc.aio.Channel]
 BIND_FAILED = "in use, or not an address of this VM"
 
 
@@ -117,7 +128,11 @@
 
 
 class PeerLink:
-    """Sends messages to one process over an open stream; may lose them."""
+    """Sends messages to one process over an open stream; may lose them.
+
+    The other process acknowledges over the same stream. A stream that carries
+    messages and returns nothing is replaced, whatever gRPC believes of it.
+    """
 
     def __init__(
         self,
@@ -125,6 +140,7 @@
         sender: str,
         sender_address: str,
         encoder: wire.Wire = wirecalls.PEERS,
+        open_channel: OpenChannel = channels_lib.open_channel,
     ):
         self.address = address
         self.encoder = encoder
@@ -134,13 +150,14 @@
         )
         self.queue: asyncio.Queue = asyncio.Queue(MAX_QUEUED)
         self.heard = asyncio.Event()
-        self.channel = self.open_channel()
+        self.open_channel = open_channel
+        self.channel = open_channel(address)
+        self.closing: set[asyncio.Task] = set()
+        self.acked_at = NEVER
+        # When the oldest message whose acknowledgement is due was queued.
+        self.unacked_since: float | None = None
         self.task = asyncio.ensure_future(self.run())
 
-    def open_channel(self) -> grpc.aio.Channel:
-        """Return a new channel, which has no failed attempt to wait for."""
-        return channels_lib.open_channel(self.address)
-
     def note_heard(self) -> None:
         """Note that the other process runs: it has just written to us."""
         self.heard.set()
@@ -150,42 +167,87 @@
         if self.queue.full():
             self.queue.get_nowait()
         self.queue.put_nowait(message)
+        now = clocks.boot_time()
+        # Earlier than this after an acknowledgement the peer may owe none.
+        is_due = now >= self.acked_at + ACK_EVERY_S
+        if self.unacked_since is None and is_due:
+            self.unacked_since = now
 
     async def run(self) -> None:
         """Keep a stream open and write what is queued."""
         while True:
-            try:
-                await self.write_stream()
-            except grpc.aio.AioRpcError as error:
-                self.log("link to peer lost", reason=error.code().name.lower())
-            except (grpc.aio.UsageError, asyncio.InvalidStateError):
-                # A write to a stream that has ended already, as when the
-                # other process restarted.
-                self.log("link to peer lost", reason="ended")
+            reason = await self.use_stream()
+            self.log("link to peer lost", reason=reason)
             while not self.queue.empty():
                 self.queue.get_nowait()
             await self.pause()
+            if self.heard.is_set() or reason == SILENT:
+                self.renew_channel()
 
     async def pause(self) -> None:
-        """Wait a little before the next stream; on a new channel if heard."""
-        try:
+        """Wait a little before the next stream, unless the peer is heard."""
+        with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.heard.wait(), RECONNECT_S)
-        except TimeoutError:
-            return
-        await self.channel.close()
-        self.channel = self.open_channel()
 
-    async def write_stream(self) -> None:
-        """Write to one stream until it breaks."""
+    def renew_channel(self) -> None:
+        """Use a new channel, which has no failed attempt to wait for."""
+        closing = asyncio.ensure_future(self.channel.close())
+        self.closing.add(closing)
+        closing.add_done_callback(self.closing.discard)
+        self.channel = self.open_channel(self.address)
+
+    async def use_stream(self) -> str:
+        """Use one stream until it ends or is silent; return which."""
         self.heard.clear()
-        method = self.channel.stream_unary(channels_lib.PEER)
+        self.acked_at = NEVER
+        self.unacked_since = None
+        method = self.channel.stream_stream(channels_lib.PEER)
         stream = method(metadata=self.metadata)
+        tasks = {
+            asyncio.ensure_future(self.write_messages(stream)),
+            asyncio.ensure_future(self.read_acks(stream)),
+        }
+        try:
+            while not self.is_silent():
+                done, _ = await asyncio.wait(
+                    tasks,
+                    timeout=self.silence_left_s(),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if done:
+                    return end_of(done.pop())
+            return SILENT
+        finally:
+            for task in tasks:
+                task.cancel()
+                task.add_done_callback(end_of)
+            stream.cancel()
+
+    def silence_left_s(self) -> float:
+        """Return the seconds after which the stream may count as silent."""
+        since = self.unacked_since
+        if since is None:
+            return SILENT_S
+        return max(0.0, since + SILENT_S - clocks.boot_time())
+
+    def is_silent(self) -> bool:
+        """Return whether a message has waited too long for an answer."""
+        return self.unacked_since is not None and not self.silence_left_s()
+
+    async def write_messages(self, stream) -> None:
+        """Write what is queued."""
         await stream.wait_for_connection()
         self.log("link to peer opened")
         while True:
             message = await self.queue.get()
             await stream.write(self.encoder.encode(message))
 
+    async def read_acks(self, stream) -> None:
+        """Note acknowledgements until the stream ends."""
+        while await stream.read() is not grpc.aio.EOF:
+            self.acked_at = clocks.boot_time()
+            self.unacked_since = None
+
     def log(self, event: str, **fields: str) -> None:
         """Log a change of this link."""
         if LINK_LINES.allows(clocks.boot_time()):
@@ -194,7 +256,36 @@
     async def close(self) -> None:
         """Stop sending."""
         self.task.cancel()
-        await self.channel.close()
+        for closing in self.closing:
+            closing.cancel()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.channel.close(), CLOSE_S)
+
+
+def end_of(task: asyncio.Task) -> str:
+    """Return why a task of a stream ended."""
+    if task.cancelled():
+        return "cancelled"
+    error = task.exception()
+    if error is None:
+        return "ended"
+    if isinstance(error, grpc.aio.AioRpcError):
+        return error.code().name.lower()
+    return type(error).__name__
+
+
+async def acknowledged(requests, on_peer, context):
+    """Pass on the messages of a stream, and yield acknowledgements."""
+    metadata = dict(context.invocation_metadata() or ())
+    sender = metadata.get(SENDER_KEY, "")
+    address = metadata.get(SENDER_ADDRESS_KEY, "")
+    acked_at = NEVER
+    async for request in requests:
+        on_peer(sender, address, request)
+        now = clocks.boot_time()
+        if now >= acked_at + ACK_EVERY_S:
+            acked_at = now
+            yield ACK
 
 
 def make_server(on_call, on_peer) -> grpc.aio.Server:
@@ -207,18 +298,14 @@
     async def call(request: bytes, _) -> bytes:
         return await on_call(request)
 
-    async def peer(requests, context) -> bytes:
-        metadata = dict(context.invocation_metadata() or ())
-        sender = metadata.get(SENDER_KEY, "")
-        address = metadata.get(SENDER_ADDRESS_KEY, "")
-        async for request in requests:
-            on_peer(sender, address, request)
-        return b""
+    async def peer(requests, context):
+        async for ack in acknowledged(requests, on_peer, context):
+            yield ack
 
     server = grpc.aio.server(options=channels_lib.OPTIONS)
     handlers = {
         "Call": grpc.unary_unary_rpc_method_handler(call),
-        "Peer": grpc.stream_unary_rpc_method_handler(peer),
+        "Peer": grpc.stream_stream_rpc_method_handler(peer),
     }
     server.add_generic_rpc_handlers(
         (grpc.method_handlers_generic_handler(channels_lib.SERVICE, handlers),)
