control: bound what a full disk and a failed step cost a replica

Ruled out: that the log itself is not retried; it is, once a second. Change: a part is removed, the next attempt is due after a second, and any error in a step ends the process with its trace in the log, to start again from its disk. Conclusion: one class, a replica that looks alive and does not vote.

--- a/features/shell/disk.feature
+++ b/features/shell/disk.feature
@@ -24,3 +24,26 @@
     When the disk is full for one batch
     Then the batch is refused with "is full"
     And opening it again finds 2 batches
+
+  Scenario: A snapshot that does not fit leaves the room to the log
+    Given a data folder with 2 synced batches
+    When the disk is full while a snapshot is saved
+    Then the snapshot is refused with "is full"
+    And no part of it is left on the disk
+    And opening it again finds 2 batches
+
+  Scenario: A snapshot that does not fit is not tried again at once
+    Given a replica whose log is due for a snapshot and whose disk has no room
+    When it goes on for 10 s
+    Then it tries to save one at most 36 times
+
+  # Guards against a replica that stands still without its timers.
+  Scenario Outline: A replica ends with a line in the log on <error>
+    When a step of a replica fails with <error>
+    Then the replica ends and its log names <error>
+
+    Examples:
+      | error                |
+      | OSError              |
+      | KeyError             |
+      | BrokenInvariantError |
--- /dev/null
+++ b/features/steps/faultydisk_steps.py
@@ -0,0 +1,103 @@
+"""Steps on disks that refuse writes, and on steps of a replica that fail."""
+
+import asyncio
+import errno
+import os
+import random
+import types
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+from expression import Error
+import logbook
+
+from _coltsfootroad.control import log as log_lib
+from _coltsfootroad.control import node as node_lib
+from _coltsfootroad.control import ready as ready_lib
+from _coltsfootroad.core import errors
+from _coltsfootroad.shell import controlserver
+from features.support import controlmachine
+from features.support import replacements
+
+
+@when("the disk is full while a snapshot is saved")
+def full_disk_snapshot(context):
+    meta = log_lib.SnapshotMeta(index=2, term=1, size=3)
+    full = mock.patch.object(
+        os, "fsync", side_effect=OSError(errno.ENOSPC, "no space")
+    )
+    with full:
+        context.result = context.disk.save_snapshot(
+            meta, b"abc", ready_lib.HardState(), ()
+        )
+
+
+@then('the snapshot is refused with "{words}"')
+def snapshot_refused(context, words):
+    assert words in context.result.error.message
+
+
+@then("no part of it is left on the disk")
+def no_part_left(context):
+    names = sorted(path.name for path in context.disk.folder.iterdir())
+    left = [n for n in names if n.endswith(".tmp") or n.startswith("snapshot")]
+    assert not left, names
+
+
+@given("a replica whose log is due for a snapshot and whose disk has no room")
+def due_for_snapshot(context):
+    site = context.site = replacements.Site(random.Random(6))
+    site.begin()
+    context.refused = []
+
+    def refuse(disk, *_):
+        context.refused.append(site.now)
+        failure = errors.Failure(errors.ErrorCode.UNAVAILABLE, "disk is full")
+        return Error(failure)
+
+    context.patches = (
+        mock.patch.object(node_lib, "SNAPSHOT_EVERY", 4),
+        mock.patch.object(controlmachine.FaultyDisk, "save_snapshot", refuse),
+    )
+
+
+@when("it goes on for {seconds:g} s")
+def goes_on(context, seconds):
+    with context.patches[0], context.patches[1]:
+        context.site.run_until(context.site.now + seconds)
+
+
+@then("it tries to save one at most {most:d} times")
+def tries_at_most(context, most):
+    assert 2 <= len(context.refused) <= most, len(context.refused)
+
+
+@when("a step of a replica fails with {name}")
+def step_fails(context, name):
+    kinds = {
+        "OSError": OSError(errno.EIO, "read-only"),
+        "KeyError": KeyError("r9"),
+        "BrokenInvariantError": errors.BrokenInvariantError("two leaders"),
+    }
+
+    def fail():
+        raise kinds[name]
+
+    async def run():
+        broken = asyncio.get_running_loop().create_future()
+        server = types.SimpleNamespace(broken=broken)
+        controlserver.ControlServer.guard(server, fail)
+        context.ended_with = broken.exception()
+
+    with logbook.TestHandler() as handler:
+        asyncio.run(run())
+    context.records = handler.records
+
+
+@then("the replica ends and its log names {name}")
+def replica_ends(context, name):
+    assert type(context.ended_with).__name__ == name, context.ended_with
+    (record,) = [r for r in context.records if r.level_name == "CRITICAL"]
+    assert name in record.kwargs["fault"], record.kwargs
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -80,6 +80,7 @@
     waiters: dict[int, Waiter] = attrs.Factory(dict)
     pending: list[ready_lib.Ready] = attrs.Factory(list)
     blocked_until: float = 0.0
+    snapshot_due_at: float = 0.0
     syncs: int = 0
     in_process: bool = False
     log_bytes: int = 0
@@ -187,7 +188,7 @@
             self.send(outgoing.to, outgoing.message)
         for entry in ready.committed:
             self.apply(entry)
-        self.maybe_snapshot()
+        self.maybe_snapshot(now)
         return True
 
     def persist(self, ready: ready_lib.Ready) -> bool:
@@ -229,12 +230,14 @@
         else:
             waiter.reply(unavailable("another leader took over"))
 
-    def maybe_snapshot(self) -> None:
+    def maybe_snapshot(self, now: float) -> None:
         """Save a snapshot when the log has grown long."""
         raft = self.raft
         grown = raft.applied - raft.log.snapshot.index
         if grown < SNAPSHOT_EVERY and self.log_bytes < SNAPSHOT_BYTES:
             return
+        if now < self.snapshot_due_at:
+            return
         data = state_lib.save(self.state)
         meta = log_lib.SnapshotMeta(
             index=raft.applied,
@@ -249,6 +252,8 @@
         if saved.is_ok():
             self.log_bytes = 0
             raft.compacted(meta)
+        else:
+            self.snapshot_due_at = now + FULL_DISK_RETRY_S
 
     def update_hub(self, now: float) -> None:
         """Keep a hub exactly while leading."""
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+import traceback
 
 from expression import Ok
 
@@ -13,7 +14,6 @@
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import watching
-from _coltsfootroad.core import errors
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import controlrelay
 from _coltsfootroad.shell import disk as disk_lib
@@ -206,11 +206,15 @@
         return True
 
     def guard(self, function, *arguments) -> None:
-        """Run a step; a broken invariant ends the process."""
+        """Run a step; a fault ends the process.
+
+        Half of a step leaves a state that the disk does not hold, and a timer
+        that is not planned again.
+        """
         try:
             function(*arguments)
-        except errors.BrokenInvariantError as error:
-            LOG.critical("stopping on a broken invariant: {}", error)
+        except Exception as error:  # noqa: BLE001
+            LOG.critical("stopping on a fault", fault=traceback.format_exc())
             if not self.broken.done():
                 self.broken.set_exception(error)
 
--- a/src/_coltsfootroad/shell/disk.py
+++ b/src/_coltsfootroad/shell/disk.py
@@ -93,12 +93,17 @@
     def write_atomically(self, path: pathlib.Path, *pieces: bytes) -> None:
         """Replace a file as a whole, synced with its folder."""
         temporary = path.with_suffix(path.suffix + ".tmp")
-        with open(temporary, "wb") as file:
-            for piece in pieces:
-                file.write(piece)
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(temporary, path)
+        try:
+            with open(temporary, "wb") as file:
+                for piece in pieces:
+                    file.write(piece)
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(temporary, path)
+        except OSError:
+            # On a full disk the log needs the room.
+            temporary.unlink(missing_ok=True)
+            raise
         self.sync_folder()
 
     def sync_folder(self) -> None:
