control: skip a command that fails when it is applied

Change: the command is skipped, which every replica of a release does alike, the caller gets a refusal as internal, and each replica logs entry, kind and trace. A command of a kind that is not known still ends the process.

--- a/features/shell/disk.feature
+++ b/features/shell/disk.feature
@@ -36,14 +36,3 @@
     Given a replica whose log is due for a snapshot and whose disk has no room
     When it goes on for 10 s
     Then it tries to save one at most 36 times
-
-  # Guards against a replica that stands still without its timers.
-  Scenario Outline: A replica ends with a line in the log on <error>
-    When a step of a replica fails with <error>
-    Then the replica ends and its log names <error>
-
-    Examples:
-      | error                |
-      | OSError              |
-      | KeyError             |
-      | BrokenInvariantError |
--- a/features/steps/faultydisk_steps.py
+++ b/features/steps/faultydisk_steps.py
@@ -1,23 +1,19 @@
-"""Steps on disks that refuse writes, and on steps of a replica that fail."""
+"""Steps on disks that refuse writes."""
 
-import asyncio
 import errno
 import os
 import random
-import types
 from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 from expression import Error
-import logbook
 
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import node as node_lib
 from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.core import errors
-from _coltsfootroad.shell import controlserver
 from features.support import controlmachine
 from features.support import replacements
 
@@ -72,32 +68,3 @@
 @then("it tries to save one at most {most:d} times")
 def tries_at_most(context, most):
     assert 2 <= len(context.refused) <= most, len(context.refused)
-
-
-@when("a step of a replica fails with {name}")
-def step_fails(context, name):
-    kinds = {
-        "OSError": OSError(errno.EIO, "read-only"),
-        "KeyError": KeyError("r9"),
-        "BrokenInvariantError": errors.BrokenInvariantError("two leaders"),
-    }
-
-    def fail():
-        raise kinds[name]
-
-    async def run():
-        broken = asyncio.get_running_loop().create_future()
-        server = types.SimpleNamespace(broken=broken)
-        controlserver.ControlServer.guard(server, fail)
-        context.ended_with = broken.exception()
-
-    with logbook.TestHandler() as handler:
-        asyncio.run(run())
-    context.records = handler.records
-
-
-@then("the replica ends and its log names {name}")
-def replica_ends(context, name):
-    assert type(context.ended_with).__name__ == name, context.ended_with
-    (record,) = [r for r in context.records if r.level_name == "CRITICAL"]
-    assert name in record.kwargs["fault"], record.kwargs
--- /dev/null
+++ b/features/steps/replicafaults_steps.py
@@ -0,0 +1,121 @@
+"""Steps on faults in a replica's own work."""
+
+import asyncio
+import errno
+import random
+import types
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+import logbook
+
+from _coltsfootroad.control import configstore
+from _coltsfootroad.control import outcomes
+from _coltsfootroad.core import errors
+from _coltsfootroad.shell import controlserver
+from _coltsfootroad.shell import quorumlog
+from features.support import replacements
+
+
+@when("a step of a replica fails with {name}")
+def step_fails(context, name):
+    kinds = {
+        "OSError": OSError(errno.EIO, "read-only"),
+        "KeyError": KeyError("r9"),
+        "BrokenInvariantError": errors.BrokenInvariantError("two leaders"),
+    }
+
+    def fail():
+        raise kinds[name]
+
+    async def run():
+        broken = asyncio.get_running_loop().create_future()
+        server = types.SimpleNamespace(broken=broken)
+        controlserver.ControlServer.guard(server, fail)
+        context.ended_with = broken.exception()
+
+    with logbook.TestHandler() as handler:
+        asyncio.run(run())
+    context.records = handler.records
+
+
+@then("the replica ends and its log names {name}")
+def replica_ends(context, name):
+    assert type(context.ended_with).__name__ == name, context.ended_with
+    (record,) = [r for r in context.records if r.level_name == "CRITICAL"]
+    assert name in record.kwargs["fault"], record.kwargs
+
+
+@given("three replicas with a command that cannot be applied")
+def cannot_be_applied(context):
+    context.site = replacements.Site(random.Random(8))
+    context.site.begin()
+    right = configstore.ConfigStore.apply
+
+    def fail_once(store, command):
+        if command.patch_id == context.failing:
+            raise ZeroDivisionError
+        return right(store, command)
+
+    context.failing = f"w{context.site.writes + 1}"
+    patched = mock.patch.object(configstore.ConfigStore, "apply", fail_once)
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@when("it is sent, and another one after it")
+def sent_in_turn(context):
+    site = context.site
+    leader = site.leader()
+    context.answers = []
+    context.logs = {}
+    with logbook.TestHandler() as handler:
+        for _ in range(2):
+            site.call_leader(context.answers)
+            log_for(context, 1.0)
+        assert site.leader() is leader
+    context.records = handler.records
+
+
+def log_for(context, seconds: float) -> None:
+    """Let time pass; each replica logs what has changed."""
+    site = context.site
+    end = site.now + seconds
+    while site.now < end:
+        site.run_until(site.now + 0.05)
+        for replica in site.replicas.values():
+            if replica.node is not None:
+                known = context.logs.setdefault(
+                    id(replica.node), quorumlog.QuorumLog(replica.node)
+                )
+                known.note(site.clock(replica))
+
+
+@then("the first is refused as internal and the second is applied")
+def first_refused(context):
+    first, second = context.answers
+    assert isinstance(first, outcomes.Refused), first
+    assert first.failure.code is errors.ErrorCode.INTERNAL, first
+    assert not isinstance(second, outcomes.Refused), second
+
+
+@then("all replicas run and log the command that was skipped once each")
+def logged_once(context):
+    site = context.site
+    assert all(site.is_up(name) for name in site.replicas)
+    found = [r for r in context.records if r.message == "command not applied"]
+    assert len(found) == len(site.replicas), found
+    assert all("ZeroDivisionError" in r.kwargs["fault"] for r in found), found
+
+
+@then("so they do when all have started again")
+def started_again(context):
+    site = context.site
+    site.take_step("all restarted for 1.0 s")
+    with logbook.TestHandler() as handler:
+        log_for(context, 4.0)
+    context.records = handler.records
+    logged_once(context)
+    assert not site.faults()
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -89,6 +89,19 @@
             self.patch(leader)
         self.at(self.now + WRITE_EVERY_S, self.write)
 
+    def call_leader(self, answers: list) -> None:
+        """Send a change to the leader; keep its answer, a refusal as well."""
+        leader = self.leader()
+        self.writes += 1
+        command = messages.PatchConfig(
+            patch_id=f"w{self.writes}",
+            base_version=leader.node.state.configs.version,
+            patch=b"{}",
+        )
+        now = self.clock(leader)
+        self.guard(leader, leader.node.call, command, now, answers.append)
+        self.guard(leader, leader.node.process, now)
+
     def storm(self, _: str, for_s: float) -> None:
         """Let operators send many changes to every replica that leads."""
         begins = self.now >= self.storm_until
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -1,7 +1,9 @@
 """One replica: consensus, state, and while leading the hub; no sockets."""
 
+import collections
 from collections.abc import Callable
 import random
+import traceback
 
 import attrs
 
@@ -31,6 +33,8 @@
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 FULL_DISK_RETRY_S = 1.0
 MAX_WAITING = 10_000
+# Skipped commands that are kept until they are logged.
+MAX_SKIPPED = 100
 Reply = Callable[[object], None]
 Send = Callable[[str, peers.PeerMessage], None]
 
@@ -47,6 +51,15 @@
 )
 
 
+@attrs.frozen
+class SkippedCommand:
+    """A command that could not be applied: its entry, kind and the fault."""
+
+    index: int
+    command: str
+    fault: str
+
+
 @attrs.define
 class Waiter:
     """Somebody who waits for a proposed command to be applied."""
@@ -84,6 +97,10 @@
     syncs: int = 0
     in_process: bool = False
     log_bytes: int = 0
+    # Commands that could not be applied, for the log.
+    skipped: collections.deque[SkippedCommand] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_SKIPPED)
+    )
     watch: voterwatch.VoterWatch = attrs.field(init=False)
     # Why this replica, as leader, changed the set last; for the log.
     change_reason: str = ""
@@ -221,7 +238,7 @@
             command = commandlog.unpack(entry.data)
             if command.is_error():
                 raise errors.BrokenInvariantError(command.error.message)
-            answer = self.state.apply(command.ok, entry.at)
+            answer = self.apply_command(command.ok, entry)
         waiter = self.waiters.pop(entry.index, None)
         if waiter is None:
             return
@@ -230,6 +247,27 @@
         else:
             waiter.reply(unavailable("another leader took over"))
 
+    def apply_command(self, command: object, entry: log_lib.Entry) -> object:
+        """Apply a command; one that fails is skipped at every replica alike.
+
+        Otherwise it would end each replica that applies it, again after each
+        start.
+        """
+        try:
+            return self.state.apply(command, entry.at)
+        except errors.BrokenInvariantError:
+            raise
+        except Exception:  # noqa: BLE001
+            name = type(command).__name__
+            fault = traceback.format_exc()
+            self.skipped.append(SkippedCommand(entry.index, name, fault))
+            return outcomes.Refused(
+                failure=errors.Failure(
+                    errors.ErrorCode.INTERNAL,
+                    f"{name} cannot be applied; the replicas' logs say why",
+                )
+            )
+
     def maybe_snapshot(self, now: float) -> None:
         """Save a snapshot when the log has grown long."""
         raft = self.raft
--- a/src/_coltsfootroad/shell/quorumlog.py
+++ b/src/_coltsfootroad/shell/quorumlog.py
@@ -1,4 +1,4 @@
-"""Logs elections, changes of the replica set, and its fault tolerance."""
+"""Logs what a replica learns of the others: elections, set, tolerance."""
 
 from _coltsfootroad.control import node as node_lib
 from _coltsfootroad.control import quorum
@@ -40,6 +40,7 @@
             self.is_lost = view.is_lost
             self.log_quorum(view)
         self.note_tolerance(view, now)
+        self.note_skipped()
 
     def note_role(self, now: float) -> None:
         """Log an election won or lost, and a campaign without a result."""
@@ -108,6 +109,17 @@
         self.tolerated = tolerated
         self.tolerance_logged_at = now
 
+    def note_skipped(self) -> None:
+        """Log commands that could not be applied."""
+        while self.node.skipped:
+            skipped = self.node.skipped.popleft()
+            LOG.error(
+                "command not applied",
+                index=skipped.index,
+                command=skipped.command,
+                fault=skipped.fault,
+            )
+
     def log_set(
         self,
         before: replicas.ReplicaSet,
