proof: let operators send bursts to every replica that leads, in the fuzz

Cause: the fuzz of the control state never had more than a few small changes pending, nor sent any to a leader that was cut off, so the fault of the incident was out of its reach. Change: a rule that sends up to 30 padded changes to each replica that leads; the bound on storms of messages grows with the operations. Conclusion: kept for what it draws, not as the guard of that fault.

--- a/features/support/controlmachine.py
+++ b/features/support/controlmachine.py
@@ -45,6 +45,10 @@
 LEASE_S = 2.0
 MAX_CALLS = 2_000
 MAX_CALLS_PER_S = 200
+# An operation goes to two replicas and back, in up to two messages each.
+CALLS_PER_OPERATION = 8
+# Trailing blanks of a patch in a burst, so that a few fill a message.
+PADDING = b" " * 3000
 KEY_TIME = UNIX_START
 
 
@@ -136,6 +140,7 @@
         """Plan a call; replicas that answer each other for ever show."""
         self.number += 1
         busiest = MAX_CALLS + MAX_CALLS_PER_S * self.now
+        busiest += CALLS_PER_OPERATION * len(self.operations)
         assert self.number < busiest, "storm of messages"
         heapq.heappush(self.queue, (when, self.number, call, arguments))
 
@@ -403,6 +408,26 @@
             ),
         )
 
+    @stateful.rule(count=st.sampled_from((1, 10, 30)))
+    def burst(self, count):
+        """Let operators send changes to every replica that leads.
+
+        One that has been cut off accepts them as well, without a quorum.
+        """
+        for name, replica in self.cluster.replicas.items():
+            for _ in range(count):
+                node = replica.node
+                if node is None or not node.raft.is_leader:
+                    break
+                self.number += 1
+                document = {"fleet": {"address_validity_s": self.number + 1}}
+                command = messages.PatchConfig(
+                    patch_id=f"b{self.number}",
+                    base_version=node.state.configs.version,
+                    patch=json.dumps(document).encode() + PADDING,
+                )
+                self.cluster.call(name, command, roam=False)
+
     @stateful.rule(name=VOTER)
     def read(self, name):
         """Read the configuration from one replica."""
@@ -539,7 +564,7 @@
             return
         limit, node_lib.SNAPSHOT_EVERY = node_lib.SNAPSHOT_EVERY, 1
         try:
-            node.maybe_snapshot()
+            node.maybe_snapshot(self.cluster.clock(self.cluster.replicas[name]))
         finally:
             node_lib.SNAPSHOT_EVERY = limit
 
