quarantine: count stopped sends among those in flight at a crash

What callers saw: a popular, proper request refused for 60 s beside two poison requests. Cause: when a request enters quarantine its sends in flight are stopped, and their endpoints crash under them a moment later. No connection of theirs was lost there, so the gateways reported no suspect but the proper requests, and the leader took these crashes for unexplained ones. Ruled out: that nobody had answered it in time; it was answered before and after. Change: a gateway reports each send that an entry stopped, with its endpoint; a crash of that endpoint within 2 s counts as one under it, whichever report comes first.

--- a/features/core/crashledger.feature
+++ b/features/core/crashledger.feature
@@ -40,6 +40,18 @@
     When two more endpoints crash under the popular request alone
     Then convicted are: poison popular
 
+  # Guards against a popular request that crashes under stopped sends of poison.
+  Scenario Outline: Crashes <after> s after a stopped send of poison convict <whom>
+    When poison is convicted and a popular request is in flight at four of its crashes
+    And two more endpoints crash under the popular request, <after> s after sends of poison were stopped there, reported <when>
+    Then convicted are: <whom>
+
+    Examples:
+      | after | when   | whom           |
+      | 0.1   | before | poison         |
+      | 0.1   | later  | poison         |
+      | 30    | before | poison popular |
+
   Scenario: The order of reports changes nothing
     Then any order of 6 reports convicts the same request
 
--- a/features/steps/crashledger_steps.py
+++ b/features/steps/crashledger_steps.py
@@ -77,6 +77,36 @@
     context.convicted += ledgerpatterns.convicted_by(context.ledger, "poison")
 
 
+@when(
+    "poison is convicted and a popular request is in flight at four of its"
+    " crashes"
+)
+def four_explained(context):
+    reports = ledgerpatterns.in_a_row(4, "poison", "popular")
+    reports += ledgerpatterns.in_a_row(1, "poison", first=4)
+    context.ledger = ledgerpatterns.ledger_of(reports)
+    context.convicted = ledgerpatterns.convicted_by(context.ledger)
+
+
+@when(
+    "two more endpoints crash under the popular request, {after:g} s after"
+    " sends of poison were stopped there, reported {when}"
+)
+def crash_after_stop(context, after, when):
+    ledger = context.ledger
+    for number in (5, 6):
+        at = number * ledgerpatterns.STEP_S + after
+        crash = ledgerpatterns.crash(number, at, popular=at - 0.05)
+        stop = ledgerpatterns.crash(number, at - after, poison=at - after - 0.1)
+        if when == "before":
+            ledger.note_stopped(stop)
+            ledger.record(crash, at)
+        else:
+            ledger.record(crash, at)
+            ledger.note_stopped(stop)
+    context.convicted += ledgerpatterns.convicted_by(ledger, "poison")
+
+
 @then("any order of {count:d} reports convicts the same request")
 def any_order(context, count):
     del context
--- a/src/_coltsfootroad/control/crashreports.py
+++ b/src/_coltsfootroad/control/crashreports.py
@@ -33,11 +33,13 @@
         gateway: Who reports.
         crashes: Crashes that it saw, each with its own suspects.
         cleared: Suspects that an endpoint has answered whole.
+        stopped: Sends that the quarantine stopped, by endpoint.
     """
 
     gateway: str
     crashes: tuple[AgedCrash, ...] = ()
     cleared: tuple[fingerprints.Fingerprint, ...] = ()
+    stopped: tuple[AgedCrash, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/control/hub.py
+++ b/src/_coltsfootroad/control/hub.py
@@ -328,6 +328,8 @@
         """Take a gateway's report; return what to replicate."""
         for fingerprint in report.cleared:
             self.crashes.clear(fingerprint, now)
+        for aged in report.stopped:
+            self.crashes.note_stopped(crashreports.with_times(aged, now))
         for aged in report.crashes:
             self.crashes.record(crashreports.with_times(aged, now), now)
         table = self.state.quarantine
--- a/src/_coltsfootroad/core/crashledger.py
+++ b/src/_coltsfootroad/core/crashledger.py
@@ -28,6 +28,9 @@
 # Crashes after which all gateways watch for answers to a suspect.
 CRASHES_TO_WATCH = 2
 MAX_WATCHED = 64
+# An endpoint may crash this long after a send to it was stopped, as the request
+# runs on there.
+STOPPED_S = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -73,6 +76,7 @@
         known: The crashes, oldest first.
         suspected: The crashes of each suspect.
         cleared: When suspects were answered last.
+        stopped: When an entry last stopped sends to an endpoint, and which.
     """
 
     known: dict[crashes.EndpointKey, KnownCrash] = attrs.Factory(dict)
@@ -80,6 +84,7 @@
         attrs.Factory(dict)
     )
     cleared: dict[fingerprints.Fingerprint, float] = attrs.Factory(dict)
+    stopped: dict[crashes.EndpointKey, KnownCrash] = attrs.Factory(dict)
 
     def record(self, crash: crashes.Crash, now: float) -> None:
         """Take one observer's report; the same again changes nothing."""
@@ -90,9 +95,33 @@
         found.at = min(found.at, crash.at)
         for suspect in crash.suspects:
             self.suspect(crash.endpoint, found, suspect)
+        self.add_stopped(crash.endpoint)
         while len(self.known) > MAX_CRASHES:
             self.forget(next(iter(self.known)))
 
+    def note_stopped(self, stop: crashes.Crash) -> None:
+        """Note sends that an entry stopped, which may have been carried out.
+
+        An endpoint that crashes soon afterwards did so under them, though no
+        connection of theirs was lost.
+        """
+        held = self.stopped.pop(stop.endpoint, None) or KnownCrash(stop.at)
+        held.at = max(held.at, stop.at)
+        for suspect in stop.suspects:
+            held.suspects[suspect.fingerprint] = suspect
+        self.stopped[stop.endpoint] = held
+        while len(self.stopped) > MAX_CRASHES:
+            del self.stopped[next(iter(self.stopped))]
+        self.add_stopped(stop.endpoint)
+
+    def add_stopped(self, endpoint: crashes.EndpointKey) -> None:
+        """Count stopped sends among those in flight at a crash."""
+        crash, stop = self.known.get(endpoint), self.stopped.get(endpoint)
+        if crash is None or stop is None or crash.at > stop.at + STOPPED_S:
+            return
+        for suspect in stop.suspects.values():
+            self.suspect(endpoint, crash, suspect)
+
     def suspect(
         self,
         endpoint: crashes.EndpointKey,
--- a/src/_coltsfootroad/gateway/contentguard.py
+++ b/src/_coltsfootroad/gateway/contentguard.py
@@ -8,6 +8,7 @@
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import fingerprints
 from _coltsfootroad.core import quarantine
+from _coltsfootroad.gateway import crashdetector
 from _coltsfootroad.shell import logs
 
 LOG = logs.logger("request")
@@ -89,6 +90,24 @@
         if gateway.crash_reporter.may_suspect(*self.size):
             gateway.crash_reporter.clear(self.fingerprint())
 
+    def note_stopped(
+        self,
+        endpoint: endpointset.KnownEndpoint,
+        sent_at: float,
+        now: float,
+    ) -> None:
+        """Note that the endpoint may yet crash under the stopped send."""
+        suspect = crashes.Suspect(
+            fingerprint=self.fingerprint(), sent_at=sent_at
+        )
+        self.exchange.gateway.crash_reporter.report_stopped(
+            crashes.Crash(
+                endpoint=crashdetector.key_of(endpoint),
+                at=now,
+                suspects=(suspect,),
+            )
+        )
+
     def note_lost(
         self,
         endpoint: endpointset.KnownEndpoint,
--- a/src/_coltsfootroad/gateway/crashdetector.py
+++ b/src/_coltsfootroad/gateway/crashdetector.py
@@ -45,10 +45,7 @@
         self, endpoint: endpointset.KnownEndpoint, suspect: crashes.Suspect
     ) -> None:
         """Take a send whose connection broke before the answer was whole."""
-        key = crashes.EndpointKey(
-            endpoint=endpoint.name,
-            incarnation=endpoint.announcement.incarnation,
-        )
+        key = key_of(endpoint)
         if key in self.crashed:
             self.report(key, [suspect])
         elif key in self.suspects:
@@ -113,3 +110,10 @@
                 endpoint=key, at=self.crashed[key], suspects=tuple(found)
             )
         )
+
+
+def key_of(endpoint: endpointset.KnownEndpoint) -> crashes.EndpointKey:
+    """Return what names the present start of an endpoint."""
+    return crashes.EndpointKey(
+        endpoint=endpoint.name, incarnation=endpoint.announcement.incarnation
+    )
--- a/src/_coltsfootroad/gateway/crashreporter.py
+++ b/src/_coltsfootroad/gateway/crashreporter.py
@@ -32,6 +32,7 @@
         kept: All own crashes within the window, by endpoint.
         unsent: Crashes that the leader has not taken, by endpoint.
         cleared: Suspects that were answered, not taken by the leader yet.
+        stopped: Sends that the quarantine stopped, not taken by the leader yet.
         watched: Suspects whose answers the leader wants to know of.
         sizes: Suspects and watched requests by workspace and length.
         sending: The task that sends, while anything is unsent.
@@ -42,6 +43,7 @@
     kept: dict[crashes.EndpointKey, crashes.Crash] = attrs.Factory(dict)
     unsent: dict[crashes.EndpointKey, None] = attrs.Factory(dict)
     cleared: dict[fingerprints.Fingerprint, None] = attrs.Factory(dict)
+    stopped: list[crashes.Crash] = attrs.Factory(list)
     watched: dict[fingerprints.Fingerprint, None] = attrs.Factory(dict)
     sizes: collections.Counter = attrs.Factory(collections.Counter)
     sending: asyncio.Task | None = None
@@ -61,6 +63,12 @@
         self.count_sizes()
         self.start()
 
+    def report_stopped(self, stop: crashes.Crash) -> None:
+        """Report a send that the quarantine stopped at an endpoint."""
+        self.stopped.append(stop)
+        del self.stopped[:-MAX_KEPT]
+        self.start()
+
     def report_again(self) -> None:
         """Report everything to a leader that may know nothing of it."""
         oldest = clocks.boot_time() - crashledger.WINDOW_S
@@ -126,12 +134,17 @@
     def start(self) -> None:
         """Begin to send unless that is under way or nothing is unsent."""
         idle = self.sending is None or self.sending.done()
-        if idle and (self.unsent or self.cleared):
+        if idle and self.has_unsent:
             self.sending = asyncio.ensure_future(self.send())
 
+    @property
+    def has_unsent(self) -> bool:
+        """Return whether there is anything to report."""
+        return bool(self.unsent or self.cleared or self.stopped)
+
     async def send(self) -> None:
         """Send until the leader has taken everything."""
-        while self.unsent or self.cleared:
+        while self.has_unsent:
             if not await self.send_once():
                 await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -140,6 +153,7 @@
         now = clocks.boot_time()
         sent = {endpoint: self.kept[endpoint] for endpoint in self.unsent}
         cleared = tuple(self.cleared)
+        stopped = tuple(self.stopped)
         answer = await self.link.call(
             crashreports.ReportCrashes(
                 gateway=self.gateway,
@@ -148,6 +162,9 @@
                     for crash in sent.values()
                 ),
                 cleared=cleared,
+                stopped=tuple(
+                    crashreports.with_ages(stop, now) for stop in stopped
+                ),
             )
         )
         taken = isinstance(answer, outcomes.Done)
@@ -156,10 +173,12 @@
             endpoints=[endpoint.endpoint for endpoint in sent],
             suspects=sum(len(crash.suspects) for crash in sent.values()),
             cleared=len(cleared),
+            stopped=len(stopped),
             took_s=round(clocks.boot_time() - now, 3),
         )
         if taken:
             self.settle(sent, cleared)
+            self.stopped = [s for s in self.stopped if s not in stopped]
         return taken
 
     def settle(
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -349,6 +349,8 @@
         elif end is upstream.CallEnd.LOST:
             has_output = bool(sink.parts) or self.reply.last_event_at > now
             self.guard.note_lost(endpoint, now, has_output)
+        elif end is upstream.CallEnd.STOPPED:
+            self.guard.note_stopped(endpoint, now, clocks.boot_time())
         return outcome
 
     def make_sink(self) -> answers.HeldAnswer:
