links: log a lost link once, and survive a closed channel

Cause: reading the change again: while a peer is down each attempt logged a line, and opening a stream on a channel that was closed would have ended the link's task. Change: a lost link is logged when its reason changes; a closed channel is renewed. The view of the voters says in order when it is uncertain. Figures: links.feature and quorum.feature, 36 scenarios, hold. Conclusion: no change of behaviour beside the lines.

--- a/src/_coltsfootroad/control/voterwatch.py
+++ b/src/_coltsfootroad/control/voterwatch.py
@@ -63,8 +63,10 @@
         not had the time to hear others.
         """
         raft = self.raft
-        if raft.is_leader or not raft.replica_set.voters:
-            return not raft.replica_set.voters
+        if not raft.replica_set.voters:
+            return True
+        if raft.is_leader:
+            return False
         is_new = now < raft.started_at + MISSING_WITHOUT_LEADER_S
         return is_new or raft.hears_leader(now)
 
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -36,6 +36,7 @@
 # A stream on which nothing was acknowledged for this long is replaced.
 SILENT_S = 1.5
 SILENT = "silent"
+CLOSED = "closed"
 CLOSE_S = 1.0
 NEVER = float("-inf")
 OpenChannel = Callable[[str], grpc.aio.Channel]
@@ -153,6 +154,8 @@
         self.open_channel = open_channel
         self.channel = open_channel(address)
         self.closing: set[asyncio.Task] = set()
+        # Why the last stream ended, empty while one is open.
+        self.lost_reason = ""
         self.acked_at = NEVER
         # When the oldest message whose acknowledgement is due was queued.
         self.unacked_since: float | None = None
@@ -168,7 +171,7 @@
             self.queue.get_nowait()
         self.queue.put_nowait(message)
         now = clocks.boot_time()
-        # Earlier than this after an acknowledgement the peer may owe none.
+        # So soon after an acknowledgement the peer may leave one out.
         is_due = now >= self.acked_at + ACK_EVERY_S
         if self.unacked_since is None and is_due:
             self.unacked_since = now
@@ -177,11 +180,13 @@
         """Keep a stream open and write what is queued."""
         while True:
             reason = await self.use_stream()
-            self.log("link to peer lost", reason=reason)
+            if reason != self.lost_reason:
+                self.log("link to peer lost", reason=reason)
+            self.lost_reason = reason
             while not self.queue.empty():
                 self.queue.get_nowait()
             await self.pause()
-            if self.heard.is_set() or reason == SILENT:
+            if self.heard.is_set() or reason in (SILENT, CLOSED):
                 self.renew_channel()
 
     async def pause(self) -> None:
@@ -201,8 +206,11 @@
         self.heard.clear()
         self.acked_at = NEVER
         self.unacked_since = None
-        method = self.channel.stream_stream(channels_lib.PEER)
-        stream = method(metadata=self.metadata)
+        try:
+            method = self.channel.stream_stream(channels_lib.PEER)
+            stream = method(metadata=self.metadata)
+        except grpc.aio.UsageError:
+            return CLOSED
         tasks = {
             asyncio.ensure_future(self.write_messages(stream)),
             asyncio.ensure_future(self.read_acks(stream)),
@@ -237,6 +245,7 @@
     async def write_messages(self, stream) -> None:
         """Write what is queued."""
         await stream.wait_for_connection()
+        self.lost_reason = ""
         self.log("link to peer opened")
         while True:
             message = await self.queue.get()
