proof: plant seven defects in the repair of replicas

Cause: the checks of the incident held on the fixed code; nothing showed that each of them can fail. Change: defects for the search, its pace, full disks, silence and lag, and refused pre-votes, each caught by one of six checks; histories of replicas whose disk is full for 3 s, in a storm too. The pair of a leader and a follower and the two surviving voters are modules of their own. Ruled out: that a defect breaks a check for another reason; all checks hold without one. Conclusion: of the defects named for this incident those of joint changes cut by a loss and of a returning empty replica that raises the term are not planted.

--- a/features/control/replacement.feature
+++ b/features/control/replacement.feature
@@ -68,6 +68,17 @@
       | 1     | all storm for 6 s; leader frozen for 3 s; 8 s; leader wiped                          |
       | 2     | all storm for 6 s; leader cut for 3 s; follower wiped; 8 s; follower wiped; leader wiped |
 
+  Scenario: A replica whose disk was full votes again
+    Then these histories end with a whole set that bears the losses it has to
+      | bears | history                                                              |
+      | 1     | follower full for 3 s; 5.5 s; leader wiped                           |
+      | 1     | leader full for 3 s; 7 s; leader wiped                               |
+      | 1     | all storm for 6 s; follower full for 3 s; 5.5 s; leader wiped        |
+      | 1     | all storm for 6 s; leader full for 3 s; 7 s; follower wiped          |
+
+  Scenario: Every deliberate defect of repairing replicas is caught
+    Then each deliberate defect of repairing is caught by a check that holds without it
+
   Scenario: Of 200 drawn histories none leaves a set that bears less
     Then 200 drawn histories end with a whole set that bears the losses it has to
 
--- a/features/steps/elections_steps.py
+++ b/features/steps/elections_steps.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.control import raft as raft_lib
 from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
+from features.support import survivors
 
 NAMES = ("a", "b", "c")
 DELAY_S = 0.001
@@ -378,77 +379,19 @@
 
 # --- two voters of three -----------------------------------------------------
 
-TERMS = (5, 6, 7)
-# Term and index of the last entry.
-LOGS = ((4, 12), (5, 10), (5, 11))
-# Seconds since a leader was heard; None for a replica that has just started.
-CONTACTS = (0.0, 9.0, None)
-
-
-def survivor(name: str, term: int, log_end: tuple, contact) -> raft_lib.Raft:
-    """Return one of three replicas with a state of its own."""
-    log = log_lib.Log()
-    log.append(
-        log_lib.Entry(
-            term=0,
-            index=1,
-            kind=log_lib.EntryKind.REPLICAS,
-            replica_set=replica_set(),
-        )
-    )
-    last_term, last_index = log_end
-    for index in range(2, last_index + 1):
-        log.append(
-            log_lib.Entry(
-                term=last_term, index=index, kind=log_lib.EntryKind.NOOP
-            )
-        )
-    started_at = ASKED_AT - (0.0 if contact is None else 50.0)
-    raft = raft_lib.Raft(
-        identity=name,
-        rng=random.Random(name),
-        log=log,
-        hard_state=ready_lib.HardState(term=term),
-        started_at=started_at,
-    )
-    if contact is not None:
-        raft.leader = THIRD
-        raft.timer.heard_leader_at = ASKED_AT - contact
-        raft.timer.reset(ASKED_AT - contact)
-    return raft
-
-
-def time_to_lead(rafts: list[raft_lib.Raft], most_s: float) -> float | None:
-    """Let two replicas exchange messages; return when one leads."""
-    now = ASKED_AT
-    mail: list = []
-    while now < ASKED_AT + most_s:
-        now += TICK_S
-        for raft in rafts:
-            raft.tick(now)
-            mail += raft.take_ready().messages
-        due, mail = mail, []
-        for outgoing in due:
-            for raft in rafts:
-                if raft.identity == outgoing.to:
-                    raft.step(outgoing.message, now)
-        if any(raft.is_leader for raft in rafts):
-            return now - ASKED_AT
-    return None
-
 
 @given("two of three voters in terms {terms} whose logs end at {ends}")
 def two_voters(context, terms, ends):
     states = zip(terms.split(", "), ends.split(", "), strict=True)
     context.rafts = [
-        survivor(name, int(term), (5, int(end)), 9.0)
-        for name, (term, end) in zip((ME, OTHER), states, strict=True)
+        survivors.survivor(name, int(term), (5, int(end)), 9.0)
+        for name, (term, end) in zip(survivors.NAMES, states, strict=True)
     ]
 
 
 @then("one of them leads within {most:g} s")
 def one_of_two_leads(context, most):
-    assert time_to_lead(context.rafts, most) is not None, [
+    assert survivors.time_to_lead(context.rafts, most) is not None, [
         (raft.term, raft.log.last_index, raft.refusals)
         for raft in context.rafts
     ]
@@ -458,14 +401,5 @@
     "of all pairs of terms, logs and last contacts each leads within {most:g} s"
 )
 def all_pairs_lead(_, most):
-    states = list(itertools.product(TERMS, LOGS, CONTACTS))
-    stuck = [
-        pair
-        for pair in itertools.product(states, repeat=2)
-        if time_to_lead(
-            [survivor(n, *s) for n, s in zip((ME, OTHER), pair, strict=True)],
-            most,
-        )
-        is None
-    ]
+    stuck = survivors.stuck_pairs(most)
     assert not stuck, (len(stuck), stuck[:5])
--- a/features/steps/flow_steps.py
+++ b/features/steps/flow_steps.py
@@ -1,16 +1,11 @@
 """Steps on what a leader sends to replicas that learn."""
 
-import random
-
 from behave import given
 from behave import then
 from behave import when
 
 from _coltsfootroad.control import log as log_lib
-from _coltsfootroad.control import peers
-from _coltsfootroad.control import raft as raft_lib
-from _coltsfootroad.control import ready as ready_lib
-from _coltsfootroad.control import replicas
+from features.support import logpairs
 from features.support import ratedlinks
 
 
@@ -194,88 +189,6 @@
 
 # --- a leader and one follower, message by message ---------------------------
 
-FAR_TERM = 100
-
-
-class Pair:
-    """A leader and a follower that exchange messages at once."""
-
-    def __init__(self, own: list[int], other: list[int], times: int = 1):
-        self.now = 50.0
-        self.times = times
-        self.leader = raft_of("r0", own, FAR_TERM)
-        self.follower = raft_of("r1", other, FAR_TERM)
-        self.appends: list[peers.Append] = []
-
-    def lead(self) -> None:
-        """Let the leader begin."""
-        self.leader.become_leader(self.now)
-        self.exchange()
-
-    def run(self, seconds: float) -> None:
-        """Let time pass."""
-        end = self.now + seconds
-        while self.now < end:
-            self.now += 0.01
-            self.leader.tick(self.now)
-            self.exchange()
-
-    def exchange(self) -> None:
-        """Deliver messages both ways until there are none."""
-        for _ in range(1_000):
-            sent = self.take(self.leader, self.follower)
-            appends = [m for m in sent if isinstance(m, peers.Append)]
-            self.appends += appends
-            replies = self.take(self.follower, self.leader)
-            if not sent and not replies:
-                return
-        raise AssertionError("the exchange does not end")
-
-    def take(self, source: raft_lib.Raft, target: raft_lib.Raft) -> list:
-        """Let one replica carry out its work; return what it sent the other."""
-        source.flush_appends(self.now)
-        ready = source.take_ready()
-        if ready.entries:
-            source.synced(ready.entries[-1].index, self.now)
-        sent = [
-            outgoing.message
-            for outgoing in ready.messages
-            if outgoing.to == target.identity
-        ]
-        for message in sent:
-            repeats = self.times if source is self.follower else 1
-            for _ in range(repeats):
-                target.step(message, self.now)
-        return sent
-
-
-def raft_of(name: str, terms: list[int], term: int) -> raft_lib.Raft:
-    """Return a replica of three whose log has entries of these terms."""
-    raft = raft_lib.Raft(
-        identity=ratedlinks.replica(name).identity,
-        rng=random.Random(7),
-        hard_state=ready_lib.HardState(term=term),
-    )
-    voters = tuple(ratedlinks.replica(f"r{n}") for n in range(3))
-    raft.log.append(
-        log_lib.Entry(
-            term=0,
-            index=1,
-            kind=log_lib.EntryKind.REPLICAS,
-            replica_set=replicas.ReplicaSet(voters=voters),
-        )
-    )
-    for entry_term in terms:
-        raft.log.append(
-            log_lib.Entry(
-                term=entry_term,
-                index=raft.log.last_index + 1,
-                kind=log_lib.EntryKind.COMMAND,
-                data=b"x" * 2000,
-            )
-        )
-    return raft
-
 
 @given(
     "a leader and a follower whose logs differ in {terms:d} terms of"
@@ -290,7 +203,7 @@
 
 @when("the leader probes and gets each response {times:d} times")
 def probes(context, times):
-    context.pair = Pair(*context.logs, times)
+    context.pair = logpairs.Pair(*context.logs, times)
     context.pair.lead()
     context.pair.run(1.0)
 
@@ -310,32 +223,16 @@
 
 @given("a leader and a follower that lost entries which it had acknowledged")
 def lost_acknowledged(context):
-    context.pair = Pair([1] * 40, [1] * 40)
-    context.pair.lead()
-    lost = context.pair.follower
-    lost.log.truncate_from(20)
-    lost.commit = lost.applied = 19
-    context.pair.appends.clear()
-    index = context.pair.leader.propose(
-        log_lib.EntryKind.COMMAND, b"x", 0.0, context.pair.now
-    )
-    assert index
-    # Another voter follows, so that the leader keeps its lease.
-    context.third = raft_of("r2", [1] * 40, FAR_TERM)
+    context.pair = logpairs.after_loss()
 
 
 @when("time passes for {seconds:g} s")
 def time_passes(context, seconds):
-    pair = context.pair
-    end = pair.now + seconds
-    third = pair.leader.progress[context.third.identity]
-    while pair.now < end:
-        third.acked_at = pair.now
-        pair.run(0.05)
+    context.pair.run_with_third(seconds)
 
 
 @then("the leader sent it at most {most:d} appends and no entries")
 def sent_probes_only(context, most):
     appends = context.pair.appends
-    entries = [a for a in appends[1:] if a.entries]
+    entries = [append for append in appends[1:] if append.entries]
     assert len(appends) <= most and not entries, (len(appends), len(entries))
--- /dev/null
+++ b/features/support/logpairs.py
@@ -0,0 +1,112 @@
+"""A leader and one follower that exchange messages at once."""
+
+import random
+
+from _coltsfootroad.control import log as log_lib
+from _coltsfootroad.control import peers
+from _coltsfootroad.control import raft as raft_lib
+from _coltsfootroad.control import ready as ready_lib
+from _coltsfootroad.control import replicas
+from features.support import ratedlinks
+
+# Later than the terms of all entries.
+FAR_TERM = 100
+
+
+class Pair:
+    """A leader and a follower that exchange messages at once."""
+
+    def __init__(self, own: list[int], other: list[int], times: int = 1):
+        self.now = 50.0
+        self.times = times
+        self.leader = raft_of("r0", own)
+        self.follower = raft_of("r1", other)
+        self.appends: list[peers.Append] = []
+
+    def lead(self) -> None:
+        """Let the leader begin."""
+        self.leader.become_leader(self.now)
+        self.exchange()
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.01
+            self.leader.tick(self.now)
+            self.exchange()
+
+    def run_with_third(self, seconds: float) -> None:
+        """Let time pass, while a third voter keeps the leader's lease."""
+        third = self.leader.progress[ratedlinks.replica("r2").identity]
+        end = self.now + seconds
+        while self.now < end:
+            third.acked_at = self.now
+            self.run(0.05)
+
+    def exchange(self) -> None:
+        """Deliver messages both ways until there are none."""
+        for _ in range(1_000):
+            sent = self.take(self.leader, self.follower)
+            appends = [m for m in sent if isinstance(m, peers.Append)]
+            self.appends += appends
+            replies = self.take(self.follower, self.leader)
+            if not sent and not replies:
+                return
+        raise AssertionError("the exchange does not end")
+
+    def take(self, source: raft_lib.Raft, target: raft_lib.Raft) -> list:
+        """Let one replica carry out its work; return what it sent the other."""
+        source.flush_appends(self.now)
+        ready = source.take_ready()
+        if ready.entries:
+            source.synced(ready.entries[-1].index, self.now)
+        sent = [
+            outgoing.message
+            for outgoing in ready.messages
+            if outgoing.to == target.identity
+        ]
+        for message in sent:
+            repeats = self.times if source is self.follower else 1
+            for _ in range(repeats):
+                target.step(message, self.now)
+        return sent
+
+
+def raft_of(name: str, terms: list[int]) -> raft_lib.Raft:
+    """Return a replica of three whose log has entries of these terms."""
+    raft = raft_lib.Raft(
+        identity=ratedlinks.replica(name).identity,
+        rng=random.Random(7),
+        hard_state=ready_lib.HardState(term=FAR_TERM),
+    )
+    voters = tuple(ratedlinks.replica(f"r{n}") for n in range(3))
+    raft.log.append(
+        log_lib.Entry(
+            term=0,
+            index=1,
+            kind=log_lib.EntryKind.REPLICAS,
+            replica_set=replicas.ReplicaSet(voters=voters),
+        )
+    )
+    for entry_term in terms:
+        raft.log.append(
+            log_lib.Entry(
+                term=entry_term,
+                index=raft.log.last_index + 1,
+                kind=log_lib.EntryKind.COMMAND,
+                data=b"x" * 2000,
+            )
+        )
+    return raft
+
+
+def after_loss() -> Pair:
+    """Return a pair whose follower lost entries that it had acknowledged."""
+    pair = Pair([1] * 40, [1] * 40)
+    pair.lead()
+    pair.follower.log.truncate_from(20)
+    pair.follower.commit = pair.follower.applied = 19
+    pair.appends.clear()
+    pair.leader.propose(log_lib.EntryKind.COMMAND, b"x", 0.0, pair.now)
+    return pair
--- a/features/support/mutants.py
+++ b/features/support/mutants.py
@@ -14,10 +14,12 @@
 from _coltsfootroad.control import membership
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import node
+from _coltsfootroad.control import progress
 from _coltsfootroad.control import raft
 from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import shares
+from _coltsfootroad.control import voterwatch
 from _coltsfootroad.core import attempts
 from _coltsfootroad.core import claiming
 from _coltsfootroad.core import dispatcher
@@ -34,6 +36,7 @@
 REQUEST = {}
 CONTROL = {}
 REPLACING = {}
+REPAIRING = {}
 
 
 def defect(table, owner, name):
@@ -374,8 +377,8 @@
 @defect(CONTROL, Raft, "check_quorum")
 def leads_on_without_a_quorum(_):
     def wrong(self, now):
-        for progress in self.progress.values():
-            progress.acked_at = now
+        for found in self.progress.values():
+            found.acked_at = now
 
     return wrong
 
@@ -522,3 +525,69 @@
 @defect(REPLACING, Membership, "to_promote")
 def learners_wait_to_be_promoted_by_hand(_):
     return lambda self, current, silences, caught_up: None
+
+
+# --- repair of logs, and what a replica knows of others ---------------------
+
+Progress = progress.Progress
+
+
+@defect(REPAIRING, Progress, "room")
+def sends_entries_while_it_probes(_):
+    def wrong(self):
+        under_way = sum(batch.size for batch in self.batches)
+        most = progress.WINDOW_BYTES - under_way
+        return max(0, min(progress.MESSAGE_BYTES, most))
+
+    return property(wrong)
+
+
+@defect(REPAIRING, Progress, "note_rejected")
+def acts_on_every_rejection(right):
+    def wrong(self, prev_index, common_index):
+        right(self, prev_index, common_index)
+        return True
+
+    return wrong
+
+
+@defect(REPAIRING, Progress, "note_match")
+def never_leaves_the_search(right):
+    def wrong(self, match, now):
+        right(self, match, now)
+        self.state = progress.State.PROBE
+
+    return wrong
+
+
+@defect(REPAIRING, node, "FULL_DISK_RETRY_S")
+def a_full_disk_blocks_for_good(_):
+    return 1e9
+
+
+@defect(REPAIRING, voterwatch.VoterWatch, "silences")
+def a_learner_is_silent_since_the_election(_):
+    def wrong(self, now):
+        since = max(self.raft.led_since, self.since)
+        return {
+            identity: now - max(found.acked_at, since)
+            for identity, found in self.raft.progress.items()
+            if identity != self.raft.identity
+        }
+
+    return wrong
+
+
+@defect(REPAIRING, voterwatch.VoterWatch, "lags")
+def a_voter_that_lags_counts(_):
+    return lambda self, now: {}
+
+
+@defect(REPAIRING, Raft, "step")
+def a_refused_pre_vote_teaches_no_term(right):
+    def wrong(self, message, now):
+        if getattr(message, "pre", False) and hasattr(message, "granted"):
+            message = attrs.evolve(message, term=min(message.term, self.term))
+        right(self, message, now)
+
+    return wrong
--- a/features/support/replacements.py
+++ b/features/support/replacements.py
@@ -186,6 +186,12 @@
         """Let a VM stand still."""
         self.replicas[name].frozen_until = self.now + for_s
 
+    def full(self, name: str, for_s: float) -> None:
+        """Fill a replica's disk; there is room again later."""
+        disk = self.replicas[name].disk
+        disk.full = True
+        self.at(self.now + for_s, setattr, disk, "full", False)
+
     # --- histories -------------------------------------------------------
 
     def play(self, history: str) -> None:
