raft: send nothing to a replica whose response completed its own removal

Cause: the last response that a joint set needs may come from the replica that the change removes. Committing it drops the progress of that replica, and the leader then looked it up to send it more. Change: nothing is sent to a replica that is no longer tracked. Figures: the scenario fails before with the same KeyError and holds. Conclusion: traced and fixed.

--- a/features/control/flow.feature
+++ b/features/control/flow.feature
@@ -78,3 +78,9 @@
     Given a leader and a follower that lost entries which it had acknowledged
     When time passes for 5 s
     Then the leader sent it at most 60 appends and no entries
+
+  # Guards against a leader that fails when a removed replica's response is the last.
+  Scenario: A replica whose response completes its own removal is sent nothing more
+    Given a leader of four voters that removes one
+    When the one to be removed responds last of a majority
+    Then the removal is committed and the removed one is sent nothing more
--- a/features/steps/flow_steps.py
+++ b/features/steps/flow_steps.py
@@ -5,6 +5,8 @@
 from behave import when
 
 from _coltsfootroad.control import log as log_lib
+from _coltsfootroad.control import peers
+from _coltsfootroad.control import replicas
 from features.support import logpairs
 from features.support import ratedlinks
 
@@ -236,3 +238,51 @@
     appends = context.pair.appends
     entries = [append for append in appends[1:] if append.entries]
     assert len(appends) <= most and not entries, (len(appends), len(entries))
+
+
+@given("a leader of four voters that removes one")
+def removes_one(context):
+    raft = context.raft = logpairs.leader_of(4)
+    voters = raft.replica_set.voters
+    context.kept, context.removed = voters[1], voters[3]
+    for voter in voters[1:]:
+        respond(context, voter, raft.log.last_index)
+    wanted = replicas.ReplicaSet(voters=voters[:3])
+    assert raft.change_replicas(wanted, logpairs.NOW)
+    raft.take_ready()
+    raft.synced(raft.log.last_index, logpairs.NOW)
+
+
+def respond(context, voter, match: int) -> None:
+    """Let a voter acknowledge the log up to an entry."""
+    context.raft.step(
+        peers.AppendReply(
+            term=context.raft.term,
+            sender=voter.identity,
+            success=True,
+            prev_index=match,
+            match=match,
+            sent_at=logpairs.NOW,
+        ),
+        logpairs.NOW,
+    )
+
+
+@when("the one to be removed responds last of a majority")
+def removed_responds_last(context):
+    index = context.raft.log.last_index
+    respond(context, context.kept, index)
+    assert context.raft.commit < index
+    context.raft.take_ready()
+    respond(context, context.removed, index)
+    assert context.raft.commit == index
+
+
+@then("the removal is committed and the removed one is sent nothing more")
+def removal_committed(context):
+    raft = context.raft
+    assert not raft.replica_set.is_joint
+    sent = raft.take_ready().messages
+    receivers = {outgoing.to for outgoing in sent}
+    assert context.removed.identity not in receivers, receivers
+    assert context.kept.identity in receivers, receivers
--- a/features/support/logpairs.py
+++ b/features/support/logpairs.py
@@ -11,13 +11,14 @@
 
 # Later than the terms of all entries.
 FAR_TERM = 100
+NOW = 50.0
 
 
 class Pair:
     """A leader and a follower that exchange messages at once."""
 
     def __init__(self, own: list[int], other: list[int], times: int = 1):
-        self.now = 50.0
+        self.now = NOW
         self.times = times
         self.leader = raft_of("r0", own)
         self.follower = raft_of("r1", other)
@@ -73,14 +74,14 @@
         return sent
 
 
-def raft_of(name: str, terms: list[int]) -> raft_lib.Raft:
-    """Return a replica of three whose log has entries of these terms."""
+def raft_of(name: str, terms: list[int], count: int = 3) -> raft_lib.Raft:
+    """Return a replica of some whose log has entries of these terms."""
     raft = raft_lib.Raft(
         identity=ratedlinks.replica(name).identity,
         rng=random.Random(7),
         hard_state=ready_lib.HardState(term=FAR_TERM),
     )
-    voters = tuple(ratedlinks.replica(f"r{n}") for n in range(3))
+    voters = tuple(ratedlinks.replica(f"r{n}") for n in range(count))
     raft.log.append(
         log_lib.Entry(
             term=0,
@@ -110,3 +111,12 @@
     pair.appends.clear()
     pair.leader.propose(log_lib.EntryKind.COMMAND, b"x", 0.0, pair.now)
     return pair
+
+
+def leader_of(count: int) -> raft_lib.Raft:
+    """Return a leader whose first entry waits for acknowledgements."""
+    raft = raft_of("r0", [1], count)
+    raft.become_leader(NOW)
+    raft.take_ready()
+    raft.synced(raft.log.last_index, NOW)
+    return raft
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -568,8 +568,10 @@
         """Note up to where a replica is the same, and send what follows."""
         progress.note_match(match, now)
         self.advance_commit(now)
+        # The response may have completed the sender's own removal.
+        is_tracked = self.progress.get(sender) is progress
         lacks = progress.next_index <= self.log.last_index
-        if self.is_leader and lacks and progress.room:
+        if is_tracked and lacks and progress.room:
             self.send_append(sender, now)
 
     def advance_commit(self, now: float) -> None:
