control: refuse a call that fails, and let the leader run on

Cause: since an error in a step ends a replica, a call that the leader fails to answer would end it, and the next leader after it: work that ends whoever takes it up. Until then such a call got no answer, with a line of the library. Ruled out: ending is needed there; what is only read leaves nothing half done. Change: a call that changes nothing durable and fails is refused as internal, and logged with its trace, as commands that cannot be applied are. Conclusion: errors end a replica only where a step of consensus was cut.

--- a/features/shell/replicafaults.feature
+++ b/features/shell/replicafaults.feature
@@ -18,3 +18,10 @@
     Then the first is refused as internal and the second is applied
     And all replicas run and log the command that was skipped once each
     And so they do when all have started again
+
+  # Guards against a call that ends one leader after another.
+  Scenario: A call that cannot be answered is refused, and the leader runs on
+    Given a leader that fails to answer one kind of call
+    When it is called so, and for a change after it
+    Then the first is refused as internal and the second is applied
+    And the leader logs "call not answered" with the fault
--- a/features/steps/replicafaults_steps.py
+++ b/features/steps/replicafaults_steps.py
@@ -12,7 +12,9 @@
 import logbook
 
 from _coltsfootroad.control import configstore
+from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
+from _coltsfootroad.control import reads
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import controlserver
 from _coltsfootroad.shell import quorumlog
@@ -119,3 +121,40 @@
     context.records = handler.records
     logged_once(context)
     assert not site.faults()
+
+
+@given("a leader that fails to answer one kind of call")
+def fails_to_answer(context):
+    context.site = replacements.Site(random.Random(8))
+    context.site.begin()
+
+    def fail(*_):
+        raise ZeroDivisionError
+
+    patched = mock.patch.dict(reads.ANSWERS, {messages.ReadRoutes: fail})
+    patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@when("it is called so, and for a change after it")
+def called_so(context):
+    site = context.site
+    leader = site.leader()
+    context.answers = []
+    context.logs = {}
+    with logbook.TestHandler() as handler:
+        now = site.clock(leader)
+        call = leader.node.call
+        site.guard(
+            leader, call, messages.ReadRoutes(), now, context.answers.append
+        )
+        site.call_leader(context.answers)
+        log_for(context, 1.0)
+    context.records = handler.records
+    assert site.leader() is leader
+
+
+@then('the leader logs "{what}" with the fault')
+def leader_logs(context, what):
+    (record,) = [r for r in context.records if r.message == what]
+    assert "ZeroDivisionError" in record.kwargs["fault"], record.kwargs
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -33,8 +33,8 @@
 SNAPSHOT_BYTES = 8 * 1024 * 1024
 FULL_DISK_RETRY_S = 1.0
 MAX_WAITING = 10_000
-# Skipped commands that are kept until they are logged.
-MAX_SKIPPED = 100
+# Faults that are kept until they are logged.
+MAX_FAULTS = 100
 Reply = Callable[[object], None]
 Send = Callable[[str, peers.PeerMessage], None]
 
@@ -52,11 +52,17 @@
 
 
 @attrs.frozen
-class SkippedCommand:
-    """A command that could not be applied: its entry, kind and the fault."""
+class RefusedByFault:
+    """A command that could not be applied, or a call without an answer.
 
-    index: int
-    command: str
+    Attributes:
+        index: The command's entry, None for a call.
+        kind: Name of the message.
+        fault: The trace of the error.
+    """
+
+    index: int | None
+    kind: str
     fault: str
 
 
@@ -97,9 +103,8 @@
     syncs: int = 0
     in_process: bool = False
     log_bytes: int = 0
-    # Commands that could not be applied, for the log.
-    skipped: collections.deque[SkippedCommand] = attrs.field(
-        factory=lambda: collections.deque(maxlen=MAX_SKIPPED)
+    faults: collections.deque[RefusedByFault] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_FAULTS)
     )
     watch: voterwatch.VoterWatch = attrs.field(init=False)
     # Why this replica, as leader, changed the set last; for the log.
@@ -258,15 +263,32 @@
         except errors.BrokenInvariantError:
             raise
         except Exception:  # noqa: BLE001
-            name = type(command).__name__
-            fault = traceback.format_exc()
-            self.skipped.append(SkippedCommand(entry.index, name, fault))
-            return outcomes.Refused(
-                failure=errors.Failure(
-                    errors.ErrorCode.INTERNAL,
-                    f"{name} cannot be applied; the replicas' logs say why",
-                )
+            return self.refuse_by_fault(command, entry.index)
+
+    def answer_read(self, message: object, now: float) -> object:
+        """Answer a call that changes nothing durable; refuse it on a fault.
+
+        Otherwise a caller would end each replica that leads in turn.
+        """
+        try:
+            return reads.answer(self, message, now)
+        except errors.BrokenInvariantError:
+            raise
+        except Exception:  # noqa: BLE001
+            return self.refuse_by_fault(message, None)
+
+    def refuse_by_fault(
+        self, message: object, index: int | None
+    ) -> outcomes.Refused:
+        """Keep the present error for the log, and refuse as internal."""
+        name = type(message).__name__
+        self.faults.append(RefusedByFault(index, name, traceback.format_exc()))
+        return outcomes.Refused(
+            failure=errors.Failure(
+                errors.ErrorCode.INTERNAL,
+                f"{name} failed; the log of the replica says why",
             )
+        )
 
     def maybe_snapshot(self, now: float) -> None:
         """Save a snapshot when the log has grown long."""
@@ -349,7 +371,7 @@
         elif isinstance(message, crashreports.ReportCrashes):
             self.take_crashes(message, reply, now)
         else:
-            reply(reads.answer(self, message, now))
+            reply(self.answer_read(message, now))
 
     def take_crashes(
         self, report: crashreports.ReportCrashes, reply: Reply, now: float
--- a/src/_coltsfootroad/shell/quorumlog.py
+++ b/src/_coltsfootroad/shell/quorumlog.py
@@ -40,7 +40,7 @@
             self.is_lost = view.is_lost
             self.log_quorum(view)
         self.note_tolerance(view, now)
-        self.note_skipped()
+        self.note_faults()
 
     def note_role(self, now: float) -> None:
         """Log an election won or lost, and a campaign without a result."""
@@ -109,15 +109,16 @@
         self.tolerated = tolerated
         self.tolerance_logged_at = now
 
-    def note_skipped(self) -> None:
-        """Log commands that could not be applied."""
-        while self.node.skipped:
-            skipped = self.node.skipped.popleft()
+    def note_faults(self) -> None:
+        """Log commands that were not applied, and calls without an answer."""
+        while self.node.faults:
+            found = self.node.faults.popleft()
+            is_call = found.index is None
             LOG.error(
-                "command not applied",
-                index=skipped.index,
-                command=skipped.command,
-                fault=skipped.fault,
+                "call not answered" if is_call else "command not applied",
+                index=found.index,
+                kind=found.kind,
+                fault=found.fault,
             )
 
     def log_set(
