control: let a replica ask for its vote whoever writes to it

Cause: a replica that is wiped after all VMs of its seeds were replaced knows nobody. Until the repair of logs was changed it came to know the set by accident: a new leader that had never heard of it sent its whole log to the earlier identity at the same address, and the new process stored it. Since entries go only to logs that are known to match, nothing of the set reached it, and the set stayed at two of three. Ruled out: the error that ends replicas; none is in these logs. Change: a replica asks the addresses of those that write to it as well.

--- a/features/control/timers.feature
+++ b/features/control/timers.feature
@@ -11,6 +11,12 @@
       | a call                    |
       | the end of a turn         |
 
+  # Guards against a wiped replica that never finds the leader.
+  Scenario: A replica whose seeds are all gone asks whoever writes to it
+    Given a replica whose seeds are all gone
+    When another one at "127.0.0.1:7" writes to it
+    Then it asks at "127.0.0.1:7" for its vote
+
   Scenario: All replicas are killed and started, and one leads from then on
     Given 3 replicas in processes of their own
     When all are killed and started 4 times
--- a/features/steps/timers_steps.py
+++ b/features/steps/timers_steps.py
@@ -62,6 +62,51 @@
     context.due_s = seconds
 
 
+@given("a replica whose seeds are all gone")
+def seeds_gone(context):
+    context.seeds = ("127.0.0.1:5", "127.0.0.1:6")
+
+
+@when('another one at "{address}" writes to it')
+def writes_to_it(context, address):
+    async def story():
+        folder = disk.DataFolder(context.folder / "data")
+        folder.open()
+        settings = settings_lib.ControlSettings(
+            replica="r",
+            listen="127.0.0.1:1",
+            admin_listen="127.0.0.1:1",
+            admin_token="soak-token",
+            data_folder=str(context.folder / "data"),
+            seeds=context.seeds,
+        )
+        server = controlserver.ControlServer(
+            settings, folder, metrics.Metrics.start("test")
+        )
+        append = peers.Append(
+            term=3,
+            sender="x#d",
+            prev_index=40,
+            prev_term=3,
+            entries=(),
+            commit=40,
+            sent_at=1.0,
+        )
+        server.on_peer("x#d", address, wirecalls.PEERS.encode(append))
+        context.asked = list(server.link.addresses)
+        for link in server.peer_links.values():
+            await link.close()
+        server.timer.cancel()
+        folder.close()
+
+    asyncio.run(story())
+
+
+@then('it asks at "{address}" for its vote')
+def asks_at(context, address):
+    assert address in context.asked, context.asked
+
+
 @when("{what} brings it forward to {seconds:g} s")
 def brought_forward(context, what, seconds):
     async def story():
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -308,7 +308,11 @@
 
     def on_peer(self, sender: str, address: str, data: bytes) -> None:
         """Take a message of another replica."""
-        self.learned_addresses[sender] = address
+        if self.learned_addresses.get(sender) != address:
+            self.learned_addresses[sender] = address
+            # With an empty disk and seeds that are all gone, this is how a
+            # replica finds the leader, which still writes to its address.
+            self.link.learn((address,) if address else ())
         if address in self.peer_links:
             self.peer_links[address].note_heard()
         decoded = wirecalls.PEERS.decode(data)
