proof: let the learner respond before the history swaps it in

The history that catches it promoted a learner that had never responded, which a leader no longer does; so the swap was refused and the history said nothing. Ruled out: a change of the swap itself. Change: the history waits until the learner has stored an entry, and cuts the network before the next heartbeat promotes it; the check is as before.

--- a/features/support/histories.py
+++ b/features/support/histories.py
@@ -487,17 +487,29 @@
     assert machine.voters()[lost] == known, "it votes without the log"
 
 
+def wait_for_entries(cluster, leader: str, name: str) -> None:
+    """Let time pass until a replica has stored an entry of the leader."""
+    identity = cluster.identity(cluster.replicas[name]).identity
+    progress = cluster.replicas[leader].node.raft.progress[identity]
+    end = cluster.now + 0.5
+    while not progress.match and cluster.now < end:
+        cluster.run_until(cluster.now + 0.002)
+    assert progress.match, progress
+
+
 @history(CONTROL)
 def swap_of_a_voter_cannot_split_the_system(machine):
     cluster = machine.cluster
     leader = cluster.leader().name
     out, stays = others_known(machine, leader)
     cluster.add("d")
-    # Left to itself the leader gives it a vote as soon as it answers.
+    # Left to itself the leader gives it a vote at the next heartbeat after it
+    # has stored an entry.
     cluster.cuts |= {("d", leader), (leader, "d")}
     machine.change(messages.ReplicaAction.LEARN, "d")
     pause(machine, 1.0)
     cluster.cuts.clear()
+    wait_for_entries(cluster, leader, "d")
     for one in (leader, "d"):
         for other in (out, stays):
             cluster.cuts |= {(one, other), (other, one)}
