soak: lose replicas only once those lost before are replaced

Cause: three soaks of replaced replicas "could not read the configuration at the end". The plan's fixed 4 s between a replacement and the next loss stand for "its successor votes", which holds only where a process starts in less. The case is allowed, so the check is narrowed. Ruled out: a wiped replica without a way to the others (each exchanges messages until the end); a stuck election (r1-4 and r3 ask each other and lack a third). Change: a loss waits until the leader has exactly the present disks as voters, none silent or lagging; the next faults move with it. As strict: replicas that do not vote within 10 s of their start break a promise, which no soak checked before. The dump of a replica shows the view of its voters, which the soak reads. Conclusion: the fault was the soak's. The two other soaks failed with the same words; their logs were not kept.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -62,6 +62,19 @@
       | reads its settings        | 1      | runs             |
       | ends by itself             | 1      | does not run     |
 
+  # Guards against a soak that takes more replicas at once than may be lost.
+  Scenario Outline: Replicas that are replaced <after> s later put off the next loss
+    Given a soak whose replicas are replaced <after> s after they were lost
+    When it loses replicas 0.1 s after others, and waits for 0.6 s at most
+    Then the later ones are lost <at> s after the others, within 0.2 s
+    And it reports <reported>
+
+    Examples:
+      | after | at  | reported                                          |
+      | 0.0   | 0.1 | nothing                                           |
+      | 0.4   | 0.4 | nothing                                           |
+      | 60.0  | 0.7 | lost replicas were not replaced within 0.6 s      |
+
   Scenario: A fleet that does not start is reported with its programs' last words
     Given a soak in which two replicas get the same port
     When it has had 3 s for its first version
--- a/features/soak/audit.py
+++ b/features/soak/audit.py
@@ -70,6 +70,8 @@
     disturbed: list[Span] = attrs.Factory(list)
     exits: list[tuple[str, int | None, float]] = attrs.Factory(list)
     read_back: tuple[int, bytes] | None = None
+    # What lost replicas were waited for in vain to do.
+    unrepaired: list[str] = attrs.Factory(list)
     final_versions: dict[int, int] = attrs.Factory(dict)
     # When poison requests began to run, by body.
     poisoned: dict[bytes, list[float]] = attrs.Factory(
@@ -95,7 +97,7 @@
     faults += check_versions(book)
     faults += check_exits(book)
     faults += check_poisons(book)
-    return faults
+    return faults + book.unrepaired
 
 
 def check_poisons(book: Book) -> list[str]:
--- a/features/soak/driver.py
+++ b/features/soak/driver.py
@@ -1,6 +1,7 @@
 """Carries out the faults of a plan against a running fleet."""
 
 import asyncio
+from collections.abc import Callable
 import json
 import random
 import signal
@@ -29,6 +30,12 @@
 CONTROL_AFTER_S = 4.0
 GATEWAY_AFTER_S = 2.0
 DOWN_S = 0.3
+# Replicas that were replaced or lost their disk vote within this time of their
+# start; the next loss waits for them.
+REPAIR_S = 10.0
+REPAIR_POLL_S = 0.3
+# How soon processes start depends on the machine.
+REPLICAS_START_S = 30.0
 # A process is up within this time, on a loaded machine as well.
 START_S = 3.0
 
@@ -44,13 +51,20 @@
     rng: random.Random
     idle_routes: int = 0
     version: int = 0
+    # Time by which faults come later than planned.
+    delay_s: float = 0.0
     keys: list[str] = attrs.Factory(callers.key_names)
 
     async def carry_out(self, faults: list[plan.Fault], began: float) -> None:
         """Begin each fault at its time; they end on their own."""
         under_way = []
+        losses = []
         for fault in faults:
-            await asyncio.sleep(max(0.0, began + fault.at - time.monotonic()))
+            due_at = began + self.delay_s + fault.at
+            await asyncio.sleep(max(0.0, due_at - time.monotonic()))
+            if plan.is_loss_after(fault, losses):
+                await self.wait_for_repair()
+            losses += [fault] if fault.kind in plan.LOSSES else []
             print(
                 f"{fault.at:6.2f} {fault.kind.value} {fault.target}"
                 f" {fault.way} for {fault.for_s:.1f} s",
@@ -61,6 +75,23 @@
             under_way.append(asyncio.ensure_future(act))
         await asyncio.gather(*under_way)
 
+    async def wait_for_repair(self) -> None:
+        """Put off a loss until the replicas lost before it are replaced.
+
+        More losses at once than are promised to be survived prove nothing.
+        """
+        began = time.monotonic()
+        fleet = self.fleet
+        if not await holds_within(fleet.has_started, REPLICAS_START_S):
+            self.book.unrepaired.append(
+                f"replicas did not start within {REPLICAS_START_S:g} s"
+            )
+        elif not await holds_within(fleet.tolerates_losses, REPAIR_S):
+            self.book.unrepaired.append(
+                f"lost replicas were not replaced within {REPAIR_S:g} s"
+            )
+        self.delay_s += time.monotonic() - began
+
     def disturb(self, gateway: int, fault: plan.Fault, after_s: float) -> None:
         """Note that a gateway is disturbed by a fault that begins now."""
         now = time.monotonic()
@@ -313,3 +344,13 @@
         """Start a process that has ended, unless another fault has."""
         if not program.is_running:
             program.start()
+
+
+async def holds_within(condition: Callable[[], bool], most_s: float) -> bool:
+    """Wait for a condition, which may block; return whether it holds."""
+    end = time.monotonic() + most_s
+    while not await asyncio.to_thread(condition):
+        if time.monotonic() > end:
+            return False
+        await asyncio.sleep(REPAIR_POLL_S)
+    return True
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -1,6 +1,7 @@
 """Starts, signals and ends the real programs of a soak."""
 
 import asyncio
+import http.client
 import json
 import pathlib
 import shutil
@@ -8,6 +9,7 @@
 import subprocess
 import sys
 import time
+import urllib.request
 
 import attrs
 
@@ -18,6 +20,7 @@
 TOKEN = "soak-token"
 HOST = ports_lib.own_host()
 STOP_WAIT_S = 12.0
+DUMP_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -196,6 +199,42 @@
         settings = json.loads(path.read_text())
         path.write_text(json.dumps(settings | {"first_start": False}))
 
+    def settings(self, place: int) -> dict:
+        """Return the settings of a replica."""
+        return json.loads((self.folder / f"replica-{place}.json").read_text())
+
+    def identity(self, place: int) -> str:
+        """Return the identity of a replica's present disk, empty for none."""
+        try:
+            text = (self.data(place) / "identity.json").read_text()
+            disk = json.loads(text)["disk"]
+        except (OSError, ValueError):
+            return ""
+        return f"{self.settings(place)['replica']}#{disk}"
+
+    def dump(self, place: int) -> dict | None:
+        """Return the state of a replica, None where it does not answer."""
+        request = urllib.request.Request(
+            f"http://{self.settings(place)['admin_listen']}/admin/dump",
+            headers={"Authorization": f"Bearer {TOKEN}"},
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=DUMP_S) as answer:
+                return json.load(answer)
+        except (OSError, http.client.HTTPException):
+            return None
+
+    def has_started(self) -> bool:
+        """Return whether all present replicas answer."""
+        return all(self.dump(place) for place in range(len(self.replicas)))
+
+    def tolerates_losses(self) -> bool:
+        """Return whether a leader finds all present replicas to vote."""
+        places = range(len(self.replicas))
+        identities = {self.identity(place) for place in places}
+        states = filter(None, map(self.dump, places))
+        return any(is_whole(state, identities) for state in states)
+
     def wipe(self, place: int) -> None:
         """Take the disk of a replica that has ended."""
         shutil.rmtree(self.data(place), ignore_errors=True)
@@ -208,3 +247,19 @@
                 program.kill()
         for proxy in self.proxies + self.left_proxies:
             await proxy.close()
+
+
+def is_whole(state: dict, identities: set[str]) -> bool:
+    """Return whether a replica leads and has these as its voters, all well."""
+    voters = state["replica_set"]["voters"]
+    quorum = state["quorum"]
+    is_reduced = (
+        state["replica_set"]["old_voters"]
+        or quorum["silent"]
+        or quorum["lagging"]
+    )
+    return (
+        state["info"]["role"] == "leader"
+        and {f"{v['name']}#{v['disk']}" for v in voters} == identities
+        and not is_reduced
+    )
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -61,6 +61,8 @@
     Kind.WALL_CLOCK,
     Kind.REPLICA_LINK,
 )
+# Replicas that are lost for good.
+LOSSES = (Kind.WIPE_REPLICA, Kind.REPLACE_REPLICA)
 # Drawn with the others; a VM is replaced only in `draw_replacements`.
 DRAWN_KINDS = tuple(kind for kind in Kind if kind is not Kind.REPLACE_REPLICA)
 ENDPOINT_KINDS = (
@@ -207,6 +209,12 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def is_loss_after(fault: Fault, losses: list[Fault]) -> bool:
+    """Return whether a fault takes replicas after others were lost."""
+    is_later = bool(losses) and fault.at > losses[-1].at
+    return fault.kind in LOSSES and is_later
+
+
 def without_double_losses(faults: list[Fault]) -> list[Fault]:
     """Drop lost disks that meet another fault of the replicas."""
     replica = [f for f in faults if f.kind in REPLICA_KINDS]
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -65,7 +65,8 @@
         threads = start_callers(book, fleet, stopping, size, seed)
         began = time.monotonic()
         await driver.carry_out(faults_of(seed, size), began)
-        await asyncio.sleep(max(0.0, began + size.end_s - time.monotonic()))
+        end = began + driver.delay_s + size.end_s
+        await asyncio.sleep(max(0.0, end - time.monotonic()))
         stopping.set()
         await asyncio.to_thread(join, threads)
         await look_back(book, fleet, link)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import sys
+import time
 from unittest import mock
 
 import attrs
@@ -151,6 +152,58 @@
         )
 
 
+@given("a soak whose replicas are replaced {after:g} s after they were lost")
+def replaced_later(context, after):
+    context.lost_at = []
+
+    class Losses(driver_lib.Driver):
+        """Notes when replicas are lost, and loses none."""
+
+        async def do_wipe_replica(self, fault):
+            context.lost_at.append(time.monotonic())
+
+    fleet = mock.Mock()
+    fleet.has_started.return_value = True
+    fleet.tolerates_losses = lambda: (
+        time.monotonic() >= context.lost_at[0] + after
+    )
+    book = audit.Book()
+    context.driver = Losses(fleet, [], book, None, random.Random(1))
+
+
+@when(
+    "it loses replicas {gap:g} s after others, and waits for {most:g} s at most"
+)
+def loses_twice(context, gap, most):
+    kind = plan.Kind.WIPE_REPLICA
+    faults = [
+        plan.Fault(at=at, kind=kind, target=target)
+        for at, target in ((0.0, 0), (0.0, 1), (gap, 2), (gap, 3))
+    ]
+    with mock.patch.object(driver_lib, "REPAIR_S", most):
+        began = time.monotonic()
+        asyncio.run(context.driver.carry_out(faults, began))
+
+
+@then("the later ones are lost {at:g} s after the others, within {slack:g} s")
+def lost_later(context, at, slack):
+    first, second, third, fourth = (
+        lost - context.lost_at[0] for lost in context.lost_at
+    )
+    assert second < slack, second
+    assert at - 0.01 <= third <= fourth <= at + slack, context.lost_at
+
+
+@then("it reports {reported}")
+def reports(context, reported):
+    faults = [
+        fault
+        for fault in audit.check(context.driver.book)
+        if "replicas" in fault
+    ]
+    assert faults == ([] if reported == "nothing" else [reported]), faults
+
+
 @then("seeds 0 to {most:d} draw the same faults twice")
 def same_faults(context, most):
     context.draws = [plan.draw(seed, plan.Size()) for seed in range(most)]
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -363,6 +363,7 @@
                 "settings": self.settings,
                 "info": self.node.info(),
                 "replica_set": raft.replica_set,
+                "quorum": self.node.watch.view(self.clock()),
                 "progress": raft.progress,
                 "log_entries": len(raft.log.entries),
                 "snapshot_index": raft.log.snapshot.index,
