quarantine: wait for all reports of a crash, and for what contests a suspect

A new emulated load shows it (3 gateways, 6 engines, three popular and three poison requests). Traced at each conviction: the newest crash was known from one gateway only, the popular request's own; the poison's gateway reported it 0.01 to 0.1 s later. So the popular request had no rival there. Change: until 0.05 s after its first report a crash may have other suspects, of those that have crashed others, and convicted ones; a suspect with others in flight at nearly all of its crashes is contested, and needs seven that no conviction explains or eight in all; if none of the others is repeated only until 0.3 s after the newest crash. The leader looks again when these times are over (`Node.convict_late`). Storms that leave no endpoint alive are not solved; isolating suspects is what is left to try.

--- a/features/core/crashledger.feature
+++ b/features/core/crashledger.feature
@@ -27,6 +27,45 @@
       | a popular stream that wrote once meets five crashes | nothing   |
       | an old report comes after the request was answered  | nothing   |
       | three crashes are spread over more than the window  | nothing   |
+      | three poison requests take turns under a popular one | nothing  |
+
+  # Guards against a report that another observer of the crash never sends.
+  Scenario: One crash of many without another suspect convicts no popular request
+    When 8 endpoints crash under three poison requests in turn and a popular stream
+    And one more under the popular request, which an observer has missed
+    Then convicted are: nothing
+
+  # Guards against a popular request that is in flight at crashes of requests
+  # that are convicted one after the other.
+  Scenario: Seven crashes of which poison explains some convict no popular request
+    When 7 endpoints crash under three poison requests in turn and a popular request
+    And the first of the poison requests is convicted
+    Then convicted are: nothing
+
+  # Guards against a popular request whose crash another observer explains.
+  Scenario Outline: A crash that only <first> have reported
+    When two endpoints crash under poison and a popular request
+    And a third one does, reported by <first>, then <gap> s later by <then>
+    Then convicted are: <convicted>
+
+    Examples:
+      | first        | gap  | then         | convicted |
+      | popular      | 0.01 | poison       | nothing   |
+      | poison       | 0.01 | popular      | nothing   |
+      | poison       | 0.01 | nobody       | nothing   |
+      | popular      | 0.2  | nobody       | popular   |
+      | poison       | 0.2  | nobody       | poison    |
+
+  # Guards against crashes that copies of a convicted request cause.
+  Scenario Outline: A crash that was first reported <gap> s ago, after a conviction
+    When poison is convicted and a popular request is in flight at four of its crashes
+    And another endpoint crashes under the popular request, reported <gap> s ago
+    Then convicted are: <convicted>
+
+    Examples:
+      | gap  | convicted      |
+      | 0.01 | poison         |
+      | 0.2  | poison popular |
 
   Scenario: Crashes that poison explains convict no bystander of them
     When poison is convicted and a bystander was in flight at two of its crashes
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -31,6 +31,22 @@
       | 1       | 0.2   | a relay that is cut off         | 4    |
       | 1       | 0.2   | a new leader without a copy     | 4    |
 
+  # Guards against popular requests in flight at each crash of some poison
+  # requests that take turns, at few engines.
+  Scenario Outline: <poisons> poison requests each <every> s and <popular> popular ones, seed <seed>
+    Given 3 gateways before 6 engines, which start again within 1 s, seed <seed>
+    When <poisons> poison requests come each <every> s beside <popular> popular ones
+    Then no proper request is in quarantine
+    And <share> in 100 proper requests are answered
+
+    Examples:
+      | poisons | every | popular | seed | share |
+      | 1       | 0.05  | 2       | 0    | 80    |
+      | 1       | 0.05  | 2       | 2    | 80    |
+      | 3       | 0.2   | 3       | 0    | 80    |
+      | 3       | 0.2   | 3       | 1    | 80    |
+      | 3       | 0.2   | 3       | 4    | 80    |
+
   # Guards against a quarantine that proper requests enter.
   Scenario Outline: Proper requests are never in quarantine beside <trouble>
     Given 9 gateways before 16 engines
--- a/features/steps/crashledger_steps.py
+++ b/features/steps/crashledger_steps.py
@@ -56,6 +56,64 @@
     context.convicted += ledgerpatterns.convicted_by(context.ledger, "poison")
 
 
+@when(
+    "{count:d} endpoints crash under three poison requests in turn and a"
+    " popular {kind}"
+)
+def crash_in_turn(context, count, kind):
+    reports = ledgerpatterns.taking_turns_under_popular(count)
+    if kind == "stream":
+        reports = ledgerpatterns.writing(reports, "popular")
+    context.ledger = ledgerpatterns.ledger_of(reports)
+    context.convicted = []
+
+
+@when("one more under the popular request, which an observer has missed")
+def missed(context):
+    (report,) = ledgerpatterns.in_a_row(1, "popular", first=8)
+    context.ledger.record(report, report.at)
+    context.convicted = ledgerpatterns.convicted_by(context.ledger)
+
+
+@when("the first of the poison requests is convicted")
+def first_convicted(context):
+    context.convicted = ledgerpatterns.convicted_by(context.ledger, "poison0")
+
+
+@when("two endpoints crash under poison and a popular request")
+def two_crashes(context):
+    reports = ledgerpatterns.in_a_row(2, "poison", "popular")
+    context.ledger = ledgerpatterns.ledger_of(reports)
+    context.convicted = []
+
+
+@when(
+    "a third one does, reported by {first}, then {gap:g} s later by {then_by}"
+)
+def third_crash(context, first, gap, then_by):
+    at = 2 * ledgerpatterns.STEP_S
+    for name, now in ((first, at), (then_by, at + gap)):
+        if name != "nobody":
+            sent = {name: at - ledgerpatterns.RUN_S}
+            context.ledger.record(ledgerpatterns.crash(2, at, **sent), now)
+        context.convicted += ledgerpatterns.convicted_by(
+            context.ledger, now=now
+        )
+
+
+@when(
+    "another endpoint crashes under the popular request, reported {gap:g} s ago"
+)
+def another_lately(context, gap):
+    at = 5 * ledgerpatterns.STEP_S
+    context.ledger.record(
+        ledgerpatterns.crash(9, at, popular=at - ledgerpatterns.RUN_S), at
+    )
+    context.convicted += ledgerpatterns.convicted_by(
+        context.ledger, "poison", now=at + gap
+    )
+
+
 @when(
     "poison is convicted and a popular request is in flight at five more of"
     " its crashes"
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -25,6 +25,29 @@
     context.add_cleanup(manager.__exit__, None, None, None)
 
 
+@given(
+    "{gateways:d} gateways before {engines:d} engines, which start again within"
+    " {restart:g} s, seed {seed:d}"
+)
+def given_quick_fleet(context, gateways, engines, restart, seed):
+    patched = mock.patch.object(crashworld, "RESTART_S", restart)
+    patched.start()
+    context.add_cleanup(patched.stop)
+    manager = crashworld.fleet(gateways, engines, seed)
+    context.world, context.go = manager.__enter__()
+    context.add_cleanup(manager.__exit__, None, None, None)
+
+
+@when(
+    "{poisons:d} poison requests come each {every:g} s beside {popular:d}"
+    " popular ones"
+)
+def poisons_beside_popular(context, poisons, every, popular):
+    crashhistories.play_beside_popular(
+        context.world, context.go, poisons, every, popular
+    )
+
+
 @when(
     "a poison request comes each {every:g} s for {seconds:g} s, beside"
     " proper ones"
--- a/features/support/crashhistories.py
+++ b/features/support/crashhistories.py
@@ -24,6 +24,7 @@
 PROPER_EVERY_S = 0.015
 POPULAR = b"popular"
 POPULAR_EVERY_S = 0.05
+RARE_EVERY_S = 0.1
 PLAY_S = 12.0
 TROUBLE_AT_S = 2.0
 RACK = 5
@@ -163,6 +164,28 @@
     go(story())
 
 
+def play_beside_popular(
+    world, go, poisons: int, every_s: float, popular_count: int
+) -> None:
+    """Let poison requests come beside popular ones and few others."""
+
+    async def repeat(body):
+        while True:
+            world.spawn(world.send_proper(body))
+            await asyncio.sleep(POPULAR_EVERY_S * world.rng.uniform(0.5, 1.5))
+
+    async def story():
+        for number in range(popular_count):
+            world.spawn(repeat(b"%s %d" % (POPULAR, number)))
+        world.spawn(world.load(RARE_EVERY_S))
+        for number in range(poisons):
+            body = b"%s %d" % (crashworld.POISON, number)
+            world.spawn(world.repeat_poison(body, every_s))
+        await world.run(PLAY_S)
+
+    go(story())
+
+
 # --- what must hold ------------------------------------------------------------
 
 
@@ -323,9 +346,9 @@
     RIGHT_RECORD(self, attrs.evolve(crash, endpoint=key), now)
 
 
-def convicts_everybody(self, fingerprint, convicted):
+def convicts_everybody(self, fingerprint, convicted, now):
     """Convict whoever was in flight at some crashes."""
-    del convicted
+    del convicted, now
     return len(self.suspected[fingerprint]) >= crashledger.CRASHES_TO_CONVICT
 
 
--- a/features/support/ledgerpatterns.py
+++ b/features/support/ledgerpatterns.py
@@ -8,6 +8,8 @@
 
 STEP_S = 0.2
 RUN_S = 0.1
+# When all observers have reported.
+END_S = 10_000.0
 
 
 def print_of(name: str, workspace: str = "acme") -> fingerprints.Fingerprint:
@@ -48,6 +50,17 @@
     return in_a_row(3, "poison") + in_a_row(3, "also", first=3)
 
 
+def taking_turns_under_popular(count: int) -> list[crashes.Crash]:
+    """Return crashes of three poison requests, with a popular one each."""
+    return [
+        report
+        for number in range(count)
+        for report in in_a_row(
+            1, f"poison{number % 3}", "popular", first=number
+        )
+    ]
+
+
 def followed() -> list[crashes.Crash]:
     """Return crashes of poison, three of them with a bystander."""
     return in_a_row(3, "poison", "bystander") + in_a_row(2, "poison", first=3)
@@ -101,6 +114,9 @@
     "a bystander follows poison to three endpoints": in_a_row(
         3, "poison", "bystander"
     ),
+    "three poison requests take turns under a popular one": (
+        taking_turns_under_popular(5)
+    ),
     "three crashes are spread over more than the window": [
         crash(n, n * crashledger.WINDOW_S, poison=n * crashledger.WINDOW_S - 1)
         for n in range(1, 4)
@@ -116,7 +132,9 @@
     return ledger
 
 
-def convicted_by(ledger, *known: str) -> list[fingerprints.Fingerprint]:
+def convicted_by(
+    ledger, *known: str, now: float = END_S
+) -> list[fingerprints.Fingerprint]:
     """Return who is convicted beside those that are already."""
-    verdicts = ledger.convict([print_of(name) for name in known])
+    verdicts = ledger.convict([print_of(name) for name in known], now)
     return [verdict.fingerprint for verdict in verdicts]
--- a/features/support/relayworld.py
+++ b/features/support/relayworld.py
@@ -408,6 +408,8 @@
             for process in self.processes.values():
                 process.note_deposed()
                 if process.hub is not None:
+                    for command in process.hub.convict_late(self.now):
+                        self.apply(command)
                     mark = process.hub.last_mark
                     process.hub.expire(self.now)
                     if process.hub.last_mark != mark:
--- a/src/_coltsfootroad/control/hub.py
+++ b/src/_coltsfootroad/control/hub.py
@@ -98,6 +98,8 @@
     shares: shares_lib.ShareTable = attrs.field(init=False)
     groups: groups_lib.GroupLedger = attrs.Factory(groups_lib.GroupLedger)
     crashes: crashledger.CrashLedger = attrs.Factory(crashledger.CrashLedger)
+    # When the crashes were looked at last for convictions.
+    convicted_at: float = float("-inf")
     quarantine_revision: int = -1
 
     @heard_since.default
@@ -332,8 +334,18 @@
             self.crashes.note_stopped(crashreports.with_times(aged, now))
         for aged in report.crashes:
             self.crashes.record(crashreports.with_times(aged, now), now)
-        table = self.state.quarantine
         self.publish_suspects()
+        return self.convict(now)
+
+    def convict_late(self, now: float) -> list[crashreports.Quarantine]:
+        """Return what to replicate once a crash proves more than before."""
+        if not self.crashes.is_due_again(self.convicted_at, now):
+            return []
+        return self.convict(now)
+
+    def convict(self, now: float) -> list[crashreports.Quarantine]:
+        """Return the requests that the crashes so far convict."""
+        self.convicted_at = now
         return [
             crashreports.Quarantine(
                 fingerprint=verdict.fingerprint,
@@ -341,7 +353,9 @@
                 crashes=len(verdict.endpoints),
                 endpoints=tuple(key.endpoint for key in verdict.endpoints),
             )
-            for verdict in self.crashes.convict(table.entries)
+            for verdict in self.crashes.convict(
+                self.state.quarantine.entries, now
+            )
         ]
 
     def publish_suspects(self) -> None:
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -163,6 +163,7 @@
         if not self.is_blocked:
             self.raft.tick(now)
             self.tend_replicas(now)
+            self.convict_late(now)
         self.process(now)
 
     def next_wake(self) -> float:
@@ -385,6 +386,13 @@
             self.propose(command, now, ignore_reply)
         reply(outcomes.Done())
 
+    def convict_late(self, now: float) -> None:
+        """Replicate what crashes prove some time after their reports."""
+        if self.hub is None or not self.raft.has_lease(now):
+            return
+        for command in self.hub.convict_late(now):
+            self.propose(command, now, ignore_reply)
+
     def propose(self, command: object, now: float, reply: Reply) -> None:
         """Replicate a command; the reply comes once it is applied."""
         if not self.membership.is_complete(self.raft.replica_set):
--- a/src/_coltsfootroad/core/crashledger.py
+++ b/src/_coltsfootroad/core/crashledger.py
@@ -9,9 +9,18 @@
 
 # Endpoints that a request has to crash, one after the other, to be convicted.
 CRASHES_TO_CONVICT = 3
-# The same where other suspects or convicted requests were in flight as well. A
-# client's attempts and our retries of them take a bystander to fewer endpoints.
+# The same where convicted requests were in flight at some of them. A client's
+# attempts and our retries of them take a bystander to fewer endpoints.
 CRASHES_WITH_OTHERS = 5
+# The same where other suspects were in flight at each of them. An observer may
+# miss one crash in as many.
+CRASHES_CONTESTED = 7
+# The same whatever else was in flight.
+CRASHES_AT_MOST = 8
+# All observers of a crash have reported it within this time of the first one.
+REPORTS_S = 0.05
+# A request that runs well has been answered this long after the crash.
+ANSWERS_S = 0.3
 # A send this shortly before an earlier crash counts as one after it, as clocks
 # are compared over messages that take some time.
 ORDER_SLACK_S = 0.03
@@ -52,14 +61,20 @@
 
     Attributes:
         at: When the first observer saw it.
+        reported_at: When its first report came.
         suspects: The requests that were in flight, by fingerprint.
     """
 
     at: float
+    reported_at: float = float("-inf")
     suspects: dict[fingerprints.Fingerprint, crashes.Suspect] = attrs.Factory(
         dict
     )
 
+    def is_complete(self, now: float) -> bool:
+        """Return whether all observers have had the time to report it."""
+        return now >= self.reported_at + REPORTS_S
+
 
 @attrs.define
 class CrashLedger:
@@ -69,8 +84,10 @@
     flight: it was sent to each after the one before had crashed, and no request
     with the same content was answered meanwhile. Endpoints that crash together,
     as those of a rack do, count once. Where a convicted request was in flight
-    as well, or another suspect at all of the crashes, more crashes are needed,
-    and none convicts if a convicted request was in flight at every one.
+    as well, or another suspect at each of the crashes, more crashes are needed,
+    and none convicts if a convicted request was in flight at every one. Until
+    all observers have reported a crash, whoever has crashed others may have
+    been in flight.
 
     Attributes:
         known: The crashes, oldest first.
@@ -91,7 +108,9 @@
         self.expire(now)
         if now - crash.at > WINDOW_S:
             return
-        found = self.known.setdefault(crash.endpoint, KnownCrash(crash.at))
+        found = self.known.setdefault(
+            crash.endpoint, KnownCrash(crash.at, reported_at=now)
+        )
         found.at = min(found.at, crash.at)
         for suspect in crash.suspects:
             self.suspect(crash.endpoint, found, suspect)
@@ -180,13 +199,21 @@
 
     # --- attribution -------------------------------------------------------
 
+    def is_due_again(self, earlier: float, now: float) -> bool:
+        """Return whether the newest crash proves more than at a time before."""
+        newest = next(reversed(self.known.values()), None)
+        return newest is not None and any(
+            earlier < newest.reported_at + wait_s <= now
+            for wait_s in (REPORTS_S, ANSWERS_S)
+        )
+
     def convict(
-        self, convicted: Collection[fingerprints.Fingerprint]
+        self, convicted: Collection[fingerprints.Fingerprint], now: float
     ) -> list[Verdict]:
         """Return the suspects to convict beside those that are already."""
         known = set(convicted)
         found = []
-        while (guilty := self.most_guilty(known)) is not None:
+        while (guilty := self.most_guilty(known, now)) is not None:
             known.add(guilty)
             found.append(
                 Verdict(
@@ -197,7 +224,7 @@
         return found
 
     def most_guilty(
-        self, convicted: set[fingerprints.Fingerprint]
+        self, convicted: set[fingerprints.Fingerprint], now: float
     ) -> fingerprints.Fingerprint | None:
         """Return the suspect to convict next, None if there is none."""
         frequent = [
@@ -207,7 +234,7 @@
         ]
         frequent.sort(key=lambda f: len(self.suspected[f]), reverse=True)
         for fingerprint in frequent:
-            if self.is_guilty(fingerprint, convicted):
+            if self.is_guilty(fingerprint, convicted, now):
                 return fingerprint
         return None
 
@@ -215,36 +242,69 @@
         self,
         fingerprint: fingerprints.Fingerprint,
         convicted: set[fingerprints.Fingerprint],
+        now: float,
     ) -> bool:
         """Return whether the evidence against a suspect suffices."""
         held = self.suspected[fingerprint]
-        unexplained = {
-            endpoint
-            for endpoint in held
-            if convicted.isdisjoint(self.known[endpoint].suspects)
-        }
+        unexplained = self.unexplained(held, convicted, now)
         if not unexplained:
             return False
-        if self.chain(fingerprint, held) >= CRASHES_WITH_OTHERS:
+        count = self.chain(fingerprint, unexplained)
+        in_all = self.chain(fingerprint, held)
+        if count >= CRASHES_CONTESTED or in_all >= CRASHES_AT_MOST:
             return True
-        if self.chain(fingerprint, unexplained) < CRASHES_TO_CONVICT:
+        if self.is_contested(fingerprint, unexplained, now):
             return False
-        return not self.has_rival(fingerprint, unexplained)
+        return count >= CRASHES_TO_CONVICT or in_all >= CRASHES_WITH_OTHERS
+
+    def unexplained(
+        self,
+        held: set[crashes.EndpointKey],
+        convicted: set[fingerprints.Fingerprint],
+        now: float,
+    ) -> set[crashes.EndpointKey]:
+        """Return the crashes at which no convicted request was in flight.
+
+        Where one was at others, it may yet be reported for the newest.
+        """
+        found = {
+            endpoint
+            for endpoint in held
+            if convicted.isdisjoint(self.known[endpoint].suspects)
+        }
+        if len(found) == len(held):
+            return found
+        return {e for e in found if self.known[e].is_complete(now)}
 
-    def has_rival(
+    def is_contested(
         self,
         fingerprint: fingerprints.Fingerprint,
         endpoints: set[crashes.EndpointKey],
+        now: float,
     ) -> bool:
-        """Return whether another suspect was in flight at all of the crashes.
+        """Return whether others may have caused nearly all of the crashes.
 
-        A bystander whose retries follow a poison request from endpoint to
-        endpoint looks the same for some crashes.
+        A popular request that nobody answers meanwhile is in flight at all
+        crashes of requests that take turns, and a bystander's retries follow a
+        poison request from endpoint to endpoint.
         """
-        common = set.intersection(
-            *(set(self.known[endpoint].suspects) for endpoint in endpoints)
+        known = [self.known[endpoint] for endpoint in endpoints]
+        is_repeated = any(
+            len(self.suspected[other]) > 1
+            for crash in known
+            for other in crash.suspects
+            if other != fingerprint
         )
-        return bool(common - {fingerprint})
+        alone = [
+            crash
+            for crash in known
+            if len(crash.suspects) == 1
+            and (crash.is_complete(now) or not is_repeated)
+        ]
+        if len(alone) * CRASHES_CONTESTED >= len(known):
+            return False
+        newest_at = max(crash.reported_at for crash in known)
+        return is_repeated or now < newest_at + ANSWERS_S
 
     def chain(
         self,
