tests, docs: one way to build a server in timers_steps; plainer words on voters

Change: `server_of`; docstrings of node, quorum, voterwatch and crashledger. Conclusion: behaviour is unchanged.

--- a/features/steps/timers_steps.py
+++ b/features/steps/timers_steps.py
@@ -62,6 +62,22 @@
     context.due_s = seconds
 
 
+def server_of(folder: disk.DataFolder, **settings):
+    """Return a replica's server that listens nowhere."""
+    return controlserver.ControlServer(
+        settings_lib.ControlSettings(
+            replica="r",
+            listen="127.0.0.1:1",
+            admin_listen="127.0.0.1:1",
+            admin_token="soak-token",
+            data_folder=str(folder.folder),
+            **settings,
+        ),
+        folder,
+        metrics.Metrics.start("test"),
+    )
+
+
 @given("a replica whose seeds are all gone")
 def seeds_gone(context):
     context.seeds = ("127.0.0.1:5", "127.0.0.1:6")
@@ -72,17 +88,7 @@
     async def story():
         folder = disk.DataFolder(context.folder / "data")
         folder.open()
-        settings = settings_lib.ControlSettings(
-            replica="r",
-            listen="127.0.0.1:1",
-            admin_listen="127.0.0.1:1",
-            admin_token="soak-token",
-            data_folder=str(context.folder / "data"),
-            seeds=context.seeds,
-        )
-        server = controlserver.ControlServer(
-            settings, folder, metrics.Metrics.start("test")
-        )
+        server = server_of(folder, seeds=context.seeds)
         append = peers.Append(
             term=3,
             sender="x#d",
@@ -112,16 +118,7 @@
     async def story():
         folder = disk.DataFolder(context.folder / "data")
         folder.open()
-        settings = settings_lib.ControlSettings(
-            replica="r",
-            listen="127.0.0.1:1",
-            admin_listen="127.0.0.1:1",
-            admin_token="soak-token",
-            data_folder=str(context.folder / "data"),
-        )
-        server = controlserver.ControlServer(
-            settings, folder, metrics.Metrics.start("test")
-        )
+        server = server_of(folder)
         stub = StubNode(server.clock() + context.due_s)
         stub.state = server.node.state
         stub.raft = server.node.raft
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -254,7 +254,7 @@
             waiter.reply(unavailable("another leader took over"))
 
     def apply_command(self, command: object, entry: log_lib.Entry) -> object:
-        """Apply a command; one that fails is skipped at every replica alike.
+        """Apply a command; one that fails is skipped by every replica.
 
         Otherwise it would end each replica that applies it, again after each
         start.
--- a/src/_coltsfootroad/control/quorum.py
+++ b/src/_coltsfootroad/control/quorum.py
@@ -11,10 +11,10 @@
 
     Attributes:
         failures_tolerated: Voters that may still fail with a quorum left;
-            negative without one, None on a follower, which hears only its
-            leader.
-        silent: Seconds since each unresponsive voter was heard, by identity;
-            None for one that was never heard.
+            negative without one, None on a follower, to which only its leader
+            sends.
+        silent: Seconds since the last message of each unresponsive voter, by
+            identity; None where there was none.
         lagging: Seconds for which each voter that responds has lacked
             committed entries, by identity; only the leader knows.
     """
--- a/src/_coltsfootroad/control/voterwatch.py
+++ b/src/_coltsfootroad/control/voterwatch.py
@@ -59,7 +59,7 @@
     def is_uncertain(self, now: float) -> bool:
         """Return whether this replica cannot judge who is available.
 
-        A follower hears only its leader, and one that has just started has
+        Only the leader sends to a follower, and one that has just started has
         not had the time to hear others.
         """
         raft = self.raft
--- a/src/_coltsfootroad/core/crashledger.py
+++ b/src/_coltsfootroad/core/crashledger.py
@@ -86,8 +86,8 @@
     as those of a rack do, count once. Where a convicted request was in flight
     as well, or another suspect at each of the crashes, more crashes are needed,
     and none convicts if a convicted request was in flight at every one. Until
-    all observers have reported a crash, whoever has crashed others may have
-    been in flight.
+    all observers have reported a crash, any suspect of several others counts as
+    in flight.
 
     Attributes:
         known: The crashes, oldest first.
