signals: never leave a signal to its default action while a process stops

Cause: wait_for_stop removed the loop's handler, which restores the default action, and ignored the signal one line later; a signal between the two ended the process. Signals that the loop still handled fell back to their default when it closed. A SIGTERM between the opening of the listeners and wait_for_stop ended a process with requests in flight.

Ruled out: blocking the signals meanwhile. It works in a process of one thread (the trial had none beside it), but a signal is delivered to any thread that leaves it unblocked, and libraries start such threads.

Change: handlers are installed before the loop runs and replaced only by ignoring, after it; a wakeup descriptor ends the loop's wait. The dump is written during the drain too. Actions of one signal do not queue up. A second SIGINT ends the process at once, unless it follows within 0.5 s or SIGTERM came.

--- a/features/shell/signals.feature
+++ b/features/shell/signals.feature
@@ -10,12 +10,16 @@
       | gateway |
       | replica |
 
-  Scenario Outline: A <program> bears SIGHUP <moment>
+  Scenario Outline: A <program> bears <number> <moment>
     Given the settings of a <program>
-    When it is started and gets SIGHUP without pause <moment>
+    When it is started and gets <number> without pause <moment>
     Then it is told to stop and ends with exit code 0
 
     Examples:
-      | program | moment                     |
-      | gateway | from its first moments on  |
-      | replica | from its first moments on  |
+      | program    | number  | moment                    |
+      | gateway    | SIGHUP  | from its first moments on |
+      | replica    | SIGHUP  | from its first moments on |
+      | gateway    | SIGUSR1 | from its first moments on |
+      | replica    | SIGUSR1 | from its first moments on |
+      | relay      | SIGUSR1 | from its first moments on |
+      | standalone | SIGHUP  | from its first moments on |
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -12,12 +12,14 @@
 
 from _coltsfootroad.fakes import ports
 from features.support import running
+from features.support import signalmodes
 
 SENDING_S = 2.5
 GAP_S = 0.002
 STOP_S = 15.0
 # Modules of the commands that do not bear a program's name.
 MODULES = {"replica": "control", "relay": "control"}
+CHILD = [sys.executable, "-m", "features.support.signalchild"]
 
 
 def address() -> str:
@@ -36,6 +38,9 @@
     if program == "entry":
         names["peer_listen"] = address()
         return {"entry": "e", "control": [address()], **names}
+    if program == "standalone":
+        names["data_folder"] = str(context.folder / "data")
+        return {"fake_engines": 1, **names}
     if program == "relay":
         return {"replica": "r", "seeds": [address()], **names}
     return {
@@ -54,11 +59,11 @@
     context.command += ["--settings", str(path)]
 
 
-def wait_until_prepared(process) -> None:
+def wait_until_prepared(process, number=signal.SIGHUP) -> None:
     """Wait until the interpreter has run the program's first lines."""
     running.wait_until(
-        lambda: running.bears(process.pid, signal.SIGHUP),
-        "SIGHUP would end the program",
+        lambda: running.bears(process.pid, number),
+        f"{number.name} would end the program",
     )
 
 
@@ -68,22 +73,23 @@
     return ended or running.handles(process.pid, signal.SIGTERM)
 
 
-@when("it is started and gets SIGHUP without pause from its first moments on")
-def send_signals(context):
+@when("it is started and gets {number} without pause from its first moments on")
+def send_signals(context, number):
+    number = signal.Signals[number]
     context.process = subprocess.Popen(
         context.command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
     )
     process = context.process
-    wait_until_prepared(process)
+    wait_until_prepared(process, number)
 
     def sent_until_it_runs() -> bool:
-        process.send_signal(signal.SIGHUP)
+        process.send_signal(number)
         return runs(process)
 
     running.wait_until(sent_until_it_runs, "the program does not run")
     end = time.monotonic() + SENDING_S
     while time.monotonic() < end and process.poll() is None:
-        process.send_signal(signal.SIGHUP)
+        process.send_signal(number)
         time.sleep(GAP_S)
 
 
@@ -128,3 +134,90 @@
         if process.poll() is None:
             process.kill()
         process.wait()
+
+
+@when("it runs and gets {first}, then {then} without pause until it is gone")
+def stopped_then_signalled(context, first, then):
+    context.process = subprocess.Popen(
+        context.command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
+    )
+    process = context.process
+    wait_until_prepared(process)
+    running.wait_until(lambda: runs(process), "it does not run")
+    process.send_signal(signal.Signals[first])
+    end = time.monotonic() + STOP_S
+    sent = 0
+    while time.monotonic() < end and process.poll() is None:
+        process.send_signal(signal.Signals[then])
+        sent += 1
+        # Pauses of several lengths meet gaps between two handlers.
+        time.sleep(0.0001 * (sent % 7))
+
+
+@when("a child gets {number} after each change of its handler")
+def signal_at_each_change(context, number):
+    context.child = subprocess.run(
+        [*CHILD, signalmodes.AT_EACH_CHANGE, number],
+        stdout=subprocess.PIPE,
+        input="",
+        text=True,
+        timeout=STOP_S,
+    )
+
+
+@when("a child gets SIGTERM while it starts")
+def stop_while_starting(context):
+    context.child = subprocess.run(
+        [*CHILD, signalmodes.STOPPED_WHILE_STARTING],
+        stdout=subprocess.PIPE,
+        text=True,
+        timeout=STOP_S,
+    )
+
+
+@then("the child has drained and ended with exit code {code:d}")
+def child_drained(context, code):
+    words = context.child.stdout.split()
+    assert context.child.returncode == code, context.child
+    assert signalmodes.DRAINED in words, context.child
+
+
+@given("a child that drains after {number}")
+def draining_child(context, number):
+    child = subprocess.Popen(
+        [*CHILD, signalmodes.DRAINING],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    context.add_cleanup(end_child, child)
+    assert child.stdout.readline().strip() == signalmodes.RUNS
+    child.send_signal(signal.Signals[number])
+    assert child.stdout.readline().strip() == signalmodes.DRAINS
+    context.child = child
+
+
+def end_child(child) -> None:
+    """End a child that a failed scenario has left."""
+    if child.poll() is None:
+        child.kill()
+    child.communicate()
+
+
+@when("it gets {number} after {pause_s:g} s")
+def signal_draining_child(context, number, pause_s):
+    time.sleep(pause_s)
+    context.child.send_signal(signal.Signals[number])
+
+
+@then("the child ends with exit code {code:d}, drained: {drained}")
+def child_ended(context, code, drained):
+    context.output, context.errors = context.child.communicate(timeout=STOP_S)
+    assert context.child.returncode == code, context.child.returncode
+    has_drained = signalmodes.DRAINED in context.output.split()
+    assert has_drained == (drained == "yes"), context.output
+
+
+@then("it has written a dump")
+def dump_was_written(context):
+    assert signalmodes.DUMP in context.errors, context.errors
--- a/src/_coltsfootroad/commands/__init__.py
+++ b/src/_coltsfootroad/commands/__init__.py
@@ -6,8 +6,9 @@
 from _coltsfootroad.shell import clocks as clocks
 from _coltsfootroad.shell import early
 
-# A platform may send SIGHUP at any moment. Until a program has read its
-# settings and can read them anew, the signal's default would end it; this
-# runs before the libraries are imported, which takes most of the start.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# A platform may send these at any moment. Until a program can read its settings
+# anew or write a dump, the default would end it; this runs before the libraries
+# are imported, which takes most of the start.
+for number in (signal.SIGHUP, signal.SIGUSR1):
+    signal.signal(number, signal.SIG_IGN)
 early.listen(sys.argv)
--- a/src/_coltsfootroad/commands/common.py
+++ b/src/_coltsfootroad/commands/common.py
@@ -11,6 +11,7 @@
 from _coltsfootroad import version
 from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import processsignals
 from _coltsfootroad.shell import settings as settings_lib
 
 EXIT_OK = 0
@@ -86,11 +87,20 @@
 
     A failure to listen is reported in one line, without a traceback.
     """
+    signals = processsignals.PROCESS
+    signals.install()
+
+    async def attached() -> int:
+        signals.attach(asyncio.get_running_loop())
+        return await main()
+
     try:
-        return asyncio.run(main())
+        return asyncio.run(attached())
     except listening.ListenError as error:
         complain(str(error))
         return EXIT_FAILED
+    finally:
+        signals.ignore()
 
 
 async def wait_for_stop(
@@ -100,7 +110,8 @@
 ) -> bool:
     """Wait for SIGTERM, SIGINT or `asked`; False on a broken invariant.
 
-    SIGUSR1 writes a dump of the state to standard error.
+    A stop that was asked for while the program started counts. SIGUSR1 writes
+    a dump of the state to standard error, also while the program drains.
     """
     loop = asyncio.get_running_loop()
     stop = asked if asked is not None else loop.create_future()
@@ -109,18 +120,12 @@
         if not stop.done():
             stop.set_result(True)
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_stop)
-    loop.add_signal_handler(signal.SIGUSR1, write_dump, dump)
+    signals = processsignals.PROCESS
+    signals.on(signal.SIGUSR1, lambda: write_dump(dump))
+    signals.on_stop(on_stop)
     done, _ = await asyncio.wait(
         [stop, *broken], return_when=asyncio.FIRST_COMPLETED
     )
-    # A process that stops reads no settings, and being told twice changes
-    # nothing. Ignored, and not only handled, as loop and interpreter take
-    # handlers away when they end.
-    for number in (signal.SIGHUP, signal.SIGTERM):
-        loop.remove_signal_handler(number)
-        signal.signal(number, signal.SIG_IGN)
     failed = [future for future in done if future is not stop]
     for future in failed:
         LOG.critical("stopping: {!r}", future.exception())
@@ -128,18 +133,8 @@
 
 
 def on_reload(action: Callable[[], None]) -> None:
-    """Run an action whenever SIGHUP comes, as long as the loop runs.
-
-    The loop's own handlers are taken away when it closes, and the signal's
-    default would then end a process that is just stopping.
-    """
-    loop = asyncio.get_running_loop()
-
-    def handle(_number, _frame) -> None:
-        if not loop.is_closed():
-            loop.call_soon_threadsafe(action)
-
-    signal.signal(signal.SIGHUP, handle)
+    """Run an action whenever SIGHUP comes, until the program stops."""
+    processsignals.PROCESS.on(signal.SIGHUP, action)
 
 
 def write_dump(dump: Callable[[], bytes]) -> None:
--- a/src/_coltsfootroad/fakes/serve.py
+++ b/src/_coltsfootroad/fakes/serve.py
@@ -1,6 +1,5 @@
 """Serves stand-in endpoints as a process: `python -m` with a JSON file."""
 
-import asyncio
 import json
 import sys
 
@@ -75,7 +74,7 @@
     with open(sys.argv[1], encoding="utf-8") as file:
         document = json.load(file)
     settings = documents.CONVERTER.structure(document, ServeSettings)
-    return asyncio.run(serve(settings))
+    return common.run_loop(lambda: serve(settings))
 
 
 if __name__ == "__main__":
