--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -47,6 +47,25 @@
       | 3       | 0.2   | 3       | 1    | 80    |
       | 3       | 0.2   | 3       | 4    | 80    |
 
+  # Guards against storms in which no engine lives for 0.1 s: all suspects share all
+  # crashes unless they are kept apart, and counts decide who is refused.
+  Scenario Outline: <poisons> poison requests each <every> s before <engines> engines, seed <seed>
+    Given 3 gateways before <engines> engines, which start again within 1 s, seed <seed>
+    When <poisons> poison requests come each <every> s beside 3 popular ones
+    Then no proper request is in quarantine
+    And <share> in 100 proper requests are answered
+
+    Examples:
+      | engines | poisons | every | seed | share |
+      | 4       | 1       | 0.022 | 0    | 70    |
+      | 4       | 1       | 0.022 | 1    | 70    |
+      | 4       | 2       | 0.044 | 3    | 70    |
+      | 5       | 1       | 0.022 | 1    | 70    |
+      | 5       | 2       | 0.044 | 2    | 70    |
+      | 5       | 2       | 0.044 | 3    | 70    |
+      | 5       | 3       | 0.066 | 2    | 70    |
+      | 5       | 3       | 0.066 | 3    | 70    |
+
   # Guards against a quarantine that proper requests enter.
   Scenario Outline: Proper requests are never in quarantine beside <trouble>
     Given 9 gateways before 16 engines
--- a/features/gateway/quarantinedefects.feature
+++ b/features/gateway/quarantinedefects.feature
@@ -15,6 +15,7 @@
       | whoever was in flight is convicted       |
       | answers clear nobody                     |
       | suspects are not published               |
+      | suspects are sent to the same engines    |
       | watched requests are forgotten           |
       | nothing is published                     |
       | later gateways learn nothing             |
--- /dev/null
+++ b/features/steps/isolation_steps.py
@@ -0,0 +1,140 @@
+"""Steps on suspects that are kept apart from each other."""
+
+import itertools
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import when
+
+from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import fingerprints
+from _coltsfootroad.core import hashing
+from _coltsfootroad.core import isolation
+from _coltsfootroad.core import registry
+
+NOW = 100.0
+DOWN_UNTIL = 200.0
+
+
+def print_of(number: int) -> fingerprints.Fingerprint:
+    """Return the fingerprint of a suspect."""
+    return fingerprints.compute("POST", "h", "/x", "acme", b"%d" % number)
+
+
+def engine(number: int, start: int = 1, is_down: bool = False):
+    """Return an engine as a gateway knows it."""
+    announcement = registry.Announcement(
+        endpoint=f"engine-{number}",
+        incarnation=start,
+        seq=1,
+        service="shop",
+        address=f"10.0.0.{number}:1",
+        state=registry.EndpointState.SERVING,
+    )
+    return endpointset.KnownEndpoint(
+        announcement, rest_until=DOWN_UNTIL if is_down else 0.0
+    )
+
+
+def selected(context, number: int, avoid=()) -> set[str]:
+    """Return the names of the engines that a suspect may be sent to."""
+    found = context.isolation.select(
+        context.suspects[number], context.engines, set(avoid), NOW
+    )
+    return {known.name for known in found}
+
+
+@given("{suspects:d} suspects and {engines:d} engines, {down:d} of them down")
+def given_suspects(context, suspects, engines, down):
+    context.suspects = [print_of(number) for number in range(suspects)]
+    context.engines = [
+        engine(number, is_down=number < down) for number in range(engines)
+    ]
+    context.isolation = isolation.Isolation()
+    context.isolation.update(context.suspects)
+
+
+@then("no engine is given to two suspects")
+def given_to_one(context):
+    taken = [selected(context, n) for n in range(len(context.suspects))]
+    assert sum(map(len, taken)) == len(set().union(*taken)), taken
+
+
+@then("{count:d} suspects have an engine")
+def have_engines(context, count):
+    having = [n for n in range(len(context.suspects)) if selected(context, n)]
+    assert len(having) == count, having
+
+
+@then("each suspect has an engine that runs")
+def each_has(context):
+    running = {e.name for e in context.engines if e.rest_until <= NOW}
+    for number in range(len(context.suspects)):
+        found = selected(context, number)
+        assert found and found <= running, (number, found)
+
+
+@then("nothing is isolated")
+def none_isolated(context):
+    assert not context.isolation.isolates(context.suspects[0])
+
+
+@then("only suspects are isolated")
+def only_suspects(context):
+    assert all(map(context.isolation.isolates, context.suspects))
+    assert not context.isolation.isolates(print_of(-1))
+
+
+@given(
+    "{suspects:d} suspects and {engines:d} engines that start {times:d} times"
+)
+def starts_again(context, suspects, engines, times):
+    given_suspects(context, suspects, engines, 0)
+    context.turns = []
+    for start in range(1, times + 1):
+        context.engines = [engine(n, start) for n in range(engines)]
+        # Others of the fleet are down, so nobody may meet here.
+        down = [engine(n + engines, is_down=True) for n in range(2 * engines)]
+        context.engines += down
+        having = [n for n in range(suspects) if selected(context, n)]
+        context.turns.append(having)
+
+
+@then("any two suspects have been told apart, each by a start of its own")
+def told_apart(context):
+    numbers = range(len(context.suspects))
+    for one, other in itertools.permutations(numbers, 2):
+        assert any(
+            one in having and other not in having for having in context.turns
+        ), (one, other)
+
+
+@when("the first suspect is cleared")
+def clear_first(context):
+    context.before = [selected(context, n) for n in range(1, 5)]
+    context.suspects = context.suspects[1:]
+    context.isolation.update(context.suspects)
+
+
+@then("the engines of the others are still theirs")
+def still_theirs(context):
+    for number, before in enumerate(context.before):
+        assert before <= selected(context, number), number
+
+
+@then("a suspect that has tried all of its engines is sent to another one")
+def sent_elsewhere(context):
+    own = selected(context, 0)
+    other = selected(context, 0, avoid=own)
+    assert other and not other & own, (own, other)
+
+
+@then("a second choice computes no hash")
+def no_hash(context):
+    selected(context, 0)
+    with mock.patch.object(
+        hashing, "stable_hash", wraps=hashing.stable_hash
+    ) as computed:
+        selected(context, 1)
+    assert not computed.called, computed.call_count
--- a/features/support/crashhistories.py
+++ b/features/support/crashhistories.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+from unittest import mock
 
 import attrs
 
@@ -12,6 +13,7 @@
 from _coltsfootroad.control import hub
 from _coltsfootroad.core import crashledger
 from _coltsfootroad.core import fingerprints
+from _coltsfootroad.core import isolation
 from _coltsfootroad.core import quarantine
 from _coltsfootroad.gateway import contentguard
 from _coltsfootroad.gateway import crashdetector
@@ -186,6 +188,16 @@
     go(story())
 
 
+def storm_convicts_nobody() -> None:
+    """Check that popular requests are not refused while no engine lives long."""
+    with (
+        mock.patch.object(crashworld, "RESTART_S", 1.0),
+        crashworld.fleet(3, 4, seed=0) as (world, go),
+    ):
+        play_beside_popular(world, go, 1, 0.022, 3)
+        check_none_proper(world)
+
+
 # --- what must hold ------------------------------------------------------------
 
 
@@ -413,6 +425,10 @@
         (hub.Hub, "publish_suspects", lambda self: None),
         lambda: answered_between_crashes(2),
     ),
+    "suspects are sent to the same engines": (
+        (isolation.Isolation, "isolates", lambda self, f: False),
+        storm_convicts_nobody,
+    ),
     "watched requests are forgotten": (
         (crashreporter.CrashReporter, "watch", lambda self, changes: None),
         lambda: answered_between_crashes(2),
--- a/src/_coltsfootroad/gateway/contentguard.py
+++ b/src/_coltsfootroad/gateway/contentguard.py
@@ -82,6 +82,15 @@
         self.stopped = True
         self.send_timeout.reschedule(asyncio.get_running_loop().time())
 
+    def isolated_as(self) -> fingerprints.Fingerprint | None:
+        """Return the fingerprint if other suspects are to be kept away."""
+        reporter = self.exchange.gateway.crash_reporter
+        if self.on_trial or not reporter.may_suspect(*self.size):
+            return None
+        fingerprint = self.fingerprint()
+        isolates = reporter.isolation.isolates(fingerprint)
+        return fingerprint if isolates else None
+
     def note_answered(self) -> None:
         """Note that an endpoint has run the request and lives."""
         gateway = self.exchange.gateway
--- a/src/_coltsfootroad/gateway/crashreporter.py
+++ b/src/_coltsfootroad/gateway/crashreporter.py
@@ -11,6 +11,7 @@
 from _coltsfootroad.core import crashes
 from _coltsfootroad.core import crashledger
 from _coltsfootroad.core import fingerprints
+from _coltsfootroad.core import isolation as isolation_lib
 from _coltsfootroad.core import quarantine
 from _coltsfootroad.gateway import leaderlink
 from _coltsfootroad.shell import clocks
@@ -29,6 +30,7 @@
     Attributes:
         gateway: Name of the gateway.
         link: The way to the leader.
+        isolation: Keeps watched suspects apart from each other.
         kept: All own crashes within the window, by endpoint.
         unsent: Crashes that the leader has not taken, by endpoint.
         cleared: Suspects that were answered, not taken by the leader yet.
@@ -40,6 +42,7 @@
 
     gateway: str
     link: leaderlink.LeaderLink
+    isolation: isolation_lib.Isolation
     kept: dict[crashes.EndpointKey, crashes.Crash] = attrs.Factory(dict)
     unsent: dict[crashes.EndpointKey, None] = attrs.Factory(dict)
     cleared: dict[fingerprints.Fingerprint, None] = attrs.Factory(dict)
@@ -90,7 +93,13 @@
         self.watched.update(dict.fromkeys(changes.suspected))
         for fingerprint in changes.unsuspected:
             self.watched.pop(fingerprint, None)
+        self.isolation.update(self.watched)
         self.count_sizes()
+        LOG.info(
+            "suspects watched",
+            suspects=[fingerprint.text for fingerprint in self.watched],
+            isolated=len(self.watched) >= isolation_lib.MIN_SUSPECTS,
+        )
 
     def may_suspect(self, workspace: str, body_bytes: int) -> bool:
         """Return whether a request of this size may be a suspect."""
@@ -100,6 +109,7 @@
         """Take back what was reported of a request that was answered."""
         is_watched = fingerprint in self.watched
         self.watched.pop(fingerprint, None)
+        self.isolation.update(self.watched)
         if self.forget(fingerprint) or is_watched:
             LOG.info("suspect cleared", fingerprint=fingerprint.text)
             self.cleared[fingerprint] = None
--- a/src/_coltsfootroad/gateway/engines.py
+++ b/src/_coltsfootroad/gateway/engines.py
@@ -8,6 +8,8 @@
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import enginebook
 from _coltsfootroad.core import enginestate
+from _coltsfootroad.core import fingerprints
+from _coltsfootroad.core import isolation as isolation_lib
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import spread
 from _coltsfootroad.core import workload
@@ -36,6 +38,7 @@
     load: workload.Workload
     availability_zone: str
     rng: random.Random
+    isolation: isolation_lib.Isolation = attrs.Factory(isolation_lib.Isolation)
     limits: candidates.Limits = candidates.USUAL
     book: enginebook.EngineBook = attrs.field(init=False)
 
@@ -50,10 +53,16 @@
         prompt: spread.Prompt | None,
         avoid: set[str],
         now: float,
+        suspect: fingerprints.Fingerprint | None = None,
     ) -> Choice | None:
-        """Return the best endpoint, one not in `avoid` if there is any."""
+        """Return the best endpoint, one not in `avoid` if there is any.
+
+        A suspect of crashes goes where no other one is sent.
+        """
         self.load.expire(now)
         known = self.endpoints.of_service(spec.name)
+        if suspect is not None:
+            known = self.isolation.select(suspect, known, avoid, now)
         drawn = candidates.draw(known, now, avoid, self.rng, self.limits.drawn)
         if not drawn:
             return None
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -211,6 +211,7 @@
             self.admitted.prompt,
             self.sends.tried,
             now,
+            self.guard.isolated_as(),
         )
 
     def unfit_reason(self, now: float) -> str:
@@ -310,6 +311,7 @@
             load=choice.load,
             predicted_s=round(choice.predicted_s, 3),
             helpers=[known.name for known in choice.helpers],
+            isolated=self.guard.isolated_as() is not None,
         )
         try:
             if choice.shares and not await self.reserve(choice):
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -7,6 +7,7 @@
 
 from _coltsfootroad.core import crashes
 from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import isolation
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import routeview
@@ -74,11 +75,13 @@
         self.start_up = startup.StartUp(self.view)
         self.endpoints = endpointset.EndpointSet()
         self.load = workload.Workload()
+        self.isolation = isolation.Isolation()
         self.chooser = engines.Chooser(
             self.endpoints,
             self.load,
             settings.availability_zone,
             self.rng,
+            self.isolation,
         )
         self.crash_detector = crashdetector.CrashDetector(
             self.endpoints, self.spawn, self.note_crash
@@ -95,7 +98,7 @@
         self.watch = watch_lib.Watch(self)
         link = leaderlink.LeaderLink(self)
         self.crash_reporter = crashreporter.CrashReporter(
-            settings.gateway, link
+            settings.gateway, link, self.isolation
         )
         self.quarantine = quarantine.Quarantine(
             settings.gateway,
@@ -300,6 +303,7 @@
                 "counts": dict(self.counts),
                 "quarantine": list(self.quarantine.view.entries.values()),
                 "crashes": list(self.crash_reporter.kept.values()),
+                "isolated": list(self.isolation.suspects),
                 "running": [e.request_id for e in self.running],
             }
         )
