crashledger: convict nobody by one crash whose other suspects were answered

Cause: a clear removed the answered request from each crash, and the one left looked alone there, which ended the contest with the true poison request at all of its other crashes. The trial on the ledger alone shows it: popular convicted as soon as `other` was answered, without a new crash.

Ruled out: convicting after new crashes only. The answer of `popular` must convict `poison`, which then stands alone at four crashes.

Change: a single crash decides a contest only if it never had another suspect; of shared ones two are needed.

--- a/features/core/crashledger.feature
+++ b/features/core/crashledger.feature
@@ -91,6 +91,20 @@
       | 0.1   | later  | poison         |
       | 30    | before | poison popular |
 
+  # Guards against a proper request that another one's answer convicts: alone at
+  # a crash now, whose cause nobody has reported.
+  Scenario Outline: The answer of <answered> convicts <whom>
+    When four endpoints crash under poison and popular, a fifth under popular and other
+    And <answered> are answered 0.8 s later
+    Then convicted are: <whom>
+
+    Examples:
+      | answered          | whom    |
+      | nobody            | nothing |
+      | other             | nothing |
+      | popular           | poison  |
+      | other and popular | poison  |
+
   Scenario: The order of reports changes nothing
     Then any order of 6 reports convicts the same request
 
--- a/features/steps/crashledger_steps.py
+++ b/features/steps/crashledger_steps.py
@@ -165,6 +165,27 @@
     context.convicted += ledgerpatterns.convicted_by(ledger, "poison")
 
 
+@when(
+    "four endpoints crash under poison and popular, a fifth under popular and"
+    " other"
+)
+def rivals(context):
+    reports = ledgerpatterns.in_a_row(4, "poison", "popular")
+    reports += ledgerpatterns.in_a_row(1, "popular", "other", first=4)
+    context.ledger = ledgerpatterns.ledger_of(reports)
+    context.convicted = []
+
+
+@when("{names} are answered {after:g} s later")
+def answered_later(context, names, after):
+    now = 4 * ledgerpatterns.STEP_S + after
+    for name in names.split(" and "):
+        context.ledger.clear(ledgerpatterns.print_of(name), now)
+        context.convicted += ledgerpatterns.convicted_by(
+            context.ledger, now=now
+        )
+
+
 @then("any order of {count:d} reports convicts the same request")
 def any_order(context, count):
     del context
--- a/src/_coltsfootroad/core/crashledger.py
+++ b/src/_coltsfootroad/core/crashledger.py
@@ -15,6 +15,8 @@
 # The same where other suspects were in flight at each of them. An observer may
 # miss one crash in as many.
 CRASHES_CONTESTED = 7
+# Crashes whose other suspects have all been answered that decide a contest.
+SHARED_TO_CONVICT = 2
 # The same whatever else was in flight.
 CRASHES_AT_MOST = 8
 # All observers of a crash have reported it within this time of the first one.
@@ -63,6 +65,7 @@
         at: When the first observer saw it.
         reported_at: When its first report came.
         suspects: The requests that were in flight, by fingerprint.
+        was_shared: Whether a request that was in flight has been cleared.
     """
 
     at: float
@@ -70,6 +73,7 @@
     suspects: dict[fingerprints.Fingerprint, crashes.Suspect] = attrs.Factory(
         dict
     )
+    was_shared: bool = False
 
     def is_complete(self, now: float) -> bool:
         """Return whether all observers have had the time to report it."""
@@ -161,7 +165,9 @@
     def clear(self, fingerprint: fingerprints.Fingerprint, now: float) -> None:
         """Drop all evidence against a request that was answered whole."""
         for endpoint in self.suspected.pop(fingerprint, ()):
-            del self.known[endpoint].suspects[fingerprint]
+            crash = self.known[endpoint]
+            del crash.suspects[fingerprint]
+            crash.was_shared = True
         self.cleared.pop(fingerprint, None)
         self.cleared[fingerprint] = now
         while len(self.cleared) > MAX_CLEARED:
@@ -301,11 +307,27 @@
             if len(crash.suspects) == 1
             and (crash.is_complete(now) or not is_repeated)
         ]
-        if len(alone) * CRASHES_CONTESTED >= len(known):
+        needed = 1 if any(not crash.was_shared for crash in alone) else 2
+        if len(alone) >= min(len(known), needed) and len(
+            alone
+        ) * CRASHES_CONTESTED >= len(known):
             return False
         newest_at = max(crash.reported_at for crash in known)
         return is_repeated or now < newest_at + ANSWERS_S
 
+    @staticmethod
+    def decides(alone: list[KnownCrash], count: int) -> bool:
+        """Return whether crashes without other suspects prove enough.
+
+        Where the other suspects of a single one have been answered since, the
+        request that caused it may not have been reported.
+        """
+        if len(alone) * CRASHES_CONTESTED < count:
+            return False
+        if any(not crash.was_shared for crash in alone):
+            return True
+        return len(alone) >= SHARED_TO_CONVICT
+
     def chain(
         self,
         fingerprint: fingerprints.Fingerprint,
