quarantine: let an answer that comes after the conviction end the entry

Cause: a reported answer cleared the ledger and not the entry that had just been made, and one that came between proposal and application neither.

Ruled out: waiting longer before a conviction, as an answer may always be later; each 0.05 s costs an engine.

Change: the leader ends an entry, applied or still being replicated, when an answer of its request is reported.

Sends that the entry stops can prove nothing any more; for those the trial after 60 s remains.

--- a/features/control/quarantine.feature
+++ b/features/control/quarantine.feature
@@ -33,6 +33,23 @@
       | ended by a trial            | 0    |
       | evicted by 64 later entries | 64   |
 
+  # Guards against a proof of innocence that comes while the entry is being made:
+  # the proper request was refused for 60 s although it had been answered.
+  Scenario Outline: A whole answer that is reported <when> ends the entry
+    Given an entry of three crashes that is <state>
+    When an answer of it is reported
+    Then every replica holds 0 entries
+
+    Examples:
+      | when                                | state             |
+      | after the entry was made            | applied           |
+      | while the entry is being replicated | not yet replicated |
+
+  Scenario: An answer of another request ends no entry
+    Given an entry of three crashes
+    When an answer of another request is reported
+    Then every replica holds 1 entry with 3 crashes
+
   Scenario: Crashes that a lost leader knew are reported again
     When two crashes are reported and the leader is lost
     And gateways report to the new leader again, and a third crash
--- a/features/steps/controlquarantine_steps.py
+++ b/features/steps/controlquarantine_steps.py
@@ -80,6 +80,30 @@
     assert context.site.leader().node.state.quarantine.entries
 
 
+@given("an entry of three crashes that is {state}")
+def an_entry_in(context, state):
+    report_all(context.site, range(2))
+    context.unsent = [report(2)]
+    if state == "applied":
+        send(context.site, context.unsent.pop())
+        assert context.site.leader().node.state.quarantine.entries
+
+
+@when("an answer of {whom} is reported")
+def answer_reported(context, whom):
+    name = "other" if "another" in whom else "poison"
+    cleared = crashreports.ReportCrashes(
+        gateway="g9", cleared=(ledgerpatterns.print_of(name),)
+    )
+    site = context.site
+    answers = []
+    # Without a pause nothing is applied between two calls.
+    for message in [*getattr(context, "unsent", ()), cleared]:
+        leader = site.leader()
+        leader.node.call(message, site.clock(leader), answers.append)
+    site.run_until(site.now + SETTLE_S)
+
+
 @when("three gateways report a crash each of the same request")
 def three_reports(context):
     report_all(context.site, range(3))
--- a/src/_coltsfootroad/control/hub.py
+++ b/src/_coltsfootroad/control/hub.py
@@ -12,6 +12,7 @@
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import crashledger
 from _coltsfootroad.core import endpoints
+from _coltsfootroad.core import fingerprints
 from _coltsfootroad.core import registry as registry_lib
 
 MEMBER_LEASE_S = 4.0
@@ -29,6 +30,9 @@
 NEVER = float("inf")
 # Why the leader puts requests into quarantine.
 CRASHED = "crashed the endpoints that ran it"
+# Why it takes them out again.
+ANSWERED = "it was answered whole"
+MAX_CONVICTING = 1_024
 
 
 @attrs.define
@@ -100,6 +104,8 @@
     crashes: crashledger.CrashLedger = attrs.Factory(crashledger.CrashLedger)
     # When the crashes were looked at last for convictions.
     convicted_at: float = float("-inf")
+    # Convictions that are not applied yet, oldest first.
+    convicting: dict[fingerprints.Fingerprint, None] = attrs.Factory(dict)
     quarantine_revision: int = -1
 
     @heard_since.default
@@ -326,8 +332,9 @@
 
     def take_crashes(
         self, report: crashreports.ReportCrashes, now: float
-    ) -> list[crashreports.Quarantine]:
+    ) -> list[crashreports.Quarantine | crashreports.EndQuarantine]:
         """Take a gateway's report; return what to replicate."""
+        acquitted = [f for f in report.cleared if self.is_convicted(f)]
         for fingerprint in report.cleared:
             self.crashes.clear(fingerprint, now)
         for aged in report.stopped:
@@ -335,7 +342,12 @@
         for aged in report.crashes:
             self.crashes.record(crashreports.with_times(aged, now), now)
         self.publish_suspects()
-        return self.convict(now)
+        return [*map(acquit, acquitted), *self.convict(now)]
+
+    def is_convicted(self, fingerprint: fingerprints.Fingerprint) -> bool:
+        """Return whether a request is in quarantine, or about to be."""
+        entries = self.state.quarantine.entries
+        return fingerprint in entries or fingerprint in self.convicting
 
     def convict_late(self, now: float) -> list[crashreports.Quarantine]:
         """Return what to replicate once a crash proves more than before."""
@@ -346,6 +358,11 @@
     def convict(self, now: float) -> list[crashreports.Quarantine]:
         """Return the requests that the crashes so far convict."""
         self.convicted_at = now
+        verdicts = self.crashes.convict(self.state.quarantine.entries, now)
+        for verdict in verdicts:
+            self.convicting[verdict.fingerprint] = None
+        while len(self.convicting) > MAX_CONVICTING:
+            del self.convicting[next(iter(self.convicting))]
         return [
             crashreports.Quarantine(
                 fingerprint=verdict.fingerprint,
@@ -353,9 +370,7 @@
                 crashes=len(verdict.endpoints),
                 endpoints=tuple(key.endpoint for key in verdict.endpoints),
             )
-            for verdict in self.crashes.convict(
-                self.state.quarantine.entries, now
-            )
+            for verdict in verdicts
         ]
 
     def publish_suspects(self) -> None:
@@ -381,6 +396,7 @@
             entry.fingerprint: entry for entry in self.book.quarantined.values()
         }
         for fingerprint, entry in table.entries.items():
+            self.convicting.pop(fingerprint, None)
             if published.get(fingerprint) != entry:
                 self.book.put_quarantine(entry)
         for fingerprint in published.keys() - table.entries.keys():
@@ -397,3 +413,13 @@
                 self.lose_member(name)
         for name in self.registry.expire(now):
             self.note_gone(name)
+
+
+def acquit(
+    fingerprint: fingerprints.Fingerprint,
+) -> crashreports.EndQuarantine:
+    """Return the command that lets a request run that was answered whole.
+
+    It was sent before gateways learned of its conviction.
+    """
+    return crashreports.EndQuarantine(fingerprint=fingerprint, reason=ANSWERED)
