crashledger: count a send to an unknown start at that start's crash

Cause: CrashDetector.on_lost takes any later lost send of a start that it saw crash for one of that crash, and the ledger counted it there without comparing the send with the crash.

Ruled out: dropping such sends, as the new start's crash then lacks a suspect. The gateway cannot name a start that it does not know; the ledger learns it from the reports of others.

Change: the ledger counts a suspect at no crash before it was sent, and at the next crash of the endpoint instead, in whichever order the reports come. The gateway logs how long after the crash such a send was made.

Where starts have names of their own nothing changes.

--- a/features/core/crashledger.feature
+++ b/features/core/crashledger.feature
@@ -105,6 +105,19 @@
       | popular           | poison  |
       | other and popular | poison  |
 
+  # Guards against a suspect that is counted at a crash before it was sent, and is
+  # missing at the next one: a popular request was alone there, and convicted.
+  Scenario Outline: A send to a start that its gateway does not know, reported <when>
+    When two endpoints crash under poison and a popular request
+    And the second one crashes again under both, as poison's gateway does not know, reported <when>
+    Then convicted are: nothing
+    And no suspect is counted at a crash before it was sent
+
+    Examples:
+      | when   |
+      | before |
+      | later  |
+
   Scenario: The order of reports changes nothing
     Then any order of 6 reports convicts the same request
 
--- a/features/steps/crashledger_steps.py
+++ b/features/steps/crashledger_steps.py
@@ -2,9 +2,11 @@
 
 import itertools
 
+import attrs
 from behave import then
 from behave import when
 
+from _coltsfootroad.core import crashes
 from _coltsfootroad.core import crashledger
 from features.support import ledgerpatterns
 
@@ -165,6 +167,33 @@
     context.convicted += ledgerpatterns.convicted_by(ledger, "poison")
 
 
+@when(
+    "the second one crashes again under both, as poison's gateway does not"
+    " know, reported {when}"
+)
+def crashes_again(context, when):
+    at = 3 * ledgerpatterns.STEP_S
+    sent_at = at - ledgerpatterns.RUN_S
+    again = attrs.evolve(
+        ledgerpatterns.crash(1, at, popular=sent_at),
+        endpoint=crashes.EndpointKey(endpoint="e1", incarnation=2),
+    )
+    # Its gateway knows of the crash before and of no start since.
+    unknown = ledgerpatterns.crash(1, ledgerpatterns.STEP_S, poison=sent_at)
+    reports = [unknown, again] if when == "before" else [again, unknown]
+    for report in reports:
+        context.ledger.record(report, at)
+    context.convicted += ledgerpatterns.convicted_by(context.ledger)
+
+
+@then("no suspect is counted at a crash before it was sent")
+def none_before(context):
+    for crash in context.ledger.known.values():
+        for suspect in crash.suspects.values():
+            late_s = suspect.sent_at - crash.at
+            assert late_s <= crashledger.ORDER_SLACK_S, (crash.at, suspect)
+
+
 @when(
     "four endpoints crash under poison and popular, a fifth under popular and"
     " other"
--- a/src/_coltsfootroad/core/crashledger.py
+++ b/src/_coltsfootroad/core/crashledger.py
@@ -42,6 +42,9 @@
 # An endpoint may crash this long after a send to it was stopped, as the request
 # runs on there.
 STOPPED_S = 2.0
+# A send that met a start which its gateway did not know yet was in flight at a
+# crash of the same endpoint this soon after it.
+UNKNOWN_START_S = 5.0
 
 
 @attrs.frozen(kw_only=True)
@@ -98,6 +101,8 @@
         suspected: The crashes of each suspect.
         cleared: When suspects were answered last.
         stopped: When an entry last stopped sends to an endpoint, and which.
+        misplaced: Suspects by endpoint that were sent after the crash that they
+            were reported under, to a start that their gateway did not know.
     """
 
     known: dict[crashes.EndpointKey, KnownCrash] = attrs.Factory(dict)
@@ -107,6 +112,10 @@
     cleared: dict[fingerprints.Fingerprint, float] = attrs.Factory(dict)
     stopped: dict[crashes.EndpointKey, KnownCrash] = attrs.Factory(dict)
 
+    misplaced: dict[str, dict[fingerprints.Fingerprint, crashes.Suspect]] = (
+        attrs.Factory(dict)
+    )
+
     def record(self, crash: crashes.Crash, now: float) -> None:
         """Take one observer's report; the same again changes nothing."""
         self.expire(now)
@@ -117,8 +126,12 @@
         )
         found.at = min(found.at, crash.at)
         for suspect in crash.suspects:
-            self.suspect(crash.endpoint, found, suspect)
+            if suspect.sent_at > crash.at + ORDER_SLACK_S:
+                self.misplace(crash.endpoint, suspect)
+            else:
+                self.suspect(crash.endpoint, found, suspect)
         self.add_stopped(crash.endpoint)
+        self.add_misplaced(crash.endpoint)
         while len(self.known) > MAX_CRASHES:
             self.forget(next(iter(self.known)))
 
@@ -145,6 +158,27 @@
         for suspect in stop.suspects.values():
             self.suspect(endpoint, crash, suspect)
 
+    def misplace(
+        self, endpoint: crashes.EndpointKey, suspect: crashes.Suspect
+    ) -> None:
+        """Note a send to a start after the one that it was reported under."""
+        held = self.misplaced.setdefault(endpoint.endpoint, {})
+        if len(held) < MAX_SUSPECTS:
+            held[suspect.fingerprint] = suspect
+        while len(self.misplaced) > MAX_CRASHES:
+            del self.misplaced[next(iter(self.misplaced))]
+        for known in list(self.known):
+            if known.endpoint == endpoint.endpoint:
+                self.add_misplaced(known)
+
+    def add_misplaced(self, endpoint: crashes.EndpointKey) -> None:
+        """Count sends to a start that gateways did not know at its crash."""
+        crash = self.known[endpoint]
+        for suspect in self.misplaced.get(endpoint.endpoint, {}).values():
+            in_flight_s = crash.at - suspect.sent_at
+            if -ORDER_SLACK_S <= in_flight_s <= UNKNOWN_START_S:
+                self.suspect(endpoint, crash, suspect)
+
     def suspect(
         self,
         endpoint: crashes.EndpointKey,
--- a/src/_coltsfootroad/gateway/crashdetector.py
+++ b/src/_coltsfootroad/gateway/crashdetector.py
@@ -47,6 +47,13 @@
         """Take a send whose connection broke before the answer was whole."""
         key = key_of(endpoint)
         if key in self.crashed:
+            LOG.info(
+                "another send lost in a crash",
+                endpoint=key.endpoint,
+                incarnation=key.incarnation,
+                fingerprint=suspect.fingerprint.text,
+                sent_after_s=round(suspect.sent_at - self.crashed[key], 3),
+            )
             self.report(key, [suspect])
         elif key in self.suspects:
             self.suspects[key].append(suspect)
