--- a/.ci/verdict.py
+++ b/.ci/verdict.py
@@ -10,21 +10,38 @@
 
 KNOWN_RED = "KNOWN-RED.txt"
 FAILED = ("failure", "error")
+# Enough for a broken promise and the last lines of the programs' logs.
+REASON_LENGTH = 3_000
 
 
-def read_report(folder: pathlib.Path) -> tuple[int, list[str]]:
-    """Return how many scenarios passed and the names of those that failed."""
+def read_report(folder: pathlib.Path) -> tuple[int, dict[str, str]]:
+    """Return how many scenarios passed, and of those that failed the reason."""
     passed = 0
-    failed = []
+    failed = {}
     for path in sorted(folder.rglob("*.xml")):
         for case in ElementTree.parse(path).getroot().iter("testcase"):
-            if any(case.find(kind) is not None for kind in FAILED):
-                failed.append(case.get("name", ""))
+            broken = [c for kind in FAILED for c in case.findall(kind)]
+            if broken:
+                name = unused(case.get("name", ""), failed)
+                failed[name] = reason_of(broken[0])
             elif case.find("skipped") is None:
                 passed += 1
     return passed, failed
 
 
+def unused(name: str, failed: dict[str, str]) -> str:
+    """Return a name under which no other scenario has failed."""
+    while name in failed:
+        name += " "
+    return name
+
+
+def reason_of(broken: ElementTree.Element) -> str:
+    """Return why a scenario failed, shortened."""
+    words = f"{broken.get('message') or ''} {broken.text or ''}".strip()
+    return words[:REASON_LENGTH]
+
+
 def read_known(path: pathlib.Path) -> dict[str, str]:
     """Return the causes of the tests that may fail, by name."""
     if not path.exists():
@@ -45,6 +62,8 @@
     red = [name for name in failed if name.strip() in known]
     for name in red:
         print(f"known to fail: {name.strip()}: {known[name.strip()]}")
+    for name, reason in failed.items():
+        print(f"failed: {name.strip()}: {reason}")
     count = len(failed) - len(red)
     if lint_status != "0":
         print("formatter or linter is not clean")
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -81,6 +81,16 @@
     Then it reports that no replica took a version
     And the address that is in use
 
+  # Guards against failures of which nobody can say whether product or soak was late.
+  Scenario: A soak that is late itself says so with what it reports
+    Given what was seen in a soak without a fault
+    When its loop is 0.4 s late while an answer is cut off
+    Then exactly this is reported: the soak's loop was up to 0.40 s late meanwhile
+
+  Scenario: What a soak reports is kept with the logs, and their last lines are shown
+    When a soak breaks a promise
+    Then its logs and its promise are kept, and the last lines are shown
+
   Scenario Outline: The audit notices <fault>
     Given what was seen in a soak without a fault
     When it is changed so that <fault>
--- a/features/soak/audit.py
+++ b/features/soak/audit.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from features.soak import lateness as lateness_lib
+
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Slack for what a loaded machine adds to each bound, in seconds.
 SLACK_S = 1.0
@@ -73,6 +75,8 @@
     # What lost replicas were waited for in vain to do.
     unrepaired: list[str] = attrs.Factory(list)
     final_versions: dict[int, int] = attrs.Factory(dict)
+    # How late the soak itself was.
+    lateness: lateness_lib.Lateness = attrs.Factory(lateness_lib.Lateness)
     # When poison requests began to run, by body.
     poisoned: dict[bytes, list[float]] = attrs.Factory(
         lambda: collections.defaultdict(list)
@@ -167,7 +171,12 @@
         return []
     if outcome.ended - outcome.began >= outcome.deadline_s:
         return []
-    return [f"{outcome.request} was cut off at gateway {outcome.gateway}"]
+    late = book.lateness.words(outcome.began, outcome.ended, outcome.request)
+    return [
+        f"{outcome.request} was cut off at gateway {outcome.gateway} after"
+        f" {outcome.ended - outcome.began:.2f} s, begun at"
+        f" {outcome.began:.2f}, run by {[run.endpoint for run in runs]}; {late}"
+    ]
 
 
 def is_disturbed(
--- a/features/soak/endpoints.py
+++ b/features/soak/endpoints.py
@@ -85,7 +85,7 @@
         way = self.draw_way(STREAM_WAYS if streams else PLAIN_WAYS)
         if way not in NOT_RUN:
             self.note(seen, sound=not way)
-        await asyncio.sleep(self.rng.uniform(*WORK_S))
+        await self.pause(seen.headers, self.rng.uniform(*WORK_S))
         act = getattr(
             self, "do_" + (way or ("stream" if streams else "answer"))
         )
@@ -109,6 +109,12 @@
             )
         )
 
+    async def pause(self, headers, seconds: float) -> None:
+        """Wait, and note if that takes longer than it should."""
+        due = time.monotonic() + seconds
+        await asyncio.sleep(seconds)
+        self.book.lateness.note(headers.get("x-request-id", ""), due)
+
     def body(self, headers):
         """Return an answer that belongs to one request alone."""
         request = headers.get("x-request-id", "")
@@ -125,7 +131,7 @@
         for number in range(first, audit.EVENTS + 1):
             gatewaybed.write_chunk(writer, self.event(headers, number))
             await writer.drain()
-            await asyncio.sleep(EVENT_GAP_S)
+            await self.pause(headers, EVENT_GAP_S)
         writer.write(b"0\r\n\r\n")
         return True
 
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -39,6 +39,9 @@
 FIRST_VERSION_S = 20.0
 FINAL_S = 6.0
 BYTES_A_MBIT = 125_000.0
+# What is shown of the logs of a failure.
+LAST_LINES = 3
+LINE_LENGTH = 200
 # Fewest requests that must have been served for a soak to say anything.
 MIN_SERVED = 50
 
@@ -51,6 +54,7 @@
     stopping = threading.Event()
     threads = []
     places = []
+    watch = asyncio.ensure_future(book.lateness.watch_loop())
     try:
         await fleet.start(size.replicas, size.gateways)
         link = links.GrpcControlLink(tuple(fleet.seeds()))
@@ -71,6 +75,7 @@
         await asyncio.to_thread(join, threads)
         await look_back(book, fleet, link)
     finally:
+        watch.cancel()
         stopping.set()
         for place in places:
             if place.endpoint is not None:
@@ -166,12 +171,24 @@
                 f" {len(faults)} broken promises"
             )
         if faults and keep:
-            shutil.copytree(folder, pathlib.Path(keep) / str(seed))
+            kept = pathlib.Path(keep) / f"{seed}-{time.time_ns()}"
+            shutil.copytree(folder, kept)
+            (kept / "broken.txt").write_text("\n".join(faults) + "\n")
+            faults = [*faults, f"logs are kept in {kept}", *last_lines(folder)]
         return faults, served
     finally:
         shutil.rmtree(folder, ignore_errors=True)
 
 
+def last_lines(folder: pathlib.Path) -> list[str]:
+    """Return the last lines of each program's log."""
+    found = []
+    for log in sorted(folder.glob("*.log")):
+        lines = log.read_text(errors="replace").splitlines()[-LAST_LINES:]
+        found += [f"{log.name}: {line[:LINE_LENGTH]}" for line in lines]
+    return found
+
+
 def judge(book: audit.Book) -> tuple[list[str], int]:
     """Return what was broken and how many requests were served."""
     faults = audit.check(book)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,6 +16,7 @@
 from features.soak import audit
 from features.soak import driver as driver_lib
 from features.soak import fleet as fleet_lib
+from features.soak import lateness
 from features.soak import plan
 from features.soak import run
 from features.support import running
@@ -23,18 +24,20 @@
 REPLICAS = 3
 # Enough for two replacements and two wipes after them.
 SECONDS = 14
+# Logs of soaks that break a promise, in CI as well.
+KEPT_LOGS = "build/soak"
 
 
 @when("a soak of seed {seed:d} runs for {seconds:d} s")
 def soak(context, seed, seconds):
     size = plan.Size(seconds=seconds)
-    context.faults, context.served = run.run_seed(seed, size, "")
+    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
 
 
 @when("replicas, {count:d} of them, are replaced in a soak of seed {seed:d}")
 def soak_replacing(context, count, seed):
     size = plan.Size(replicas=count, replacing=True, seconds=SECONDS)
-    context.faults, context.served = run.run_seed(seed, size, "")
+    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
 
 
 @when(
@@ -49,13 +52,13 @@
         routes=routes,
         mbits=mbits,
     )
-    context.faults, context.served = run.run_seed(seed, size, "")
+    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
 
 
 @when("{count:d} poison requests come in a soak of seed {seed:d}")
 def soak_poison(context, count, seed):
     size = plan.Size(poisons=count, seconds=SECONDS)
-    context.faults, context.served = run.run_seed(seed, size, "")
+    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
 
 
 @then("no promise is broken and at least {served:d} requests are served")
@@ -323,6 +326,35 @@
         setattr(book, name, value)
 
 
+@when("its loop is {late:g} s late while an answer is cut off")
+def late_loop(context, late):
+    unsafe, stream = context.book.outcomes
+    cut = attrs.evolve(unsafe, status=0, whole=False)
+    context.book.outcomes = [cut, stream]
+    delay = lateness.Delay(what="loop", due=unsafe.began, late_s=late)
+    context.book.lateness.delays.append(delay)
+
+
+@when("a soak breaks a promise")
+def breaks_promise(context):
+    async def broken(_seed, _size, folder):
+        (folder / "gateway-0.log").write_text("first\nlast words\n")
+        return audit.Book()
+
+    context.kept = context.folder / "kept"
+    with mock.patch.object(run, "soak", broken):
+        context.faults, _ = run.run_seed(1, plan.Size(), str(context.kept))
+
+
+@then("its logs and its promise are kept, and the last lines are shown")
+def logs_kept(context):
+    (kept,) = context.kept.iterdir()
+    assert (kept / "gateway-0.log").exists()
+    promise = context.faults[0]
+    assert promise in (kept / "broken.txt").read_text()
+    assert "gateway-0.log: last words" in context.faults, context.faults
+
+
 @then("exactly this is reported: {words}")
 def reported(context, words):
     faults = audit.check(context.book)
--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -10,7 +10,7 @@
 VERDICT = pathlib.Path(__file__).parents[2] / ".ci" / "verdict.py"
 CHILDREN = {
     "pass": "",
-    "fail": "<failure/>",
+    "fail": '<failure message="the promise that was broken"/>',
     "error": "<error/>",
     "skip": "<skipped/>",
 }
@@ -51,3 +51,8 @@
     last = context.outcome.stdout.strip().splitlines()[-1]
     assert last.endswith(line), context.outcome.stdout
     assert context.outcome.returncode == code, context.outcome.returncode
+
+
+@then('it prints "{words}"')
+def prints(context, words):
+    assert words in context.outcome.stdout, context.outcome.stdout
--- a/features/verdict.feature
+++ b/features/verdict.feature
@@ -15,3 +15,12 @@
       | pass          | none  | 0     | 1    | 1 passed, 0 failed | 1    |
       | pass          | none  | 2     | 0    | 1 passed, 0 failed | 1    |
       | nothing       | none  | 0     | 0    | wrote no report    | 1    |
+
+  # Guards against a failure in CI of which nothing is left but its name.
+  Scenario: The reason of a failure is printed
+    When the verdict is given on scenarios pass fail with known none, 2 and linter 0
+    Then it prints "failed: fail: the promise that was broken"
+
+  Scenario: Two scenarios of one name count as two
+    When the verdict is given on scenarios fail fail with known none, 2 and linter 0
+    Then it ends with "0 passed, 2 failed" and exit code 1
