chaos: say what each replica said when none leads; keep files of failed scenarios

Cause: chaos.feature failed once with KeyError: None, and nothing tells a moment without a leader from a leader that moved between two calls.

Change: the step names, for each replica, when it was asked, how long it took and what it said. It fails as before if none leads. Files of a failed scenario are kept under build/failed.

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,8 +2,13 @@
 
 import pathlib
 import random
+import re
 import shutil
 import tempfile
+import time
+
+KEPT = pathlib.Path("build/failed")
+NAME_LENGTH = 60
 
 
 def before_scenario(context, _):
@@ -13,8 +18,18 @@
     context.fleet = None
 
 
-def after_scenario(context, _):
-    """Stop what the scenario started and remove its files."""
+def after_scenario(context, scenario):
+    """Stop what the scenario started; keep its files only if it failed."""
     if context.fleet is not None:
         context.fleet.stop()
+    if scenario.status.has_failed() and any(context.folder.iterdir()):
+        keep(context.folder, scenario.name)
     shutil.rmtree(context.folder, ignore_errors=True)
+
+
+def keep(folder: pathlib.Path, name: str) -> None:
+    """Keep the files of a scenario, logs above all."""
+    words = re.sub(r"[^a-z0-9]+", "-", name.lower())[:NAME_LENGTH]
+    kept = KEPT / f"{words}-{time.time_ns()}"
+    shutil.copytree(folder, kept, ignore_dangling_symlinks=True)
+    print(f"files of the failed scenario are kept in {kept}")
--- a/features/steps/chaos_steps.py
+++ b/features/steps/chaos_steps.py
@@ -102,9 +102,25 @@
     time.sleep(SETTLE_S)
 
 
+def leader_of(fleet) -> str:
+    """Return the leading replica; if none says so, what each of them said."""
+    began = time.monotonic()
+    looks = []
+    for number in range(fleet.replicas):
+        name = f"control-{number}"
+        asked_s = time.monotonic() - began
+        response = fleet.admin_fetch(name, "/v1/status")
+        if response is not None and response.code == 200:
+            return json.loads(response.body)["leader"].partition("#")[0]
+        said = "no answer" if response is None else response.body.decode()
+        took_s = time.monotonic() - began - asked_s
+        looks.append(f"{name} at {asked_s:.3f} s in {took_s:.3f} s: {said}")
+    raise AssertionError(f"no replica leads: {looks}")
+
+
 @when("the leader is killed and started again")
 def kill_leader_and_start(context):
-    kill_and_start(context, context.fleet.leader())
+    kill_and_start(context, leader_of(context.fleet))
 
 
 @when("an operator changes the configuration")
@@ -117,7 +133,7 @@
 
 @when("the leader is frozen for {seconds:d} s")
 def freeze_leader(context, seconds):
-    freeze(context, context.fleet.leader(), seconds)
+    freeze(context, leader_of(context.fleet), seconds)
 
 
 @when('"{name}" is frozen for {seconds:d} s')
