crashledger: keep reports and verdicts in modules of their own; bound own reports

Isolation.select compared endpoints field by field while most are down, which grows with the square of their number. A gateway's own report of one crash took every later lost send of that start without a bound.

Change: core/crashrecord.py keeps the reports, crashledger.py convicts; no rule is changed. Selection compares names; a report keeps the last 512 suspects.

--- a/features/steps/crashledger_steps.py
+++ b/features/steps/crashledger_steps.py
@@ -8,6 +8,7 @@
 
 from _coltsfootroad.core import crashes
 from _coltsfootroad.core import crashledger
+from _coltsfootroad.core import crashrecord
 from features.support import ledgerpatterns
 
 
@@ -191,7 +192,7 @@
     for crash in context.ledger.known.values():
         for suspect in crash.suspects.values():
             late_s = suspect.sent_at - crash.at
-            assert late_s <= crashledger.ORDER_SLACK_S, (crash.at, suspect)
+            assert late_s <= crashrecord.ORDER_SLACK_S, (crash.at, suspect)
 
 
 @when(
--- a/features/support/ledgerpatterns.py
+++ b/features/support/ledgerpatterns.py
@@ -4,6 +4,7 @@
 
 from _coltsfootroad.core import crashes
 from _coltsfootroad.core import crashledger
+from _coltsfootroad.core import crashrecord
 from _coltsfootroad.core import fingerprints
 
 STEP_S = 0.2
@@ -118,7 +119,7 @@
         taking_turns_under_popular(5)
     ),
     "three crashes are spread over more than the window": [
-        crash(n, n * crashledger.WINDOW_S, poison=n * crashledger.WINDOW_S - 1)
+        crash(n, n * crashrecord.WINDOW_S, poison=n * crashrecord.WINDOW_S - 1)
         for n in range(1, 4)
     ],
 }
--- a/src/_coltsfootroad/core/isolation.py
+++ b/src/_coltsfootroad/core/isolation.py
@@ -61,8 +61,8 @@
         """
         alive = [e for e in known if e.rest_until <= now]
         if len(alive) < len(known) * STORM_SHARE:
-            own = self.taking(fingerprint, known)
-            return [e for e in alive if e in own and e.name not in avoid]
+            own = {e.name for e in self.taking(fingerprint, known)}
+            return [e for e in alive if e.name in own.difference(avoid)]
         usable = [e for e in alive if e.name not in avoid]
         return self.taking(fingerprint, usable or alive)
 
--- a/src/_coltsfootroad/gateway/crashreporter.py
+++ b/src/_coltsfootroad/gateway/crashreporter.py
@@ -9,7 +9,7 @@
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import crashes
-from _coltsfootroad.core import crashledger
+from _coltsfootroad.core import crashrecord
 from _coltsfootroad.core import fingerprints
 from _coltsfootroad.core import isolation as isolation_lib
 from _coltsfootroad.core import quarantine
@@ -56,7 +56,8 @@
         known = self.kept.pop(crash.endpoint, None)
         if known is not None:
             suspects = known.suspects + crash.suspects
-            crash = attrs.evolve(crash, suspects=suspects)
+            kept = suspects[-crashrecord.MAX_SUSPECTS :]
+            crash = attrs.evolve(crash, suspects=kept)
         self.kept[crash.endpoint] = crash
         self.unsent[crash.endpoint] = None
         while len(self.kept) > MAX_KEPT:
@@ -74,7 +75,7 @@
 
     def report_again(self) -> None:
         """Report everything to a leader that may know nothing of it."""
-        oldest = clocks.boot_time() - crashledger.WINDOW_S
+        oldest = clocks.boot_time() - crashrecord.WINDOW_S
         self.kept = {
             endpoint: crash
             for endpoint, crash in self.kept.items()
