quarantine: keep operators' entries when an answer is reported

Cause: the leader ended any entry of a request whose answer was reported, one that an operator had added too; found by reading the diff. In the same reading: the module of verdicts held a function that nobody called beside the condition it was to replace.

Change: only entries that crashes have made end by an answer. CrashLedger.decides is used. ProcessSignals.on is set_action.

--- a/features/control/quarantine.feature
+++ b/features/control/quarantine.feature
@@ -50,6 +50,11 @@
     When an answer of another request is reported
     Then every replica holds 1 entry with 3 crashes
 
+  Scenario: An answer ends no entry of an operator
+    Given an entry of an operator
+    When an answer of it is reported
+    Then every replica holds 1 entry with 0 crashes
+
   Scenario: Crashes that a lost leader knew are reported again
     When two crashes are reported and the leader is lost
     And gateways report to the new leader again, and a third crash
--- a/features/steps/controlquarantine_steps.py
+++ b/features/steps/controlquarantine_steps.py
@@ -89,6 +89,12 @@
         assert context.site.leader().node.state.quarantine.entries
 
 
+@given("an entry of an operator")
+def an_operators_entry(context):
+    add(context.site, ledgerpatterns.print_of("poison"))
+    context.site.run_until(context.site.now + SETTLE_S)
+
+
 @when("an answer of {whom} is reported")
 def answer_reported(context, whom):
     name = "other" if "another" in whom else "poison"
--- a/src/_coltsfootroad/commands/common.py
+++ b/src/_coltsfootroad/commands/common.py
@@ -121,8 +121,8 @@
             stop.set_result(True)
 
     signals = processsignals.PROCESS
-    signals.on(signal.SIGUSR1, lambda: write_dump(dump))
-    signals.on_stop(on_stop)
+    signals.set_action(signal.SIGUSR1, lambda: write_dump(dump))
+    signals.set_stop_action(on_stop)
     done, _ = await asyncio.wait(
         [stop, *broken], return_when=asyncio.FIRST_COMPLETED
     )
@@ -134,7 +134,7 @@
 
 def on_reload(action: Callable[[], None]) -> None:
     """Run an action whenever SIGHUP comes, until the program stops."""
-    processsignals.PROCESS.on(signal.SIGHUP, action)
+    processsignals.PROCESS.set_action(signal.SIGHUP, action)
 
 
 def write_dump(dump: Callable[[], bytes]) -> None:
--- a/src/_coltsfootroad/control/hub.py
+++ b/src/_coltsfootroad/control/hub.py
@@ -345,9 +345,14 @@
         return [*map(acquit, acquitted), *self.convict(now)]
 
     def is_convicted(self, fingerprint: fingerprints.Fingerprint) -> bool:
-        """Return whether a request is in quarantine, or about to be."""
-        entries = self.state.quarantine.entries
-        return fingerprint in entries or fingerprint in self.convicting
+        """Return whether crashes put a request in quarantine, or are about to.
+
+        What an operator has put there stays.
+        """
+        entry = self.state.quarantine.entries.get(fingerprint)
+        if entry is not None:
+            return entry.reason == CRASHED
+        return fingerprint in self.convicting
 
     def convict_late(self, now: float) -> list[crashreports.Quarantine]:
         """Return what to replicate once a crash proves more than before."""
--- a/src/_coltsfootroad/core/crashledger.py
+++ b/src/_coltsfootroad/core/crashledger.py
@@ -173,10 +173,7 @@
             if len(crash.suspects) == 1
             and (crash.is_complete(now) or not is_repeated)
         ]
-        needed = 1 if any(not crash.was_shared for crash in alone) else 2
-        if len(alone) >= min(len(known), needed) and len(
-            alone
-        ) * CRASHES_CONTESTED >= len(known):
+        if self.decides(alone, len(known)):
             return False
         newest_at = max(crash.reported_at for crash in known)
         return is_repeated or now < newest_at + ANSWERS_S
@@ -192,7 +189,7 @@
             return False
         if any(not crash.was_shared for crash in alone):
             return True
-        return len(alone) >= SHARED_TO_CONVICT
+        return len(alone) >= min(count, SHARED_TO_CONVICT)
 
     def chain(
         self,
--- a/src/_coltsfootroad/core/crashrecord.py
+++ b/src/_coltsfootroad/core/crashrecord.py
@@ -67,7 +67,6 @@
     )
     cleared: dict[fingerprints.Fingerprint, float] = attrs.Factory(dict)
     stopped: dict[crashes.EndpointKey, KnownCrash] = attrs.Factory(dict)
-
     misplaced: dict[str, dict[fingerprints.Fingerprint, crashes.Suspect]] = (
         attrs.Factory(dict)
     )
--- a/src/_coltsfootroad/shell/processsignals.py
+++ b/src/_coltsfootroad/shell/processsignals.py
@@ -77,14 +77,16 @@
                 side.close()
             self.wakeup = None
 
-    def on(self, number: signal.Signals, action: Callable[[], None]) -> None:
+    def set_action(
+        self, number: signal.Signals, action: Callable[[], None]
+    ) -> None:
         """Run an action on the loop each time a signal comes."""
         self.actions[number] = action
 
-    def on_stop(self, action: Callable[[], None]) -> None:
+    def set_stop_action(self, action: Callable[[], None]) -> None:
         """Run an action once a stop is asked for, at once if it was."""
         for number in STOPPING:
-            self.on(number, action)
+            self.set_action(number, action)
         if self.stopped_by:
             action()
 
