gateway: give up a silent endpoint only for one that takes over

Ruled out: load, as loop and endpoints were measured, and none was late.

Change: may_switch looks at all that stops a further send, and pays for the retry, before the silent one is given up; otherwise its silence is waited out.

--- a/features/gateway/promises.feature
+++ b/features/gateway/promises.feature
@@ -28,6 +28,26 @@
     Then the caller gets 504 and the answer is whole
     And 1 sends were made
 
+  # Guards against streams that are cut off behind endpoints that are only slow: the
+  # silent one was given up before it was known that no other may take over.
+  Scenario Outline: A stream whose endpoint pauses goes on there where <hindrance>
+    When a stream pauses for 1.3 s at its endpoint where <hindrance>
+    Then the caller gets 200 and the answer is whole
+    And the events are 1 2 3 4
+    And 1 sends were made
+
+    Examples:
+      | hindrance                        |
+      | the retry budget is used up      |
+      | the routes are proved no longer  |
+      | no other endpoint runs           |
+
+  Scenario: A stream whose endpoint pauses goes on at another one
+    When a stream pauses for 1.3 s at its endpoint where another one runs
+    Then the caller gets 200 and the answer is whole
+    And the events are 1 2 3 4
+    And 2 sends were made
+
   Scenario: What was held while the gateway started is not sent away for that
     When a prompt is held for 0.5 s beside 6 that are late, and 8 places are free
     Then the caller gets 200 and the answer is whole
--- a/features/steps/promises_steps.py
+++ b/features/steps/promises_steps.py
@@ -107,6 +107,27 @@
     assert least <= context.age_s < 60.0, context.age_s
 
 
+@when("a stream pauses for {pause:g} s at its endpoint where {hindrance}")
+def pausing_stream(context, pause, hindrance):
+    async def story(bed):
+        first = await bed.add("e1", "pause")
+        first.pause_s = pause
+        asked = asyncio.ensure_future(bed.ask("/stream/x"))
+        await asyncio.sleep(pause / 4)
+        endpoints = [first]
+        if hindrance != "no other endpoint runs":
+            endpoints.append(await bed.add("e2", "stream"))
+        if "budget" in hindrance:
+            budget = bed.gateway.budget("shop")
+            budget.ratio = budget.slack = 0.0
+        if "proved" in hindrance:
+            bed.prove(age_s=60.0)
+        context.answer = await asked
+        context.seen = [s for e in endpoints for s in e.seen]
+
+    gateway_steps.play(context, story)
+
+
 @when("the proof ends while a first endpoint loses a safe request")
 def proof_ends(context):
     async def story(bed):
--- a/features/support/gatewaybed.py
+++ b/features/support/gatewaybed.py
@@ -17,6 +17,7 @@
 HOST = "shop.example"
 KEY = "key-of-acme"
 EVENTS = 4
+PAUSE_BEFORE = 3
 TIMEOUT_S = 10
 
 
@@ -40,6 +41,7 @@
         # Whether it did anything else than rejecting.
         self.ran = False
         self.server = None
+        self.pause_s = 0.0
         self.address = ""
         self.writers: set[asyncio.StreamWriter] = set()
 
@@ -193,6 +195,17 @@
         write_chunk(writer, self.event(headers, 2))
         return await self.do_hang(headers, reader, writer)
 
+    async def do_pause(self, headers, _, writer) -> bool:
+        """Send two events, then the others after a pause."""
+        writer.write(self.head(headers, "Transfer-Encoding: chunked"))
+        for number in range(1, EVENTS + 1):
+            if number == PAUSE_BEFORE:
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+            write_chunk(writer, self.event(headers, number))
+        writer.write(b"0\r\n\r\n")
+        return True
+
     async def do_die_in_event(self, headers, _, writer) -> bool:
         """Send two events and half of the third, then break off."""
         writer.write(self.head(headers, "Transfer-Encoding: chunked"))
--- a/src/_coltsfootroad/core/sends.py
+++ b/src/_coltsfootroad/core/sends.py
@@ -35,6 +35,8 @@
         count: Sends so far.
         runs: Those of them that may have run.
         tried: Endpoints that were chosen, whatever came of it.
+        is_retry_paid: Whether the next send is taken out of the retry budget
+            already.
     """
 
     attempts: int
@@ -42,6 +44,7 @@
     count: int = 0
     runs: int = 0
     tried: set[str] = attrs.Factory(set)
+    is_retry_paid: bool = False
 
     def may_switch(self) -> bool:
         """Return whether another endpoint could take over a silent send."""
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -252,11 +252,31 @@
             watchdog.stop()
 
     def may_switch(self) -> bool:
-        """Return whether another endpoint could take over."""
+        """Return whether another endpoint takes over from a silent one.
+
+        The retry is paid for at once: a send that is given up without one
+        would cut off an answer that may only be slow.
+        """
         if self.guard.on_trial or not self.sends.may_switch():
             return False
-        others = self.gateway.endpoints.of_service(self.service.name)
-        return any(known.name not in self.sends.tried for known in others)
+        now = clocks.boot_time()
+        if self.unfit_reason(now) or not self.has_untried(now):
+            return False
+        if not self.sends.is_retry_paid:
+            self.sends.is_retry_paid = self.take_retry(now)
+        return self.sends.is_retry_paid
+
+    def has_untried(self, now: float) -> bool:
+        """Return whether an endpoint is left that it was not sent to."""
+        choice = self.choose(now)
+        return (
+            choice is not None and choice.endpoint.name not in self.sends.tried
+        )
+
+    def take_retry(self, now: float) -> bool:
+        """Take one retry out of the budget of the service, if any is left."""
+        budget = self.gateway.budget(self.service.name)
+        return budget.take(self.gateway.limit_share(), now)
 
     async def reserve(self, choice: engines.Choice) -> bool:
         """Set memory aside for a prompt above one engine's memory."""
@@ -284,10 +304,10 @@
             return "its trial has ended"
         if reason or outcome is sends_lib.Outcome.NO_MEMORY:
             return reason
-        budget = self.gateway.budget(self.service.name)
-        if self.sends.count and not budget.take(
-            self.gateway.limit_share(), clocks.boot_time()
-        ):
+        is_paid, self.sends.is_retry_paid = self.sends.is_retry_paid, False
+        if is_paid or not self.sends.count:
+            return ""
+        if not self.take_retry(clocks.boot_time()):
             return "the retry budget is used up"
         return ""
 
