gateway: log what decides each retry, count retries by service

Change: 'retry taken' and 'retry refused' with their inputs; counters by service in metrics and the state dump.

--- a/src/_coltsfootroad/core/windowbudget.py
+++ b/src/_coltsfootroad/core/windowbudget.py
@@ -20,6 +20,9 @@
         ratio: Retries for each request of the window.
         slack: Retries beyond that, over all gateways.
         window_s: Length of the window.
+        counted: Requests counted since the start of the process.
+        taken: Retries taken since then.
+        refused: Retries refused since then.
     """
 
     ratio: float
@@ -27,9 +30,13 @@
     window_s: float
     requests: collections.deque = attrs.Factory(collections.deque)
     retries: collections.deque = attrs.Factory(collections.deque)
+    counted: int = 0
+    taken: int = 0
+    refused: int = 0
 
     def on_request(self, now: float) -> None:
         """Count a fresh request."""
+        self.counted += 1
         self.requests.append(now)
         self.trim(now)
 
@@ -39,13 +46,18 @@
         `slack_share` is this gateway's part of the slack, 0 to 1.
         """
         self.trim(now)
-        allowed = self.ratio * SAFE_SHARE * len(self.requests)
-        allowed += self.slack * SAFE_SHARE * slack_share
-        if len(self.retries) + 1 > allowed:
+        if len(self.retries) + 1 > self.allowed(slack_share):
+            self.refused += 1
             return False
         self.retries.append(now)
+        self.taken += 1
         return True
 
+    def allowed(self, slack_share: float) -> float:
+        """Return the retries that the window holds, those taken included."""
+        allowed = self.ratio * SAFE_SHARE * len(self.requests)
+        return allowed + self.slack * SAFE_SHARE * slack_share
+
     def trim(self, now: float) -> None:
         """Drop what has left the window."""
         oldest = now - self.window_s
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -275,8 +275,24 @@
 
     def take_retry(self, now: float) -> bool:
         """Take one retry out of the budget of the service, if any is left."""
-        budget = self.gateway.budget(self.service.name)
-        return budget.take(self.gateway.limit_share(), now)
+        gateway = self.gateway
+        budget = gateway.budget(self.service.name)
+        share = gateway.limit_share()
+        is_taken = budget.take(share, now)
+        LOG.info(
+            "retry taken" if is_taken else "retry refused",
+            request=self.request_id,
+            service=self.service.name,
+            send=self.sends.count + 1,
+            runs=self.sends.runs,
+            taken=len(budget.retries),
+            allowed=round(budget.allowed(share), 2),
+            requests=len(budget.requests),
+            share=round(share, 4),
+            members=len(gateway.view.members),
+            incarnation_age_s=round(now - gateway.started_at, 2),
+        )
+        return is_taken
 
     async def reserve(self, choice: engines.Choice) -> bool:
         """Set memory aside for a prompt above one engine's memory."""
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -71,6 +71,7 @@
         self.metrics = metrics
         # Summaries of an earlier process must not hide those of this one.
         self.incarnation = time.time_ns()
+        self.started_at = clocks.boot_time()
         self.view = routeview.RouteView(settings.staleness_bound_s)
         self.start_up = startup.StartUp(self.view)
         self.endpoints = endpointset.EndpointSet()
@@ -297,6 +298,7 @@
                 "version": self.view.version,
                 "proof_age_s": self.view.age_s(clocks.boot_time()),
                 "members": self.view.members,
+                "retry_budgets": self.budgets,
                 "endpoints": self.endpoints.known,
                 "own_work": list(self.load.own.values()),
                 "foreign_work": self.load.foreign,
@@ -361,5 +363,29 @@
             "workspace",
             lambda: dict(self.quarantine.refusals),
         )
+        self.add_budget_metrics()
         counter("colts_log_dropped", "Log lines dropped", logs.dropped)
         traffic.PROCESS.add_metrics(self.metrics)
+
+    def add_budget_metrics(self) -> None:
+        """Register what is counted of each service's retry budget."""
+        texts = {
+            "counted": "Requests counted for the retry budget",
+            "taken": "Retries taken out of the retry budget",
+            "refused": "Retries refused, as the retry budget was used up",
+        }
+        names = {
+            "counted": "colts_gateway_budget_requests",
+            "taken": "colts_gateway_retries",
+            "refused": "colts_gateway_retries_refused",
+        }
+        for field, text in texts.items():
+            self.metrics.counter_by(
+                names[field],
+                f"{text}, by service",
+                "service",
+                lambda field=field: {
+                    service: getattr(budget, field)
+                    for service, budget in self.budgets.items()
+                },
+            )
