--- /dev/null
+++ b/features/support/retryhistories.py
@@ -0,0 +1,144 @@
+"""What happens to a fleet whose endpoints fail, for its retry budget."""
+
+import random
+
+from features.support import retryworld
+
+COUNT = 9
+SETTLED_S = 30.0
+# Each gateway spends all that it holds several times a second.
+GREEDY = 8.0
+
+
+def settled(count: int = COUNT) -> retryworld.World:
+    """Return a fleet that has run for a while without a failure."""
+    world = retryworld.World(count)
+    world.run(SETTLED_S, retry_rate=0.0)
+    return world
+
+
+def nothing() -> retryworld.World:
+    """Let only the endpoints fail."""
+    world = settled()
+    world.run(25.0, GREEDY)
+    return world
+
+
+def all_restart_twice() -> retryworld.World:
+    """Kill all gateways, and again four seconds later."""
+    world = settled()
+    for _ in range(2):
+        world.run(2.0, GREEDY)
+        world.kill(list(world.gateways), 0.5)
+        world.run(2.0, GREEDY)
+    world.run(20.0, GREEDY)
+    return world
+
+
+def each_restarts_in_turn() -> retryworld.World:
+    """Restart one gateway after the other, as a rolling release does."""
+    world = settled()
+    world.run(0.5, GREEDY)
+    for name in world.gateways:
+        world.kill([name], 0.3)
+        world.run(0.5, GREEDY)
+    world.run(20.0, GREEDY)
+    return world
+
+
+def five_are_lost() -> retryworld.World:
+    """Lose five of nine gateways, which the others see."""
+    world = settled()
+    world.run(1.0, GREEDY)
+    world.kill(list(world.gateways)[:5], 60.0)
+    world.run(30.0, GREEDY)
+    return world
+
+
+def five_are_cut_off() -> retryworld.World:
+    """Cut five of nine gateways off; they send until their proof is old."""
+    world = settled()
+    world.run(1.0, GREEDY)
+    world.cut_off(list(world.gateways)[:5], 20.0)
+    world.run(40.0, GREEDY)
+    return world
+
+
+def members_fill_one_by_one() -> retryworld.World:
+    """Start all gateways cold; control hears of one after the other."""
+    world = retryworld.World(COUNT)
+    world.never_seen(list(world.gateways))
+    for number, gateway in enumerate(world.gateways.values()):
+        gateway.until = world.now + 0.1 * number
+    world.run(30.0, GREEDY)
+    return world
+
+
+def fleet_grows() -> retryworld.World:
+    """Let four gateways become twelve."""
+    world = retryworld.World(12)
+    later = list(world.gateways)[4:]
+    world.never_seen(later)
+    for name in later:
+        world.gateways[name].until = world.now + SETTLED_S + 1.0
+    world.run(SETTLED_S, retry_rate=0.0)
+    world.run(30.0, GREEDY)
+    return world
+
+
+def restart_between_bursts() -> retryworld.World:
+    """Let endpoints fail at both ends of a window, with a restart between."""
+    world = settled()
+    world.run(10.0, retry_rate=0.0, rate=40.0)
+    world.run(0.3, 2 * GREEDY, rate=40.0)
+    world.kill(list(world.gateways), 0.1)
+    world.run(9.0, retry_rate=0.0, rate=40.0)
+    world.run(0.6, 2 * GREEDY, rate=40.0)
+    return world
+
+
+def requests_move() -> retryworld.World:
+    """Let callers move to other gateways, with a burst of failures at both."""
+    world = settled()
+    names = list(world.gateways)
+    world.serving = set(names[:4])
+    world.run(10.0, retry_rate=0.0, rate=80.0)
+    world.run(0.3, 2 * GREEDY, rate=80.0)
+    world.serving = set(names[4:])
+    world.run(9.0, retry_rate=0.0, rate=80.0)
+    world.run(0.6, 2 * GREEDY, rate=80.0)
+    return world
+
+
+DIRECTED = {
+    "no gateway is lost": nothing,
+    "all restart twice": all_restart_twice,
+    "each restarts in turn": each_restarts_in_turn,
+    "five of nine are lost": five_are_lost,
+    "five of nine are cut off": five_are_cut_off,
+    "members become known one by one": members_fill_one_by_one,
+    "four gateways become twelve": fleet_grows,
+    "all restart between two bursts": restart_between_bursts,
+    "callers move between two bursts": requests_move,
+}
+
+
+def drawn(seed: int) -> retryworld.World:
+    """Return what a history with faults drawn from a seed led to."""
+    rng = random.Random(seed)
+    world = retryworld.World(rng.choice((1, 3, 9, 24)), rng)
+    world.run(rng.choice((0.0, SETTLED_S)), 0.0, rng.uniform(0.0, 8.0))
+    for _ in range(rng.randint(3, 9)):
+        names = list(world.gateways)
+        some = rng.sample(names, rng.randint(1, len(names)))
+        if rng.random() < 0.6:
+            world.kill(some, rng.uniform(0.1, 4.0))
+        else:
+            world.cut_off(some, rng.uniform(0.5, 12.0))
+        world.run(
+            rng.uniform(0.2, 6.0),
+            rng.choice((0.0, 1.0, GREEDY)),
+            rng.choice((0.0, 1.0, 8.0, 40.0)),
+        )
+    world.run(5.0, GREEDY)
+    return world
