retry budget: let a gateway use the least share that it held over a window

What callers saw: endpoints that fail were sent up to half more retries than the fleet may send, just while gateways restarted. Cause: a gateway's share followed the members of the moment, its spends were of the last window. A restarted one held a whole share at once although its predecessor's spends were still in the window; survivors' shares grew as soon as members were lost; one that had been cut off went on with the share that the others had taken over. And each window's requests earned the whole ratio, although those of two adjacent windows can be spent within one, at other gateways or after a restart. Change: SettledShare: the least share over a window, the age at which proofs end and 0.5 s on the way; 0 before the process has run for that long, and while its proof was too old. Half of the ratio. 0.95 of the slack is shared, as the arrival lag is counted. Why it holds: at some moment of the span all saw the same members, at which shares add up to 1; least shares cannot exceed those. No message is needed.

--- a/features/core/retryhistories.feature
+++ b/features/core/retryhistories.feature
@@ -26,3 +26,31 @@
       | first | last |
       | 0     | 19   |
       | 20    | 39   |
+
+  Scenario Outline: A planted defect of the fleet's retry budget is caught: <defect>
+    Given the defect "<defect>" in the fleet's retry budget
+    Then one of the histories breaks the bound
+
+    Examples:
+      | defect                              |
+      | spends are forgotten by a restart   |
+      | share of the newest members         |
+      | a share outlives its proof          |
+      | a share lasts for half of the span  |
+      | each window earns the whole ratio   |
+      | retries leave the window early      |
+
+  Scenario Outline: A share of <shares> counts as <least>
+    Given a gateway that held a share of <shares> at <times> s
+    Then its settled share at <now> s, over 10 s with proofs good for 4 s, is <least>
+
+    Examples:
+      | shares        | times      | now | least |
+      | 0.1           | 0          | 3   | 0     |
+      | 0.1 0.1 0.1 0.1 | 0 3 6 9  | 10  | 0.1   |
+      | 0.1 0.5 0.5   | 0 3 6      | 9   | 0     |
+      | 0.1 0.5 0.5 0.5 | 0 3 6 9  | 12  | 0.1   |
+      | 0.1 0.5 0.5 0.5 | 0 3 6 9  | 13  | 0.5   |
+      | 0.5 0.1 0.5 0.5 | 0 3 6 9  | 13  | 0.1   |
+      | 0.1 0.1 0.1 0.1 | 0 3 6 9  | 14  | 0     |
+      | 0.1 0.1 0.1   | 0 5 9      | 12  | 0     |
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -26,7 +26,9 @@
 def use_up(gateway) -> None:
     """Take every retry that a gateway's budget holds."""
     budget = gateway.budget(SERVICE)
-    while budget.take(gateway.limit_share(), clocks.boot_time()):
+    while budget.take(
+        gateway.floor_share.least(clocks.boot_time()), clocks.boot_time()
+    ):
         pass
     budget.taken = budget.refused = 0
 
--- a/features/steps/retryhistories_steps.py
+++ b/features/steps/retryhistories_steps.py
@@ -4,6 +4,9 @@
 from behave import then
 from behave import when
 
+from _coltsfootroad.core import settledshare
+from features.support import mutants
+from features.support import retrydefects
 from features.support import retryhistories
 
 
@@ -29,3 +32,39 @@
             retryhistories.drawn(seed).fleet.check()
         except AssertionError as broken:
             raise AssertionError(f"history {seed}: {broken}") from broken
+
+
+@given('the defect "{label}" in the fleet\'s retry budget')
+def plant(context, label):
+    context.label = label
+
+
+def breaks(history) -> bool:
+    """Return whether a history breaks the bound."""
+    try:
+        history().fleet.check()
+    except AssertionError:
+        return True
+    return False
+
+
+@then("one of the histories breaks the bound")
+def caught(context):
+    with mutants.planted(retrydefects.DEFECTS, context.label):
+        assert any(map(breaks, retryhistories.DIRECTED.values()))
+
+
+@given("a gateway that held a share of {shares} at {times} s")
+def held(context, shares, times):
+    context.share = settledshare.SettledShare(10.0, 4.0)
+    for share, at in zip(shares.split(), times.split(), strict=True):
+        context.share.update(float(share), float(at), float(at))
+
+
+@then(
+    "its settled share at {now:g} s, over 10 s with proofs good for 4 s, is"
+    " {least:g}"
+)
+def settled(context, now, least):
+    found = context.share.least(now)
+    assert found == least, found
--- a/features/support/gatewaybed.py
+++ b/features/support/gatewaybed.py
@@ -314,6 +314,7 @@
         self.gateway.front.listen(self.gateway.settings.listen)
         self.gateway.adopt(config())
         self.prove()
+        self.settle_share(1.0)
         self.gateway.start_up.done = True
         self.endpoints: list[ScriptedEndpoint] = []
 
@@ -339,6 +340,12 @@
         """Prove that the version was current some seconds ago."""
         self.gateway.view.confirmed_at = clocks.boot_time() - age_s
 
+    def settle_share(self, share: float) -> None:
+        """Let the gateway have held a share of the slack for long."""
+        floor = self.gateway.floor_share
+        now = clocks.boot_time()
+        floor.update(share, now - 2 * floor.span_s, now)
+
     async def add(self, name: str, *script: str) -> ScriptedEndpoint:
         """Start an endpoint and announce it."""
         return await self.take(ScriptedEndpoint(name, list(script)))
--- a/features/support/retryworld.py
+++ b/features/support/retryworld.py
@@ -11,6 +11,7 @@
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import members
 from _coltsfootroad.core import rotation as rotation_lib
+from _coltsfootroad.core import settledshare
 from _coltsfootroad.core import windowbudget
 
 RATIO = 0.2
@@ -83,6 +84,7 @@
     fleet: Fleet
     budget: windowbudget.WindowBudget = attrs.field(init=False)
     rotation: rotation_lib.Rotation = attrs.field(init=False)
+    floor_share: settledshare.SettledShare = attrs.field(init=False)
     seen_at: float = attrs.field(init=False)
     until: float = 0.0
 
@@ -95,6 +97,9 @@
             RATIO, self.fleet.slack, WINDOW_S
         )
         self.rotation = rotation_lib.Rotation(members.MemberView())
+        self.floor_share = settledshare.SettledShare(
+            WINDOW_S + STALENESS_S + windowbudget.ARRIVAL_LAG_S, STALENESS_S
+        )
         self.seen_at = float("-inf")
 
     def learn(self, names: list[str]) -> None:
@@ -107,7 +112,10 @@
             if name not in view.known
         )
         view.learn(found, lost, False)
-        self.seen_at = self.fleet.now
+        share = self.rotation.limit_share(self.name)
+        now = self.fleet.now
+        self.floor_share.update(share, now, now)
+        self.seen_at = now
 
     @property
     def sends(self) -> bool:
@@ -127,7 +135,7 @@
         while (
             count < most
             and self.sends
-            and self.budget.take(self.rotation.limit_share(self.name), now)
+            and self.budget.take(self.floor_share.least(now), now)
         ):
             count += 1
         self.fleet.again += [now] * count
--- a/src/_coltsfootroad/core/windowbudget.py
+++ b/src/_coltsfootroad/core/windowbudget.py
@@ -4,9 +4,15 @@
 
 import attrs
 
-# Share of the fleet's slack that the gateways hand out among themselves;
-# the rest covers gateways that do not know of each other yet.
-SAFE_SHARE = 0.85
+# Part of the ratio that a gateway uses. The requests of two adjacent windows
+# may earn retries that are sent within one, at other gateways or after a
+# restart, and the fleet's bound counts one of them only.
+RATIO_PART = 0.5
+# Part of the slack that gateways hold without a message between them.
+FLOOR_PART = 0.95
+# A retry reaches its endpoint within this time after it was charged, and so
+# counts for that much longer.
+ARRIVAL_LAG_S = 0.5
 
 
 @attrs.define
@@ -28,8 +34,8 @@
     ratio: float
     slack: float
     window_s: float
-    requests: collections.deque = attrs.Factory(collections.deque)
-    retries: collections.deque = attrs.Factory(collections.deque)
+    requests: collections.deque[float] = attrs.Factory(collections.deque)
+    retries: collections.deque[float] = attrs.Factory(collections.deque)
     counted: int = 0
     taken: int = 0
     refused: int = 0
@@ -40,27 +46,31 @@
         self.requests.append(now)
         self.trim(now)
 
-    def take(self, slack_share: float, now: float) -> bool:
+    def take(self, floor_share: float, now: float) -> bool:
         """Spend one retry if the window still holds one.
 
-        `slack_share` is this gateway's part of the slack, 0 to 1.
+        `floor_share` is this gateway's settled part of the slack, 0 to 1.
         """
         self.trim(now)
-        if len(self.retries) + 1 > self.allowed(slack_share):
+        if len(self.retries) + 1 > self.allowed(floor_share):
             self.refused += 1
             return False
         self.retries.append(now)
         self.taken += 1
         return True
 
-    def allowed(self, slack_share: float) -> float:
+    def allowed(self, floor_share: float) -> float:
         """Return the retries that the window holds, those taken included."""
-        allowed = self.ratio * SAFE_SHARE * len(self.requests)
-        return allowed + self.slack * SAFE_SHARE * slack_share
+        earned = self.ratio * RATIO_PART * len(self.requests)
+        return earned + self.slack * FLOOR_PART * floor_share
 
     def trim(self, now: float) -> None:
         """Drop what has left the window."""
-        oldest = now - self.window_s
-        for times in (self.requests, self.retries):
-            while times and times[0] <= oldest:
-                times.popleft()
+        drop_until(self.requests, now - self.window_s)
+        drop_until(self.retries, now - self.window_s - ARRIVAL_LAG_S)
+
+
+def drop_until(times: collections.deque[float], oldest: float) -> None:
+    """Drop the times up to `oldest`."""
+    while times and times[0] <= oldest:
+        times.popleft()
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -277,7 +277,7 @@
         """Take one retry out of the budget of the service, if any is left."""
         gateway = self.gateway
         budget = gateway.budget(self.service.name)
-        share = gateway.limit_share()
+        share = gateway.floor_share.least(now)
         is_taken = budget.take(share, now)
         LOG.info(
             "retry taken" if is_taken else "retry refused",
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -11,6 +11,7 @@
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import routeview
+from _coltsfootroad.core import settledshare
 from _coltsfootroad.core import windowbudget
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import crashdetector
@@ -89,6 +90,13 @@
         )
         self.pools: dict[str, upstream.EndpointPool] = {}
         self.budgets: dict[str, windowbudget.WindowBudget] = {}
+        # Others may act on older members until their proof is too old.
+        self.floor_share = settledshare.SettledShare(
+            settings.retry_window_s
+            + settings.staleness_bound_s
+            + windowbudget.ARRIVAL_LAG_S,
+            settings.staleness_bound_s,
+        )
         self.running: set = set()
         self.leaving = False
         self.stopping_at = float("inf")
@@ -233,9 +241,12 @@
         """Return whether answers end their connection."""
         return self.leaving
 
-    def limit_share(self) -> float:
-        """Return this gateway's part of what the gateways share."""
-        return self.view.rotation.limit_share(self.settings.gateway)
+    def note_members(self) -> None:
+        """Take what the members known now leave of limits that all share."""
+        share = self.view.rotation.limit_share(self.settings.gateway)
+        self.floor_share.update(
+            share, clocks.boot_time(), self.view.confirmed_at
+        )
 
     def budget(self, service: str) -> windowbudget.WindowBudget:
         """Return the retry budget of a service."""
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -213,6 +213,7 @@
         if not self.take_routes(question, news):
             return
         gateway.view.confirm(asked_at - news.proof_age_s)
+        gateway.note_members()
         gateway.start_up.on_news(news.registry_age_s, clocks.boot_time())
         if news.proof_age_s > relaychoice.BEHIND_S:
             now = clocks.boot_time()
