retry budget: lend more than half of the slack to gateways that need it

What callers saw: where the endpoints of a few gateways fail, or of hundreds with less than one retry each, requests were refused although the fleet's budget was hardly used. Cause: the slack was split evenly and in whole retries: 520 gateways took 0 of 106, one of nine took 10 whatever the others used. Ruled out (docs/design/retry-budget.md): counters in the gossip, which need a reserve for their staleness; a token bucket, which halves what one gateway may use. Change: control/retrylending.py at the leader, core/retryloans.py and gateway/retryborrower.py at gateways. A gateway whose next retry would be refused asks beside its requests; a loan is good for 4 s from the request and counts for the window, the time on the way and a margin of clocks after that. Evidence: five more histories (leaders change, nobody leads, answers are lost, loans used at their end, restarts while borrowing), 700 drawn histories, four more planted defects, rows of retrylending.feature and retrybudget.feature.

--- a/features/core/retryhistories.feature
+++ b/features/core/retryhistories.feature
@@ -20,6 +20,11 @@
       | callers move between two bursts |
       | reserved retries leave late     |
       | reserved retries lose their ground |
+      | one leader after another begins |
+      | nobody leads for 6 s            |
+      | loans are used at their end     |
+      | half of the loans are lost      |
+      | all restart while they borrow   |
 
   Scenario Outline: No window of drawn histories <first> to <last> holds too many retries
     Then histories <first> to <last> keep to the fleet's retry budget
@@ -29,6 +34,22 @@
       | 0     | 19   |
       | 20    | 39   |
 
+  # Guards against a budget that many gateways cannot use, as each one's part is
+  # less than one retry.
+  Scenario Outline: <count> gateways, <requests> requests each, <failing> of them see failures
+    When <failing> of <count> calm gateways with <requests> requests each begin to fail
+    Then within 1 s they send at least <least> retries and no more than the fleet may
+
+    Examples:
+      | count | requests | failing | least |
+      | 9     | 25       | 9       | 90    |
+      | 96    | 5        | 96      | 58    |
+      | 520   | 1        | 520     | 58    |
+      | 520   | 4        | 520     | 58    |
+      | 9     | 25       | 1       | 18    |
+      | 96    | 5        | 1       | 18    |
+      | 520   | 1        | 1       | 18    |
+
   Scenario Outline: A planted defect of the fleet's retry budget is caught: <defect>
     Given the defect "<defect>" in the fleet's retry budget
     Then one of the histories breaks the bound
@@ -42,6 +63,10 @@
       | each window earns the whole ratio   |
       | retries leave the window early      |
       | reserved retries are sent whenever  |
+      | a new leader lends at once          |
+      | a loan counts for its own time only |
+      | loans never end                     |
+      | all of the slack is lent as well    |
 
   Scenario Outline: A share of <shares> counts as <least>
     Given a gateway that held a share of <shares> at <times> s
--- a/features/gateway/retrybudget.feature
+++ b/features/gateway/retrybudget.feature
@@ -47,3 +47,17 @@
       | down, down, answer | 1        | 200    |
       | reject, answer     | 1        | 503    |
       | reset, answer      | 1        | 502    |
+
+  Scenario Outline: A gateway whose part is used up, and the leader <does>
+    Given a gateway whose retry budget is used up
+    And the leader <does>
+    When each of <count> requests in turn is rejected once by its endpoint
+    Then <served> of them are answered and the others refused with 503
+    And the leader was asked at most <asked> times, each time for what was refused
+
+    Examples:
+      | does           | count | served | asked |
+      | lends 2        | 4     | 2      | 3     |
+      | lends 16       | 4     | 3      | 2     |
+      | lends nothing  | 4     | 0      | 1     |
+      | is not reached | 4     | 0      | 1     |
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -1,5 +1,6 @@
 """Steps on the retry budget of one gateway."""
 
+import asyncio
 from unittest import mock
 
 import attrs
@@ -7,7 +8,10 @@
 from behave import then
 from behave import when
 
+from _coltsfootroad.control import retrylending
 from _coltsfootroad.gateway import exchange
+from _coltsfootroad.gateway import retryborrower
+from _coltsfootroad.gateway import sendbudget
 from _coltsfootroad.shell import clocks
 from features.steps import gateway_steps
 from features.support import gatewaybed
@@ -48,7 +52,7 @@
         await bed.add("e2", "reject", "answer")
         if context.is_used_up:
             use_up(bed.gateway)
-        with mock.patch.object(exchange, "LOG") as log:
+        with mock.patch.object(sendbudget, "LOG") as log:
             context.answer = await bed.ask("/safe/x")
         context.lines = {
             call.args[0]: call.kwargs for call in log.info.call_args_list
@@ -139,3 +143,69 @@
 @then("its caller gets {status:d}")
 def caller_gets(context, status):
     assert context.answer.status == status, context.answer
+
+
+# --- loans -----------------------------------------------------------------
+
+
+@attrs.define
+class LendingLink:
+    """Answers like a leader that lends `amount`, None for no leader."""
+
+    amount: int | None
+    asked: list = attrs.Factory(list)
+
+    async def call(self, message):
+        """Answer a request for retries."""
+        self.asked.append(message)
+        if self.amount is None:
+            return None
+        amount, self.amount = self.amount, 0
+        return retrylending.RetriesLent(
+            amount=amount, retry_after_s=0.0 if amount else 60.0
+        )
+
+
+LENDS = {"lends nothing": 0, "is not reached": None}
+
+
+@given("the leader {does}")
+def leader_that(context, does):
+    amount = LENDS[does] if does in LENDS else int(does.split()[1])
+    context.link = LendingLink(amount)
+
+
+@when("each of {count:d} requests in turn is rejected once by its endpoint")
+def rejected_once_each(context, count):
+    async def story(bed):
+        bed.gateway.retry_borrower.link = context.link
+        endpoints = await add_endpoints(bed, ["reject", "answer"])
+        use_up(bed.gateway)
+        context.statuses = []
+        for _ in range(count):
+            endpoints[0].seen.clear()
+            with choose_in_order(endpoints):
+                answer = await bed.ask("/safe/x")
+            context.statuses.append(answer.status)
+            await asyncio.sleep(2 * retryborrower.PAUSE_S)
+
+    gateway_steps.play(context, story)
+
+
+@then("{count:d} of them are answered and the others refused with 503")
+def answered(context, count):
+    assert context.statuses.count(200) == count, context.statuses
+    assert set(context.statuses) <= {200, 503}, context.statuses
+
+
+@then(
+    "the leader was asked at most {most:d} times, each time for what was"
+    " refused"
+)
+def asked(context, most):
+    found = context.link.asked
+    assert 1 <= len(found) <= most, found
+    for message in found:
+        assert message.service == SERVICE, message
+        assert message.gateway == "g1", message
+        assert 1 <= message.wanted <= retryborrower.MAX_WANTED, message
--- a/features/steps/retryhistories_steps.py
+++ b/features/steps/retryhistories_steps.py
@@ -68,3 +68,22 @@
 def settled(context, now, least):
     found = context.share.least(now)
     assert found == least, found
+
+
+@when(
+    "{failing:d} of {count:d} calm gateways with {requests:d} requests each"
+    " begin to fail"
+)
+def begin_to_fail(context, failing, count, requests):
+    context.calm, context.sent = retryhistories.use_after_calm(
+        count, requests, failing
+    )
+
+
+@then(
+    "within 1 s they send at least {least:d} retries and no more than the"
+    " fleet may"
+)
+def use(context, least):
+    context.calm.check()
+    assert context.sent >= least, context.sent
--- a/features/support/retrydefects.py
+++ b/features/support/retrydefects.py
@@ -1,5 +1,7 @@
 """Deliberate defects of the fleet's retry budget; histories must catch each."""
 
+from _coltsfootroad.control import retrylending
+from _coltsfootroad.core import retryloans
 from _coltsfootroad.core import settledshare
 from _coltsfootroad.core import windowbudget
 from features.support import mutants
@@ -64,3 +66,37 @@
         return right(self, retry, floor_share, now) or True
 
     return wrong
+
+
+Lender = retrylending.RetryLender
+
+
+@mutants.defect(DEFECTS, Lender, "lend")
+def a_new_leader_lends_at_once(right):
+    def wrong(self, request, now):
+        self.started_at = float("-inf")
+        return right(self, request, now)
+
+    return wrong
+
+
+@mutants.defect(DEFECTS, retrylending, "hold_time_s")
+def a_loan_counts_for_its_own_time_only(right):
+    def wrong(window_s):
+        return right(window_s) - window_s
+
+    return wrong
+
+
+@mutants.defect(DEFECTS, retryloans.RetryLoans, "add")
+def loans_never_end(right):
+    def wrong(self, amount, until):
+        right(self, amount, until + 60.0)
+
+    return wrong
+
+
+@mutants.defect(DEFECTS, retrylending, "LOAN_PART")
+def all_of_the_slack_is_lent_as_well(right):
+    del right
+    return 1.0
--- a/features/support/retryhistories.py
+++ b/features/support/retryhistories.py
@@ -1,7 +1,10 @@
 """What happens to a fleet whose endpoints fail, for its retry budget."""
 
+import collections
 import random
 
+from _coltsfootroad.control import retrylending
+from _coltsfootroad.core import settledshare
 from features.support import retryworld
 
 COUNT = 9
@@ -133,6 +136,57 @@
     return world
 
 
+def leaders_change() -> retryworld.World:
+    """Let one leader after another begin while gateways borrow."""
+    world = settled()
+    for seconds in (1.0, 4.0, 11.0, 3.0):
+        world.run(seconds, GREEDY)
+        world.lead()
+    world.run(40.0, GREEDY)
+    return world
+
+
+def nobody_leads() -> retryworld.World:
+    """Let nobody lead for a while, and another leader begin then."""
+    world = settled()
+    world.run(1.0, GREEDY)
+    world.fleet.lender = None
+    world.run(6.0, GREEDY)
+    world.lead()
+    world.run(40.0, GREEDY)
+    return world
+
+
+def loans_leave_at_their_end() -> retryworld.World:
+    """Hold lent retries until their loans end, beside those of the next."""
+    world = settled()
+    for wait_s in (0.0, 3.9, 8.0, 0.5, 3.9):
+        world.reserve_all()
+        world.run(wait_s, retry_rate=0.0)
+        world.send_reserved()
+        world.run(2.0, GREEDY)
+    world.run(20.0, GREEDY)
+    return world
+
+
+def answers_are_lost() -> retryworld.World:
+    """Lose half of the leader's answers."""
+    world = settled()
+    world.fleet.lost_answers = 0.5
+    world.run(40.0, GREEDY)
+    return world
+
+
+def all_restart_while_they_borrow() -> retryworld.World:
+    """Restart all gateways every few seconds, beside one leader."""
+    world = settled()
+    for _ in range(6):
+        world.run(2.5, GREEDY)
+        world.kill(list(world.gateways), 0.2)
+    world.run(20.0, GREEDY)
+    return world
+
+
 DIRECTED = {
     "no gateway is lost": nothing,
     "all restart twice": all_restart_twice,
@@ -145,6 +199,11 @@
     "callers move between two bursts": requests_move,
     "reserved retries leave late": reserved_ones_leave_late,
     "reserved retries lose their ground": reserved_ones_lose_their_ground,
+    "one leader after another begins": leaders_change,
+    "nobody leads for 6 s": nobody_leads,
+    "loans are used at their end": loans_leave_at_their_end,
+    "half of the loans are lost": answers_are_lost,
+    "all restart while they borrow": all_restart_while_they_borrow,
 }
 
 
@@ -162,6 +221,9 @@
             world.cut_off(some, rng.uniform(0.5, 12.0))
         if rng.random() < 0.3:
             world.reserve_all()
+        if rng.random() < 0.3:
+            world.lead()
+        world.fleet.lost_answers = rng.choice((0.0, 0.3))
         world.run(
             rng.uniform(0.2, 6.0),
             rng.choice((0.0, 1.0, GREEDY)),
@@ -170,3 +232,36 @@
         world.send_reserved()
     world.run(5.0, GREEDY)
     return world
+
+
+def use_after_calm(
+    count: int, requests: int, failing: int
+) -> tuple[retryworld.Fleet, int]:
+    """Return what a calm fleet retries within a second once endpoints fail.
+
+    `failing` of its `count` gateways see failures; each has taken as many
+    `requests` within the window.
+    """
+    rng = random.Random(count)
+    fleet = retryworld.Fleet(rng)
+    fleet.lender = retrylending.RetryLender(fleet.now - SETTLED_S)
+    gateways = [
+        retryworld.Gateway(f"g{number}", fleet) for number in range(count)
+    ]
+    for gateway in gateways:
+        gateway.seen_at = fleet.now
+        gateway.floor_share = settledshare.SettledShare(
+            1.0, 100.0, fleet.now, collections.deque([held(count)])
+        )
+        for _ in range(requests):
+            gateway.serve()
+    for _ in range(20):
+        fleet.now += 0.05
+        for gateway in rng.sample(gateways[:failing], failing):
+            gateway.retry(1)
+    return fleet, len(fleet.again)
+
+
+def held(count: int) -> settledshare.HeldShare:
+    """Return the share of one of some gateways."""
+    return settledshare.HeldShare(1.0 / count)
--- a/features/support/retryworld.py
+++ b/features/support/retryworld.py
@@ -8,8 +8,10 @@
 
 import attrs
 
+from _coltsfootroad.control import retrylending
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import members
+from _coltsfootroad.core import retryloans
 from _coltsfootroad.core import rotation as rotation_lib
 from _coltsfootroad.core import settledshare
 from _coltsfootroad.core import windowbudget
@@ -31,9 +33,14 @@
     Attributes:
         requests: When callers sent requests, in order.
         again: When endpoints were reached beyond a request's first time.
+        lender: The leader's part, None while nobody leads.
+        lost_answers: Share of the leader's answers that are lost.
     """
 
+    rng: random.Random
     slack: float = SLACK
+    lender: retrylending.RetryLender | None = None
+    lost_answers: float = 0.0
     now: float = 100.0
     requests: list[float] = attrs.Factory(list)
     again: list[float] = attrs.Factory(list)
@@ -141,11 +148,35 @@
     def reserve(self) -> bool:
         """Hold a retry for a send; return whether the budget had one."""
         now = self.fleet.now
-        retry = self.budget.reserve(self.floor_share.least(now), now)
+        share = self.floor_share.least(now)
+        retry = self.budget.reserve(share, now)
+        if retry is None and self.borrow():
+            retry = self.budget.reserve(share, now)
         if retry is not None:
             self.reserved.append(retry)
         return retry is not None
 
+    def borrow(self) -> int:
+        """Ask the leader for retries; return how many it lends."""
+        fleet = self.fleet
+        if fleet.lender is None:
+            return 0
+        answer = fleet.lender.lend(
+            retrylending.BorrowRetries(
+                gateway=self.name,
+                service="s",
+                wanted=fleet.rng.choice((1, 4, 32)),
+                slack=fleet.slack,
+                window_s=WINDOW_S,
+            ),
+            fleet.now,
+        )
+        if fleet.rng.random() < fleet.lost_answers:
+            return 0
+        until = fleet.now + retryloans.LOAN_S
+        self.budget.loans.add(answer.amount, until)
+        return answer.amount
+
     def send_reserved(self) -> bool:
         """Send the newest retry that is held; return whether it was sent."""
         now = self.fleet.now
@@ -175,7 +206,8 @@
     serving: set[str] = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self.fleet = Fleet(self.slack)
+        self.fleet = Fleet(self.rng, self.slack)
+        self.lead()
         self.gateways = {
             f"g{number}": Gateway(f"g{number}", self.fleet)
             for number in range(self.count)
@@ -221,6 +253,10 @@
             if self.rng.random() < retry_rate * STEP_S:
                 gateway.retry(self.rng.choice((1, 3, 10_000)))
 
+    def lead(self) -> None:
+        """Let another leader begin, which knows nothing of loans."""
+        self.fleet.lender = retrylending.RetryLender(self.now)
+
     def never_seen(self, names: list[str]) -> None:
         """Let control know nothing of some gateways until they run."""
         for name in names:
--- a/src/_coltsfootroad/control/hub.py
+++ b/src/_coltsfootroad/control/hub.py
@@ -6,6 +6,7 @@
 from _coltsfootroad.control import groups as groups_lib
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import newsbook
+from _coltsfootroad.control import retrylending
 from _coltsfootroad.control import shares as shares_lib
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.control import watching
@@ -100,6 +101,7 @@
     registry: registry_lib.Registry = attrs.Factory(registry_lib.Registry)
     loads: dict[str, KnownLoad] = attrs.Factory(dict)
     shares: shares_lib.ShareTable = attrs.field(init=False)
+    retry_lender: retrylending.RetryLender = attrs.field(init=False)
     groups: groups_lib.GroupLedger = attrs.Factory(groups_lib.GroupLedger)
     crashes: crashledger.CrashLedger = attrs.Factory(crashledger.CrashLedger)
     # When the crashes were looked at last for convictions.
@@ -114,6 +116,7 @@
 
     def __attrs_post_init__(self):
         self.shares = shares_lib.ShareTable(started_at=self.started_at)
+        self.retry_lender = retrylending.RetryLender(self.started_at)
         self.take_over()
 
     @property
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -21,6 +21,7 @@
 from _coltsfootroad.control import reads
 from _coltsfootroad.control import ready as ready_lib
 from _coltsfootroad.control import replicas
+from _coltsfootroad.control import retrylending
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.control import storage as storage_lib
 from _coltsfootroad.control import voterwatch
@@ -371,6 +372,8 @@
             self.leave(message, reply, now)
         elif isinstance(message, crashreports.ReportCrashes):
             self.take_crashes(message, reply, now)
+        elif isinstance(message, retrylending.BorrowRetries):
+            reply(self.hub.retry_lender.lend(message, now))
         else:
             reply(self.answer_read(message, now))
 
--- a/src/_coltsfootroad/core/sends.py
+++ b/src/_coltsfootroad/core/sends.py
@@ -10,8 +10,6 @@
 
 import attrs
 
-from _coltsfootroad.core import windowbudget
-
 # Sends beyond the route's attempts when an endpoint proved that it did not
 # run the request: such a send costs a round trip and can run nothing twice.
 EXTRA_UNRUN_SENDS = 2
@@ -37,8 +35,6 @@
         count: Sends so far.
         runs: Those of them that may have run.
         tried: Endpoints that were chosen, whatever came of it.
-        arrivals: Sends that may have reached an endpoint, whatever came of it.
-        retry: What the retry budget holds for the next send, None for nothing.
     """
 
     attempts: int
@@ -46,8 +42,6 @@
     count: int = 0
     runs: int = 0
     tried: set[str] = attrs.Factory(set)
-    arrivals: int = 0
-    retry: windowbudget.Retry | None = None
 
     def may_switch(self) -> bool:
         """Return whether another endpoint could take over a silent send."""
--- a/src/_coltsfootroad/core/windowbudget.py
+++ b/src/_coltsfootroad/core/windowbudget.py
@@ -4,12 +4,14 @@
 
 import attrs
 
+from _coltsfootroad.core import retryloans
+
 # Part of the ratio that a gateway uses. The requests of two adjacent windows
 # may earn retries that are sent within one, at other gateways or after a
 # restart, and the fleet's bound counts one of them only.
 RATIO_PART = 0.5
 # Part of the slack that gateways hold without a message between them.
-FLOOR_PART = 0.95
+FLOOR_PART = 0.4
 # A retry reaches its endpoint within this time after it was charged, and so
 # counts for that much longer.
 ARRIVAL_LAG_S = 0.5
@@ -17,7 +19,13 @@
 
 @attrs.define(eq=False)
 class Retry:
-    """A retry that a request may send; the budget holds it until then."""
+    """A retry that a request may send; the budget holds it until then.
+
+    Attributes:
+        lent_until: When its loan ends, None for one of the gateway's own part.
+    """
+
+    lent_until: float | None = None
 
 
 @attrs.define
@@ -32,6 +40,7 @@
         ratio: Retries for each request of the window.
         slack: Retries beyond that, over all gateways.
         window_s: Length of the window.
+        loans: What the leader has lent beyond the gateway's own part.
         reserved: Retries that are reserved and not sent yet.
         counted: Requests counted since the start of the process.
         sent: Retries charged since then.
@@ -43,6 +52,7 @@
     window_s: float
     requests: collections.deque[float] = attrs.Factory(collections.deque)
     retries: collections.deque[float] = attrs.Factory(collections.deque)
+    loans: retryloans.RetryLoans = attrs.Factory(retryloans.RetryLoans)
     reserved: int = 0
     counted: int = 0
     sent: int = 0
@@ -55,10 +65,13 @@
         self.trim(now)
 
     def reserve(self, floor_share: float, now: float) -> Retry | None:
-        """Hold one retry if the window has room, None otherwise.
+        """Hold one retry if the window has room or one is lent, else None.
 
         `floor_share` is this gateway's settled part of the slack, 0 to 1.
         """
+        lent_until = self.loans.take(now)
+        if lent_until is not None:
+            return Retry(lent_until)
         self.trim(now)
         if not self.has_room(floor_share):
             self.refused += 1
@@ -71,19 +84,28 @@
 
         The window may have less room than when it was reserved.
         """
-        self.release(retry)
-        self.trim(now)
-        if not self.has_room(floor_share):
+        if not self.may_be_sent(retry, floor_share, now):
             self.refused += 1
             return False
-        self.retries.append(now)
+        if retry.lent_until is None:
+            self.retries.append(now)
         self.sent += 1
         return True
 
+    def may_be_sent(self, retry: Retry, floor_share: float, now: float) -> bool:
+        """Take a reserved retry back; return whether it may be sent now."""
+        if retry.lent_until is not None:
+            return now <= retry.lent_until
+        self.reserved -= 1
+        self.trim(now)
+        return self.has_room(floor_share)
+
     def release(self, retry: Retry) -> None:
         """Give back a retry that is not sent."""
-        del retry
-        self.reserved -= 1
+        if retry.lent_until is not None:
+            self.loans.give_back(retry.lent_until)
+        else:
+            self.reserved -= 1
 
     def has_room(self, floor_share: float) -> bool:
         """Return whether the window holds one more retry."""
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -20,6 +20,7 @@
 from _coltsfootroad.gateway import names as names_lib
 from _coltsfootroad.gateway import ownwork
 from _coltsfootroad.gateway import reply as reply_lib
+from _coltsfootroad.gateway import sendbudget
 from _coltsfootroad.gateway import startup
 from _coltsfootroad.gateway import tickets as tickets_lib
 from _coltsfootroad.gateway import upstream
@@ -58,6 +59,7 @@
     fault: answers.HeldAnswer | None = None
     tickets: tickets_lib.TicketSet | None = None
     guard: contentguard.ContentGuard = attrs.field(init=False)
+    budget: sendbudget.SendBudget = attrs.field(init=False)
     work: ownwork.OwnWork = attrs.field(init=False)
     reply: reply_lib.Reply = attrs.field(init=False)
 
@@ -65,6 +67,7 @@
         names = self.gateway.dialect.names
         self.request_id = self.request.headers.get(names.request_id, "")
         self.guard = contentguard.ContentGuard(self)
+        self.budget = sendbudget.SendBudget(self)
         self.work = ownwork.OwnWork(self.gateway)
         self.reply = reply_lib.Reply(
             self.gateway,
@@ -133,7 +136,7 @@
             self.on_deadline()
         finally:
             self.work.end()
-            self.release_retry()
+            self.budget.release()
 
     def has_room(self) -> bool:
         """Return whether an endpoint is known that serves it without a queue.
@@ -242,7 +245,7 @@
                 watchdog.start(timeout)
                 self.guard.send_timeout = timeout
                 return await pool.call(
-                    request, sink, self.route.idempotent, self.charge_send
+                    request, sink, self.route.idempotent, self.budget.charge
                 )
         except TimeoutError:
             if not timeout.expired():
@@ -265,7 +268,7 @@
         now = clocks.boot_time()
         if self.unfit_reason(now) or not self.has_untried(now):
             return False
-        return self.reserve_retry(now)
+        return self.budget.reserve(now)
 
     def has_untried(self, now: float) -> bool:
         """Return whether an endpoint is left that it was not sent to."""
@@ -274,63 +277,6 @@
             choice is not None and choice.endpoint.name not in self.sends.tried
         )
 
-    def reserve_retry(self, now: float) -> bool:
-        """Hold a retry of the service's budget for the next send, if any."""
-        if self.sends.retry is not None:
-            return True
-        gateway = self.gateway
-        budget = gateway.budget(self.service.name)
-        share = gateway.floor_share.least(now)
-        self.sends.retry = budget.reserve(share, now)
-        is_reserved = self.sends.retry is not None
-        self.log_retry("retry reserved" if is_reserved else "retry refused")
-        return is_reserved
-
-    def charge_send(self) -> bool:
-        """Charge the send that is about to be written; return whether it may.
-
-        The budget bounds arrivals beyond a request's first one, so a send
-        after others that reached no endpoint costs nothing.
-        """
-        now = clocks.boot_time()
-        if self.sends.arrivals:
-            if not self.reserve_retry(now):
-                return False
-            retry, self.sends.retry = self.sends.retry, None
-            budget = self.gateway.budget(self.service.name)
-            share = self.gateway.floor_share.least(now)
-            if not budget.charge(retry, share, now):
-                self.log_retry("retry refused")
-                return False
-        self.sends.arrivals += 1
-        return True
-
-    def release_retry(self) -> None:
-        """Give back the retry that was held for a send."""
-        retry, self.sends.retry = self.sends.retry, None
-        if retry is not None:
-            self.gateway.budget(self.service.name).release(retry)
-
-    def log_retry(self, text: str) -> None:
-        """Log a decision of the retry budget with what it was taken from."""
-        now = clocks.boot_time()
-        gateway = self.gateway
-        budget = gateway.budget(self.service.name)
-        share = gateway.floor_share.least(now)
-        LOG.info(
-            text,
-            request=self.request_id,
-            service=self.service.name,
-            send=self.sends.count + 1,
-            arrivals=self.sends.arrivals,
-            used=budget.used(),
-            allowed=round(budget.allowed(share), 2),
-            requests=len(budget.requests),
-            share=round(share, 4),
-            members=len(gateway.view.members),
-            incarnation_age_s=round(now - gateway.started_at, 2),
-        )
-
     async def reserve(self, choice: engines.Choice) -> bool:
         """Set memory aside for a prompt above one engine's memory."""
         self.tickets = tickets_lib.TicketSet(
@@ -357,9 +303,7 @@
             return "its trial has ended"
         if reason or outcome is sends_lib.Outcome.NO_MEMORY:
             return reason
-        if self.sends.arrivals and not self.reserve_retry(clocks.boot_time()):
-            return "the retry budget is used up"
-        return ""
+        return "" if self.budget.may_go_on() else "the retry budget is used up"
 
     async def attempt(self, choice: engines.Choice) -> sends_lib.Outcome:
         """Send to one endpoint and judge what came of it."""
--- /dev/null
+++ b/src/_coltsfootroad/gateway/retryborrower.py
@@ -0,0 +1,110 @@
+"""Asks the leader for retries when a service's budget has room for none."""
+
+from collections.abc import Callable
+import random
+
+import attrs
+
+from _coltsfootroad.control import retrylending
+from _coltsfootroad.core import retryloans
+from _coltsfootroad.core import windowbudget
+from _coltsfootroad.gateway import leaderlink
+from _coltsfootroad.shell import clocks
+from _coltsfootroad.shell import logs
+
+LOG = logs.logger("retries")
+# Pause after a loan; requests of that time are counted into the next one.
+PAUSE_S = 0.1
+# Pause after a leader was not reached.
+FAILURE_PAUSE_S = 1.0
+# Pauses are drawn longer by up to this part, to spread what gateways ask.
+JITTER = 0.5
+MAX_WANTED = 32
+
+
+@attrs.define(eq=False)
+class Borrowing:
+    """What is known of asking for one service.
+
+    Attributes:
+        is_asking: Whether a request is on its way.
+        not_before: When to ask again at the soonest.
+        refused: Retries that the budget had refused at the last request.
+    """
+
+    is_asking: bool = False
+    not_before: float = 0.0
+    refused: int = 0
+
+
+@attrs.define(eq=False)
+class RetryBorrower:
+    """Keeps a gateway in loans while its endpoints fail.
+
+    Requests never wait for it: those that find no retry are refused, and the
+    loan serves the next ones.
+    """
+
+    gateway: str
+    link: leaderlink.LeaderLink
+    rng: random.Random
+    spawn: Callable[[object], None]
+    services: dict[str, Borrowing] = attrs.Factory(dict)
+
+    def note_use(
+        self,
+        service: str,
+        budget: windowbudget.WindowBudget,
+        floor_share: float,
+        now: float,
+    ) -> None:
+        """Ask for retries if the next one would be refused."""
+        if budget.has_room(floor_share) or budget.loans.left(now):
+            return
+        state = self.services.setdefault(service, Borrowing())
+        if state.is_asking or now < state.not_before:
+            return
+        state.is_asking = True
+        wanted = min(MAX_WANTED, 1 + budget.refused - state.refused)
+        state.refused = budget.refused
+        self.spawn(self.borrow(service, budget, state, wanted))
+
+    async def borrow(
+        self,
+        service: str,
+        budget: windowbudget.WindowBudget,
+        state: Borrowing,
+        wanted: int,
+    ) -> None:
+        """Ask the leader once."""
+        asked_at = clocks.boot_time()
+        try:
+            answer = await self.link.call(
+                retrylending.BorrowRetries(
+                    gateway=self.gateway,
+                    service=service,
+                    wanted=wanted,
+                    slack=budget.slack,
+                    window_s=budget.window_s,
+                )
+            )
+        finally:
+            state.is_asking = False
+        now = clocks.boot_time()
+        lent = answer
+        if not isinstance(lent, retrylending.RetriesLent):
+            lent = retrylending.RetriesLent(
+                amount=0, retry_after_s=FAILURE_PAUSE_S
+            )
+        budget.loans.add(lent.amount, asked_at + retryloans.LOAN_S)
+        pause_s = max(PAUSE_S, lent.retry_after_s)
+        state.not_before = now + pause_s * self.rng.uniform(1.0, 1.0 + JITTER)
+        LOG.info(
+            "retries borrowed" if lent.amount else "no retries lent",
+            service=service,
+            wanted=wanted,
+            amount=lent.amount,
+            retry_after_s=round(lent.retry_after_s, 2),
+            took_s=round(now - asked_at, 3),
+            answer=type(answer).__name__,
+        )
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -23,6 +23,7 @@
 from _coltsfootroad.gateway import gossip as gossip_lib
 from _coltsfootroad.gateway import leaderlink
 from _coltsfootroad.gateway import quarantine
+from _coltsfootroad.gateway import retryborrower
 from _coltsfootroad.gateway import startup
 from _coltsfootroad.gateway import upstream
 from _coltsfootroad.gateway import watch as watch_lib
@@ -115,6 +116,9 @@
             lambda: self.running,
             self.crash_reporter.forget,
         )
+        self.retry_borrower = retryborrower.RetryBorrower(
+            settings.gateway, link, self.rng, self.spawn
+        )
         self.ticker: asyncio.Task | None = None
         self.first_events = metrics.histogram(
             "colts_gateway_first_event", "Time to the first event"
@@ -309,7 +313,7 @@
                 "version": self.view.version,
                 "proof_age_s": self.view.age_s(clocks.boot_time()),
                 "members": self.view.members,
-                "retry_budgets": self.budgets,
+                "retry_budgets": self.budgets_dump(),
                 "endpoints": self.endpoints.known,
                 "own_work": list(self.load.own.values()),
                 "foreign_work": self.load.foreign,
@@ -321,6 +325,22 @@
             }
         )
 
+    def budgets_dump(self) -> dict[str, dict]:
+        """Return what the retry budgets hold now, by service."""
+        now = clocks.boot_time()
+        share = self.floor_share.least(now)
+        return {
+            service: {
+                "requests": len(budget.requests),
+                "used": budget.used(),
+                "allowed": budget.allowed(share),
+                "lent": budget.loans.left(now),
+                "sent": budget.sent,
+                "refused": budget.refused,
+            }
+            for service, budget in self.budgets.items()
+        }
+
     def add_metrics(self) -> None:
         """Register the metrics of this gateway."""
         gauge, counter = self.metrics.gauge, self.metrics.counter
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -9,6 +9,7 @@
 
 from _coltsfootroad.control import crashreports
 from _coltsfootroad.control import outcomes
+from _coltsfootroad.control import retrylending
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import backlog as backlog_lib
@@ -48,6 +49,8 @@
     crashreports.StartTrial,
     crashreports.TrialAnswer,
     crashreports.EndQuarantine,
+    retrylending.BorrowRetries,
+    retrylending.RetriesLent,
 )
 
 
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -13,12 +13,14 @@
 from _coltsfootroad.control import node as node_lib
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import replicas
+from _coltsfootroad.control import retrylending
 from _coltsfootroad.control import watching
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import controlrelay
 from _coltsfootroad.shell import disk as disk_lib
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import links
+from _coltsfootroad.shell import loanlog
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import metrics as metrics_lib
 from _coltsfootroad.shell import operators
@@ -90,6 +92,7 @@
         )
         self.quorum_log = quorumlog.QuorumLog(self.node)
         self.quarantine_log = quarantinelog.QuarantineLog(self.node)
+        self.loan_log = loanlog.LoanLog(self.node)
         self.add_metrics()
 
     # --- life ------------------------------------------------------------
@@ -335,7 +338,10 @@
         """Answer a call; a watch is held back while there is no news."""
         if isinstance(message, watching.Watch | watching.RelayWatch):
             return await self.desk.answer(message)
-        return await self.call_node(message)
+        answer = await self.call_node(message)
+        if isinstance(message, retrylending.BorrowRetries):
+            self.loan_log.note(message, answer, self.clock())
+        return answer
 
     def leads(self) -> bool:
         """Return whether this replica answers as the leader."""
@@ -387,6 +393,7 @@
             "shares": hub.shares,
             "groups": hub.groups,
             "crashes": hub.crashes,
+            "retries_lent": hub.retry_lender.outstanding(),
         }
 
     def add_metrics(self) -> None:
@@ -396,6 +403,11 @@
         gauge, counter = self.metrics.gauge, self.metrics.counter
         gauge("colts_control_term", "Raft term", lambda: raft.term)
         gauge("colts_control_is_leader", "1 if leading", lambda: raft.is_leader)
+        gauge(
+            "colts_control_retries_lent",
+            "Retries lent to gateways, of all services",
+            self.loan_log.outstanding,
+        )
         gauge(
             "colts_control_failures_tolerated",
             "Voters that may still fail with a quorum left, on the leader",
--- a/src/_coltsfootroad/shell/wirecalls.py
+++ b/src/_coltsfootroad/shell/wirecalls.py
@@ -7,6 +7,7 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
+from _coltsfootroad.control import retrylending
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import actions
 from _coltsfootroad.shell import wire
@@ -60,6 +61,8 @@
     crashreports.StartTrial,
     crashreports.TrialAnswer,
     crashreports.EndQuarantine,
+    retrylending.BorrowRetries,
+    retrylending.RetriesLent,
 )
 NOTES = wire.Wire.of(NoteBatch)
 PEERS = wire.Wire.of(
