soak: endpoints that shed beside series of restarts; audit retries in all soaks

Cause: no soak counted what reaches endpoints, so none could see the fleet's bound. Change: endpoints note each arrival by request, callers each request; check_retries applies ratio and slack to any 10 s, in every kind of soak. A kind in which all endpoints shed 85 in 100 while half of the gateways or more are killed again and again (--shedding), a seed of it in soak.feature, two rows for the audit.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -43,6 +43,16 @@
       | 2       | 11   | 100    |
       | 3       | 24   | 100    |
 
+  # Guards against retries beyond the fleet's budget, as gateways that restart
+  # forget what the processes before them have sent.
+  Scenario Outline: All endpoints shed while gateways restart in series, seed <seed>
+    When endpoints shed beside restarts in a soak of seed <seed>
+    Then no promise is broken and at least <served> requests are served
+
+    Examples:
+      | seed | served |
+      | 1    | 60     |
+
   Scenario Outline: A seed draws the same faults, and bearable ones
     Then seeds 0 to <most> draw the same faults twice
     And no disk is lost within <clear> s of another fault of the replicas
@@ -114,4 +124,6 @@
       | other content is read back             | reads as                  |
       | a poison request runs on and on        | more endpoints of         |
       | a proper request is refused as poison  | is in quarantine          |
+      | endpoints are reached too often        | retries in 10 s           |
+      | endpoints are reached as often as they may | nothing               |
       | a process stops too slowly             | ended with 0 after 20.0 s |
--- a/features/soak/audit.py
+++ b/features/soak/audit.py
@@ -1,5 +1,6 @@
 """What callers, endpoints and operators saw, checked against the promises."""
 
+import bisect
 import collections
 
 import attrs
@@ -17,6 +18,10 @@
 QUARANTINE_S = 7.0
 MAX_RETRIES = 3
 QUARANTINED = b'"quarantined"'
+# What all gateways may retry together in any window.
+RETRY_RATIO = 0.2
+RETRY_SLACK = 20.0
+RETRY_WINDOW_S = 10.0
 # Stands for all gateways in a span that keeps them from the replicas.
 EVERY_GATEWAY = -1
 
@@ -81,6 +86,9 @@
     poisoned: dict[bytes, list[float]] = attrs.Factory(
         lambda: collections.defaultdict(list)
     )
+    # When callers sent requests, and when these reached endpoints.
+    sent: list[float] = attrs.Factory(list)
+    arrivals: list[tuple[str, float]] = attrs.Factory(list)
 
 
 def check(book: Book) -> list[str]:
@@ -101,9 +109,48 @@
     faults += check_versions(book)
     faults += check_exits(book)
     faults += check_poisons(book)
+    faults += check_retries(book)
     return faults + book.unrepaired
 
 
+def check_retries(book: Book) -> list[str]:
+    """Check that no window holds more retries than all gateways may send."""
+    seen = set()
+    again = []
+    for request, at in sorted(book.arrivals, key=lambda found: found[1]):
+        if request in seen:
+            again.append(at)
+        seen.add(request)
+    sent = sorted(book.sent)
+    worst = max(
+        (excess_of(begin, again, sent) for begin in again), default=(0.0, "")
+    )
+    return [worst[1]] if worst[0] > 0 else []
+
+
+def excess_of(
+    begin: float, again: list[float], sent: list[float]
+) -> tuple[float, str]:
+    """Return by how much the window from `begin` exceeds its retries."""
+    end = begin + RETRY_WINDOW_S
+    found = count_between(again, begin, end)
+    requests = max(
+        count_between(sent, begin - back, end - back)
+        for back in (0.0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+    )
+    allowed = RETRY_RATIO * requests + RETRY_SLACK
+    words = (
+        f"{found} retries in {RETRY_WINDOW_S:g} s from {begin:.2f},"
+        f" {requests} requests allow {allowed:.0f}"
+    )
+    return found - allowed, words
+
+
+def count_between(times: list[float], begin: float, end: float) -> int:
+    """Return how many of some sorted times lie in a span."""
+    return bisect.bisect_left(times, end) - bisect.bisect_left(times, begin)
+
+
 def check_poisons(book: Book) -> list[str]:
     """Check that poison requests are quarantined, and no others."""
     faults = []
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -117,6 +117,7 @@
             "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "X-Api-Key": key,
         }
+        self.book.sent.append(time.monotonic())
         try:
             self.connection.request("POST", f"/{kind}/x", sent, headers)
             answer = self.connection.getresponse()
--- a/features/soak/driver.py
+++ b/features/soak/driver.py
@@ -25,6 +25,7 @@
 OPERATOR_TRIES = 30
 STORM_VERSIONS = 12
 STORM_GAP_S = 0.06
+SHED_SHARE = 0.85
 # After a fault of the replicas or the ways to them gateways may be out of
 # touch for an election and a link's timeouts.
 CONTROL_AFTER_S = 4.0
@@ -242,6 +243,13 @@
         await asyncio.sleep(fault.for_s)
         endpoint.way = ""
 
+    async def do_shed_endpoints(self, fault):
+        """Let all endpoints reject most requests for some time."""
+        for share in (SHED_SHARE, 0.0):
+            for place in self.places:
+                place.endpoint.shed_share = share
+            await asyncio.sleep(fault.for_s if share else 0.0)
+
     def unsound(self, endpoint: str, seconds: float) -> None:
         """Count what an endpoint ran lately as disturbed."""
         now = time.monotonic()
--- a/features/soak/endpoints.py
+++ b/features/soak/endpoints.py
@@ -50,6 +50,8 @@
         self.book = book
         self.rng = rng
         self.way = ""
+        # Share of requests that it rejects as it is full.
+        self.shed_share = 0.0
         self.disturbed_until = 0.0
         self.writers: set[asyncio.StreamWriter] = set()
         # Called when a poison request runs here.
@@ -66,6 +68,9 @@
     async def serve_one(self, reader, writer):
         """Run one request, unless it is meant for another endpoint."""
         seen = await self.read_request(reader)
+        request = seen.headers.get("x-request-id", "")
+        if request:
+            self.book.arrivals.append((request, time.monotonic()))
         if seen.headers.get("x-expected-endpoint", self.name) != self.name:
             writer.write(
                 self.head(
@@ -93,6 +98,8 @@
 
     def draw_way(self, possible: tuple[str, ...]) -> str:
         """Return how to misbehave this time, empty for not at all."""
+        if self.rng.random() < self.shed_share:
+            return "reject"
         if not self.way or self.rng.random() > MISBEHAVING_SHARE:
             return ""
         return self.way if self.way in possible else "reset"
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -14,6 +14,7 @@
 import attrs
 
 from _coltsfootroad.fakes import ports as ports_lib
+from features.soak import audit
 from features.soak import proxy as proxy_lib
 
 LAUNCHER = pathlib.Path(__file__).with_name("launch.py")
@@ -163,7 +164,9 @@
                 "gateway": f"g{place}",
                 "availability_zone": f"z{place % 2}",
                 "seeds": self.seeds(),
-                "retry_ratio": 0.2,
+                "retry_ratio": audit.RETRY_RATIO,
+                "retry_slack": audit.RETRY_SLACK,
+                "retry_window_s": audit.RETRY_WINDOW_S,
                 **ports,
             },
         )
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -39,6 +39,7 @@
     CRASH_ENDPOINT = "crash endpoint"
     LEAVE_ENDPOINT = "leave endpoint"
     MISBEHAVE = "misbehave endpoint"
+    SHED_ENDPOINTS = "shed at all endpoints"
     VERSION = "version"
     STORM = "storm of versions"
     RACE = "race of versions"
@@ -63,8 +64,9 @@
 )
 # Replicas that are lost for good.
 LOSSES = (Kind.WIPE_REPLICA, Kind.REPLACE_REPLICA)
-# Drawn with the others; a VM is replaced only in `draw_replacements`.
-DRAWN_KINDS = tuple(kind for kind in Kind if kind is not Kind.REPLACE_REPLICA)
+# Drawn only in histories of their own.
+SPECIAL_KINDS = (Kind.REPLACE_REPLICA, Kind.SHED_ENDPOINTS)
+DRAWN_KINDS = tuple(kind for kind in Kind if kind not in SPECIAL_KINDS)
 ENDPOINT_KINDS = (
     Kind.ENDPOINT_LINK,
     Kind.CRASH_ENDPOINT,
@@ -102,6 +104,7 @@
         mbits: Rate of the link before each replica, 0 for no limit.
         routes: Routes of each version that nobody asks for.
         poisons: Requests that end each endpoint that runs them.
+        shedding: Whether all endpoints shed while gateways restart in series.
     """
 
     replicas: int = 3
@@ -113,6 +116,7 @@
     mbits: float = 0.0
     routes: int = 0
     poisons: int = 0
+    shedding: bool = False
 
     @property
     def end_s(self) -> float:
@@ -209,6 +213,28 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def draw_beside_shedding(seed: int, size: Size) -> list[Fault]:
+    """Return series of kills of gateways while all endpoints shed."""
+    rng = random.Random(seed)
+    at = QUIET_S
+    kind = Kind.SHED_ENDPOINTS
+    found = [Fault(at=at, kind=kind, for_s=size.seconds)]
+    while True:
+        at += rng.uniform(1.0, 4.0)
+        if at >= QUIET_S + size.seconds:
+            break
+        count = rng.randint(size.gateways // 2, size.gateways)
+        for target in rng.sample(range(size.gateways), count):
+            kind = Kind.KILL_GATEWAY
+            for_s = rng.uniform(0.2, 0.8)
+            found.append(Fault(at=at, kind=kind, target=target, for_s=for_s))
+        if rng.random() < 0.3:
+            target = rng.randrange(size.replicas)
+            kind = Kind.KILL_REPLICA
+            found.append(Fault(at=at, kind=kind, target=target, for_s=0.5))
+    return found
+
+
 def is_loss_after(fault: Fault, losses: list[Fault]) -> bool:
     """Return whether a fault takes replicas after others were lost."""
     is_later = bool(losses) and fault.at > losses[-1].at
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -34,6 +34,9 @@
 POISONS = flags.DEFINE_integer(
     "poisons", 0, "Requests that end each endpoint that runs them."
 )
+SHEDDING = flags.DEFINE_bool(
+    "shedding", False, "All endpoints shed while gateways restart in series."
+)
 ROUTES = flags.DEFINE_integer("routes", 0, "Routes that nobody asks for.")
 KEEP = flags.DEFINE_string("keep", "", "Folder for the logs of failures.")
 FIRST_VERSION_S = 20.0
@@ -89,6 +92,8 @@
     """Return the faults that a soak brings about."""
     if size.poisons:
         return plan.draw_beside_poison(seed, size)
+    if size.shedding:
+        return plan.draw_beside_shedding(seed, size)
     if size.replacing:
         return plan.draw_replacements(seed, size)
     return plan.draw(seed, size)
@@ -223,6 +228,7 @@
         mbits=MBITS.value,
         routes=ROUTES.value,
         poisons=POISONS.value,
+        shedding=SHEDDING.value,
     )
     broken = 0
     for seed in seeds:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -24,6 +24,8 @@
 REPLICAS = 3
 # Enough for two replacements and two wipes after them.
 SECONDS = 14
+# Few enough for the slack to be a large part of what they may retry.
+SHED_CALLERS = 3
 # Logs of soaks that break a promise, in CI as well.
 KEPT_LOGS = "build/soak"
 
@@ -61,6 +63,12 @@
     context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
 
 
+@when("endpoints shed beside restarts in a soak of seed {seed:d}")
+def soak_shedding(context, seed):
+    size = plan.Size(shedding=True, seconds=SECONDS, callers=SHED_CALLERS)
+    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
+
+
 @then("no promise is broken and at least {served:d} requests are served")
 def kept(context, served):
     assert not context.faults, context.faults
@@ -320,6 +328,14 @@
                 attrs.evolve(stream, status=503, body=b'"quarantined"'),
             ]
         },
+        "endpoints are reached too often": {
+            "sent": [10.5 + n for n in range(10)],
+            "arrivals": [("u", 10.0 + n / 10) for n in range(24)],
+        },
+        "endpoints are reached as often as they may": {
+            "sent": [10.5 + n for n in range(10)],
+            "arrivals": [("u", 10.0 + n / 10) for n in range(23)],
+        },
         "a process stops too slowly": {"exits": [("gateway 0", 0, 20.0)]},
     }
     for name, value in changes[fault].items():
