retry lending: let gateways that get nothing come back one after another

Cause: each gateway that got nothing was told when the oldest loan ends, or 0.5 s; while all endpoints of a service fail, 520 gateways then ask the leader 520 times a second. Ruled out: a longer fixed pause, which nine gateways would pay for as well. Conclusion: what the leader spends is bounded by the pause, not by the gateways.

--- a/features/control/retrylending.feature
+++ b/features/control/retrylending.feature
@@ -17,6 +17,18 @@
       | 60    | 55   | 4      | 200   | 4      | 0     |
       | 60    | 0    | 4      | 1     | 0      | 15    |
 
+  # Guards against hundreds of gateways that ask the leader again and again.
+  Scenario Outline: <count> gateways ask a leader that has lent everything for <seconds> s
+    Given a leader since 60 s that has lent 55 retries
+    When <count> gateways ask it for 1 of a slack of 100, as soon as they may, for <seconds> s
+    Then it is asked at most <most> times in any second after the first one
+    And each of them is lent or told to come back within <within> s
+
+    Examples:
+      | count | seconds | most | within |
+      | 9     | 30      | 30   | 15     |
+      | 520   | 60      | 30   | 36     |
+
   Scenario: A replica that does not lead lends nothing
     When a replica that does not lead is asked for retries
     Then it answers that it does not lead
--- a/features/steps/retrylending_steps.py
+++ b/features/steps/retrylending_steps.py
@@ -1,5 +1,7 @@
 """Steps on retries that the leader lends."""
 
+import bisect
+import heapq
 import math
 import random
 
@@ -89,3 +91,34 @@
 def lent_later(context):
     assert context.amounts == [0, 0, 1], context.amounts
     assert context.kept == 1, context.kept
+
+
+@when(
+    "{count:d} gateways ask it for 1 of a slack of 100, as soon as they may,"
+    " for {seconds:d} s"
+)
+def ask_again(context, count, seconds):
+    due = [(NOW + number / count, number) for number in range(count)]
+    context.asked = []
+    context.waits = []
+    while due[0][0] < NOW + seconds:
+        now, gateway = heapq.heappop(due)
+        context.asked.append(now)
+        answer = context.lender.lend(REQUEST, now)
+        # One that was lent something asks again once it has used that up.
+        wait_s = answer.retry_after_s or 1.0
+        context.waits.append(wait_s)
+        heapq.heappush(due, (now + wait_s, gateway))
+
+
+@then("it is asked at most {most:d} times in any second after the first one")
+def asked_at_most(context, most):
+    later = [at for at in context.asked if at > NOW + 1.0]
+    for first, begin in enumerate(later):
+        found = bisect.bisect_left(later, begin + 1.0) - first
+        assert found <= most, found
+
+
+@then("each of them is lent or told to come back within {within:g} s")
+def comes_back(context, within):
+    assert max(context.waits) <= within, max(context.waits)
--- a/src/_coltsfootroad/control/retrylending.py
+++ b/src/_coltsfootroad/control/retrylending.py
@@ -21,6 +21,9 @@
 LOAN_FRACTION = 0.25
 # A gateway that gets nothing asks again after this time at the soonest.
 MIN_RETRY_S = 0.5
+# Pause between gateways that got nothing and ask again, which bounds what all
+# of them cost the leader.
+RETRY_SPACING_S = 0.04
 # Services whose loans are kept; more of them get none.
 MAX_SERVICES = 4_096
 
@@ -62,16 +65,30 @@
 
 @attrs.define
 class ServiceLoans:
-    """The loans of one service that count, oldest first."""
+    """The loans of one service that count, oldest first.
+
+    Attributes:
+        next_retry_at: When the next gateway that gets nothing may ask again.
+    """
 
     loans: collections.deque[Lent] = attrs.Factory(collections.deque)
     amount: int = 0
+    next_retry_at: float = 0.0
 
     def add(self, amount: int, until: float) -> None:
         """Note a loan."""
         self.loans.append(Lent(until, amount))
         self.amount += amount
 
+    def refuse(self, until: float, now: float) -> RetriesLent:
+        """Return that nothing is lent, and when to ask again.
+
+        Those that ask at once come back one after another.
+        """
+        at = max(until, now + MIN_RETRY_S, self.next_retry_at)
+        self.next_retry_at = at + RETRY_SPACING_S
+        return RetriesLent(amount=0, retry_after_s=at - now)
+
     def expire(self, now: float) -> None:
         """Drop loans that no window holds any more."""
         while self.loans and self.loans[0].until <= now:
@@ -96,16 +113,16 @@
     def lend(self, request: BorrowRetries, now: float) -> RetriesLent:
         """Return what a gateway may send within `LOAN_S` of its request."""
         hold_s = hold_time_s(request.window_s)
-        if now < self.started_at + hold_s:
-            return refusal(self.started_at + hold_s - now)
         lent = self.loans_of(request.service, now)
         if lent is None:
-            return refusal(hold_s)
+            return RetriesLent(amount=0, retry_after_s=hold_s)
+        if now < self.started_at + hold_s:
+            return lent.refuse(self.started_at + hold_s, now)
         lent.expire(now)
         left = math.floor(request.slack * LOAN_PART) - lent.amount
         if left < 1 or request.wanted < 1:
             first = lent.loans[0].until if lent.loans else now + hold_s
-            return refusal(first - now)
+            return lent.refuse(first, now)
         most = max(1, math.floor(left * LOAN_FRACTION))
         amount = min(request.wanted, most)
         lent.add(amount, now + hold_s)
@@ -140,8 +157,3 @@
     """Return for how long a loan counts."""
     on_the_way_s = retryloans.LOAN_S + windowbudget.ARRIVAL_LAG_S
     return window_s + on_the_way_s + CLOCK_MARGIN_S
-
-
-def refusal(retry_after_s: float) -> RetriesLent:
-    """Return that nothing is lent until later."""
-    return RetriesLent(amount=0, retry_after_s=max(MIN_RETRY_S, retry_after_s))
