--- a/features/steps/parallel_steps.py
+++ b/features/steps/parallel_steps.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from behave import given
+from behave import parser as behave_parser
 from behave import then
 from behave import when
 
@@ -25,21 +26,23 @@
 
 @then("it names every scenario once")
 def every_scenario(context):
-    planned = []
-    for unit in context.units:
-        name, _, line = unit.target.partition(":")
-        lines = parallel.scenario_lines(parallel.ROOT / name)
-        planned += [(name, int(line))] if line else [(name, x) for x in lines]
+    planned = [target for unit in context.units for target in unit.targets]
     wanted = {
-        (str(path.relative_to(parallel.ROOT)), line)
+        f"{path.relative_to(parallel.ROOT)}:{line}"
         for path in parallel.FEATURES.rglob("*.feature")
-        for line in parallel.scenario_lines(path)
+        for line in scenario_lines(path)
     }
     assert len(planned) == len(set(planned))
     assert set(planned) == wanted
     assert sum(unit.scenarios for unit in context.units) == len(wanted)
 
 
+def scenario_lines(path) -> list[int]:
+    """Return the lines of all scenarios of a feature, rows of tables apart."""
+    feature = behave_parser.parse_file(str(path))
+    return [scenario.line for scenario in feature.walk_scenarios()]
+
+
 @then("longer units come first")
 def longest_first(context):
     seconds = [unit.seconds for unit in context.units]
@@ -67,7 +70,8 @@
         text = f"<testsuite>{cases}</testsuite>"
         (folder / "TESTS-x.xml").write_text(text)
     ended = subprocess.CompletedProcess([], status, stdout="")
-    unit = parallel.Unit("features/x.feature", scenarios, 1.0)
+    targets = tuple(f"features/x.feature:{n}" for n in range(scenarios))
+    unit = parallel.Unit(targets, 1.0)
     with mock.patch.object(subprocess, "run", return_value=ended):
         parallel.run_unit(unit, folder)
     context.status = status
--- a/features/support/parallel.py
+++ b/features/support/parallel.py
@@ -22,11 +22,22 @@
 ROOT = pathlib.Path(__file__).parents[2]
 FEATURES = ROOT / "features"
 REPORTS = ROOT / "build" / "junit"
-# Seconds that each feature took, from `--record`; a plan needs little more than
-# their order.
+# Seconds that scenarios took, by name, from `--record`; a plan needs little more
+# than their order. Those that are not named are short.
 DURATIONS = FEATURES / "durations.json"
-# A feature that takes longer is run a scenario at a time.
-SPLIT_S = 8.0
+RECORDED_FROM_S = 0.3
+SHORT_S = 0.1
+# A process takes about a second to start, so short scenarios share one.
+SHARED_S = 6.0
+
+
+@attrs.frozen
+class Scenario:
+    """A scenario, a row of a table apart, and about how long it takes."""
+
+    target: str
+    name: str
+    seconds: float
 
 
 @attrs.frozen
@@ -34,15 +45,18 @@
     """Scenarios that one process runs.
 
     Attributes:
-        target: What behave is told: a feature, or a scenario by its line.
-        scenarios: How many scenarios that names.
+        targets: What behave is told: scenarios by their lines.
         seconds: About how long it takes.
     """
 
-    target: str
-    scenarios: int
+    targets: tuple[str, ...]
     seconds: float
 
+    @property
+    def scenarios(self) -> int:
+        """Return how many scenarios it names."""
+        return len(self.targets)
+
 
 @attrs.frozen
 class Outcome:
@@ -61,30 +75,48 @@
         return explained and self.reported == self.unit.scenarios
 
 
-def scenario_lines(path: pathlib.Path) -> list[int]:
-    """Return the lines of all scenarios of a feature, rows of tables apart."""
+def scenarios_of(
+    path: pathlib.Path, durations: dict[str, float]
+) -> list[Scenario]:
+    """Return all scenarios of a feature, in their order."""
     feature = behave_parser.parse_file(str(path))
-    return [scenario.line for scenario in feature.walk_scenarios()]
+    name = path.relative_to(ROOT)
+    return [
+        Scenario(
+            target=f"{name}:{scenario.line}",
+            name=scenario.name.strip(),
+            seconds=durations.get(scenario.name.strip(), SHORT_S),
+        )
+        for scenario in feature.walk_scenarios()
+    ]
 
 
 def plan(
     paths: Iterable[pathlib.Path], durations: dict[str, float]
 ) -> list[Unit]:
-    """Return what to run, the longest first.
-
-    A feature whose duration is not known is started early, but not split.
-    """
+    """Return what to run, the longest first."""
     units = []
+    shared: list[Scenario] = []
     for path in sorted(paths):
-        name = str(path.relative_to(ROOT))
-        lines = scenario_lines(path)
-        seconds = durations.get(name, SPLIT_S)
-        if name not in durations or seconds < SPLIT_S:
-            units.append(Unit(name, len(lines), seconds))
-            continue
-        share_s = seconds / max(1, len(lines))
-        units += [Unit(f"{name}:{line}", 1, share_s) for line in lines]
-    return sorted(units, key=lambda unit: (-unit.seconds, unit.target))
+        for scenario in scenarios_of(path, durations):
+            if scenario.seconds >= SHARED_S:
+                units.append(unit_of([scenario]))
+                continue
+            shared.append(scenario)
+            if sum(one.seconds for one in shared) >= SHARED_S:
+                units.append(unit_of(shared))
+                shared = []
+    if shared:
+        units.append(unit_of(shared))
+    return sorted(units, key=lambda unit: (-unit.seconds, unit.targets))
+
+
+def unit_of(scenarios: list[Scenario]) -> Unit:
+    """Return what runs some scenarios in one process."""
+    return Unit(
+        targets=tuple(scenario.target for scenario in scenarios),
+        seconds=round(sum(scenario.seconds for scenario in scenarios), 1),
+    )
 
 
 def run_unit(unit: Unit, folder: pathlib.Path) -> Outcome:
@@ -92,7 +124,7 @@
     command = [sys.executable, "-m", "behave", "--format", "progress"]
     command += ["--no-skipped", "--junit", "--junit-directory", str(folder)]
     ended = subprocess.run(
-        [*command, unit.target],
+        [*command, *unit.targets],
         cwd=ROOT,
         stdout=subprocess.PIPE,
         stderr=subprocess.STDOUT,
@@ -132,7 +164,8 @@
     """Report a unit whose own report is not whole."""
     folder.mkdir(parents=True, exist_ok=True)
     suite = ElementTree.Element("testsuite")
-    name = f"{outcome.unit.target} ended with {outcome.status}"
+    first = outcome.unit.targets[0]
+    name = f"{first} and those with it ended with {outcome.status}"
     case = ElementTree.SubElement(suite, "testcase", name=name)
     text = f"{outcome.reported} of {outcome.unit.scenarios} scenarios reported"
     ElementTree.SubElement(case, "error", message=text)
@@ -150,16 +183,17 @@
         return [future.result() for future in running]
 
 
-def record(outcomes: list[Outcome]) -> None:
-    """Write how long the scenarios of each feature took, as reported."""
+def record(count: int) -> None:
+    """Write how long scenarios took, as the reports of `count` units say."""
     durations: dict[str, float] = {}
-    for place, outcome in enumerate(outcomes):
-        name = outcome.unit.target.partition(":")[0]
-        cases = read_cases(REPORTS / f"{place:03}")
-        seconds = sum(float(case.get("time", 0.0)) for case in cases)
-        durations[name] = durations.get(name, 0.0) + seconds
-    rounded = {name: round(seconds, 1) for name, seconds in durations.items()}
-    DURATIONS.write_text(json.dumps(rounded, indent=2, sort_keys=True) + "\n")
+    for place in range(count):
+        for case in read_cases(REPORTS / f"{place:03}"):
+            seconds = round(float(case.get("time", 0.0)), 1)
+            name = case.get("name", "").strip()
+            if seconds >= RECORDED_FROM_S:
+                durations[name] = max(seconds, durations.get(name, 0.0))
+    text = json.dumps(durations, indent=1, sort_keys=True, ensure_ascii=False)
+    DURATIONS.write_text(text + "\n")
 
 
 def main() -> int:
@@ -175,10 +209,10 @@
     began = time.monotonic()
     outcomes = run_all(units, chosen.jobs)
     if chosen.record:
-        record(outcomes)
+        record(len(outcomes))
     bad = [o for o in outcomes if o.status or not o.is_whole]
     for outcome in bad:
-        print(f"--- {outcome.unit.target}\n{outcome.output}")
+        print(f"--- {' '.join(outcome.unit.targets)}\n{outcome.output}")
     count = sum(outcome.reported for outcome in outcomes)
     took_s = time.monotonic() - began
     print(f"{count} scenarios in {len(units)} processes, {took_s:.0f} s")
