chaos: wait for an election before a leader is taken for missing

Cause: the step asked each replica once; while a leader stalls or leadership moves none says that it leads. Change: the step looks again for 2 s, the bound on a successor, then fails with what each replica said. Figures: three rows try the step; the last of them fails without the bound by design.

--- a/features/chaos.feature
+++ b/features/chaos.feature
@@ -15,3 +15,14 @@
     And every whole answer is the caller's own
     And no entry's version ever went back
     And at least 50 answers were whole and 10 charges ran
+
+  # Guards against a step that takes an election for the loss of all leaders.
+  Scenario Outline: A leader that leads from <after> s on is waited for
+    When the leader is looked for while one leads from <after> s on
+    Then <words> is found
+
+    Examples:
+      | after | words             |
+      | 0.0   | control-2         |
+      | 1.2   | control-2         |
+      | 9.0   | no replica leads  |
