--- a/features/gateway/retrybudget.feature
+++ b/features/gateway/retrybudget.feature
@@ -6,6 +6,7 @@
     When each of two endpoints rejects a request once
     Then "retry <outcome>" is logged with the request, service, budget, share and age
     And the metric "<metric>" counts <count> for the service
+    And the state dump has the service's retry budget
 
     Examples:
       | outcome  | budget  | metric                        | count |
--- a/features/steps/retrybudget_steps.py
+++ b/features/steps/retrybudget_steps.py
@@ -1,6 +1,7 @@
 """Steps on the retry budget of one gateway."""
 
 import asyncio
+import json
 from unittest import mock
 
 import attrs
@@ -58,6 +59,8 @@
             call.args[0]: call.kwargs for call in log.info.call_args_list
         }
         context.metrics = bed.gateway.metrics.text().decode()
+        context.budget_used = bed.gateway.budget(SERVICE).used()
+        context.dump = json.loads(bed.gateway.dump())
 
     gateway_steps.play(context, story)
 
@@ -82,6 +85,14 @@
     assert counts == [count], counts
 
 
+@then("the state dump has the service's retry budget")
+def dumped(context):
+    found = context.dump["retry_budgets"][SERVICE]
+    assert found["requests"] == 1, found
+    assert found["used"] == context.budget_used, found
+    assert found["allowed"] > 0 and found["lent"] == 0, found
+
+
 # --- what reached an endpoint ---------------------------------------------
 
 
