retryborrower: say in the field's words that no request waits for a loan

Cause: a docstring spoke of 'those that find no retry'. Ruled out: a change of behaviour, it is a docstring. Change: two lines of it.

--- a/src/_coltsfootroad/gateway/retryborrower.py
+++ b/src/_coltsfootroad/gateway/retryborrower.py
@@ -41,8 +41,8 @@
 class RetryBorrower:
     """Keeps a gateway in loans while its endpoints fail.
 
-    Requests never wait for it: those that find no retry are refused, and the
-    loan serves the next ones.
+    No request waits for a loan: a request without a retry is refused, and the
+    loan serves later requests.
     """
 
     gateway: str
