signals: unblock signals once they are handled, and handle them before any import

What was seen: gateway 3 ended with -15, 0.1 s after its SIGTERM; whatever waited in its listener's queue was reset, and a supervisor counts a crash. Cause: a SIGTERM that reaches a process whose interpreter has not run any code of the program ends it by the default action. A start that gets no processor until its stop 4.5 s later meets that each time. Ruled out: a second SIGTERM, as the plan sends one; the change of handlers in a process that serves (it had no handler yet).

Change: the first module imported installs the handlers and needs built-in modules only (it imported json, socket and signal before); then it unblocks them. A supervisor that blocks signals over exec loses none: they stay pending. The soak and the stand-in fleet start programs so; launching.py has the only copy. SIGINT while the libraries load ends a program as SIGTERM does.

The checks get stricter: the soak audits the end of processes of any age (from 3 s on before), and a SIGHUP before a program's first code no longer excuses a restart: 1 start in that row, 2 before. Each exit that breaks the promise says how old the process was and what the signal would have done to it.

Conclusion: closed for supervisors that block signals; started without, the interpreter's own start is left, some 20 ms.

--- a/features/shell/stopping.feature
+++ b/features/shell/stopping.feature
@@ -56,3 +56,42 @@
     When it gets SIGUSR1 after 0.1 s
     Then the child ends with exit code 0, drained: yes
     And it has written a dump
+
+  # Guards against a start that a signal ends by its default action, as the
+  # interpreter has not yet run any code of the program.
+  Scenario Outline: A <program> that gets <number> <after> ms after its start <outcome>
+    Given the settings of a <program>
+    When a supervisor starts it, suspends it after <after> ms and sends <number>
+    Then it <outcome>
+
+    Examples:
+      | program          | number  | after | outcome                |
+      | gateway          | SIGTERM | 0     | ends before it serves  |
+      | gateway          | SIGTERM | 5     | ends before it serves  |
+      | gateway          | SIGTERM | 20    | ends before it serves  |
+      | gateway          | SIGTERM | 40    | ends before it serves  |
+      | gateway          | SIGINT  | 0     | ends before it serves  |
+      | gateway          | SIGINT  | 60    | ends before it serves  |
+      | gateway          | SIGHUP  | 0     | serves until it is stopped |
+      | gateway          | SIGUSR1 | 0     | serves until it is stopped |
+      | replica          | SIGTERM | 0     | ends before it serves  |
+      | replica          | SIGTERM | 10    | ends before it serves  |
+      | replica          | SIGINT  | 0     | ends before it serves  |
+      | replica          | SIGHUP  | 0     | serves until it is stopped |
+      | replica          | SIGUSR1 | 20    | serves until it is stopped |
+      | relay            | SIGTERM | 0     | ends before it serves  |
+      | relay            | SIGINT  | 20    | ends before it serves  |
+      | entry            | SIGTERM | 0     | ends before it serves  |
+      | entry            | SIGINT  | 0     | ends before it serves  |
+      | entry            | SIGUSR1 | 0     | serves until it is stopped |
+      | standalone       | SIGTERM | 0     | ends before it serves  |
+      | platform gateway | SIGTERM | 0     | ends before it serves  |
+      | platform gateway | SIGINT  | 30    | ends before it serves  |
+      | platform gateway | SIGHUP  | 0     | serves until it is stopped |
+      | platform replica | SIGTERM | 0     | ends before it serves  |
+      | platform replica | SIGUSR1 | 0     | serves until it is stopped |
+
+  # Guards against imports that keep a program without handlers while it starts.
+  Scenario: Signals are handled before any other module is imported
+    When the programs' package is imported by a bare interpreter
+    Then only built-in modules are there when signals are handled
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -68,7 +68,7 @@
 
     Examples:
       | does                      | starts | runs             |
-      | has not run any code      | 2      | runs             |
+      | has not run any code      | 1      | runs             |
       | reads its settings        | 1      | runs             |
       | ends by itself             | 1      | does not run     |
 
--- a/features/soak/audit.py
+++ b/features/soak/audit.py
@@ -61,6 +61,24 @@
     end: float
 
 
+@attrs.frozen(kw_only=True)
+class Exit:
+    """How a process ended that was told to stop.
+
+    Attributes:
+        code: Its exit code, None if it runs on.
+        took_s: Seconds from the signal to its end.
+        age_s: Seconds from its start to the signal.
+        disposition: What the signal would do to it when it was sent.
+    """
+
+    name: str
+    code: int | None
+    took_s: float
+    age_s: float = 0.0
+    disposition: str = ""
+
+
 @attrs.define
 class Book:
     """Everything that was seen in one soak."""
@@ -75,7 +93,7 @@
     revoked: dict[str, float] = attrs.Factory(dict)
     left: dict[str, float] = attrs.Factory(dict)
     disturbed: list[Span] = attrs.Factory(list)
-    exits: list[tuple[str, int | None, float]] = attrs.Factory(list)
+    exits: list[Exit] = attrs.Factory(list)
     read_back: tuple[int, bytes] | None = None
     # What lost replicas were waited for in vain to do.
     unrepaired: list[str] = attrs.Factory(list)
@@ -314,9 +332,10 @@
 def check_exits(book: Book) -> list[str]:
     """Check that a process that is told to stop ends well and in time."""
     return [
-        f"{name} ended with {code} after {took_s:.1f} s"
-        for name, code, took_s in book.exits
-        if code != 0 or took_s > GRACE_S + SLACK_S
+        f"{found.name} ended with {found.code} after {found.took_s:.1f} s,"
+        f" stopped {found.age_s:.2f} s after its start, {found.disposition}"
+        for found in book.exits
+        if found.code != 0 or found.took_s > GRACE_S + SLACK_S
     ]
 
 
--- a/features/soak/driver.py
+++ b/features/soak/driver.py
@@ -17,7 +17,6 @@
 from features.soak import fleet as fleet_lib
 from features.soak import plan
 from features.support import gatewaybed
-from features.support import running
 
 SLOW_SYNC_S = 0.4
 CLOCK_STEP_S = {"forward": 3_600.0, "back": -3_600.0}
@@ -37,8 +36,6 @@
 REPAIR_POLL_S = 0.3
 # How soon processes start depends on the machine.
 REPLICAS_START_S = 30.0
-# A process is up within this time, on a loaded machine as well.
-START_S = 3.0
 
 
 @attrs.define(eq=False)
@@ -122,19 +119,8 @@
         await self.stop_and_start(self.fleet.gateways[fault.target], fault)
 
     async def do_reload_gateway(self, fault):
-        """Let a gateway read its settings again.
-
-        The signal ends a process whose interpreter has not run any of our code
-        yet; a platform starts it again.
-        """
-        program = self.fleet.gateways[fault.target]
-        if not program.is_running:
-            return
-        bears = running.bears(program.process.pid, signal.SIGHUP)
-        program.signal(signal.SIGHUP)
-        if not bears:
-            await asyncio.sleep(DOWN_S)
-            self.restart(program)
+        """Let a gateway read its settings again; it does not end by that."""
+        self.fleet.gateways[fault.target].signal(signal.SIGHUP)
 
     # --- replicas --------------------------------------------------------
 
@@ -180,8 +166,7 @@
         if fault.way == "planned":
             old = await self.fleet.replace(fault.target)
             await asyncio.sleep(fault.for_s)
-            code, took_s = await old.stop()
-            self.book.exits.append((old.name, code, took_s))
+            self.book.exits.append(await old.stop())
         else:
             self.fleet.replicas[fault.target].kill()
             await asyncio.sleep(fault.for_s)
@@ -338,13 +323,12 @@
     async def stop_and_start(self, program, fault) -> None:
         """Tell a process to stop; start it a moment after it has ended."""
         starts = program.starts
-        # Before it has read its settings a signal ends it at once.
-        age_s = time.monotonic() - program.started_at
-        began = program.is_running and age_s > START_S
-        code, took_s = await program.stop()
+        was_running = program.is_running
+        ended = await program.stop()
         # Another fault may have killed or suspended it meanwhile.
-        if began and starts == program.starts and code != -signal.SIGKILL:
-            self.book.exits.append((program.name, code, took_s))
+        was_killed = ended.code == -signal.SIGKILL
+        if was_running and starts == program.starts and not was_killed:
+            self.book.exits.append(ended)
         await asyncio.sleep(fault.for_s)
         self.restart(program)
 
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -13,9 +13,11 @@
 
 import attrs
 
+from _coltsfootroad.fakes import launching
 from _coltsfootroad.fakes import ports as ports_lib
 from features.soak import audit
 from features.soak import proxy as proxy_lib
+from features.support import running
 
 LAUNCHER = pathlib.Path(__file__).with_name("launch.py")
 TOKEN = "soak-token"
@@ -40,7 +42,7 @@
         self.starts += 1
         self.started_at = time.monotonic()
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(
+            self.process = launching.start(
                 self.command, stdout=log, stderr=subprocess.STDOUT
             )
 
@@ -59,13 +61,22 @@
         self.signal(signal.SIGKILL)
         self.process.wait()
 
-    async def stop(self) -> tuple[int | None, float]:
-        """Ask it to stop; return its exit code and how long it took."""
+    async def stop(self) -> audit.Exit:
+        """Ask it to stop; return how it ended."""
         began = time.monotonic()
+        disposition = "already gone"
+        if self.is_running:
+            disposition = running.disposition(self.process.pid, signal.SIGTERM)
         self.signal(signal.SIGTERM)
         while self.is_running and time.monotonic() < began + STOP_WAIT_S:
             await asyncio.sleep(0.05)
-        return self.process.poll(), time.monotonic() - began
+        return audit.Exit(
+            name=self.name,
+            code=self.process.poll(),
+            took_s=time.monotonic() - began,
+            age_s=began - self.started_at,
+            disposition=disposition,
+        )
 
 
 @attrs.define(eq=False)
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -10,16 +10,20 @@
 from behave import then
 from behave import when
 
+from _coltsfootroad.fakes import launching
 from _coltsfootroad.fakes import ports
-from _coltsfootroad.shell import startsignals
 from features.support import running
 from features.support import signalmodes
 
 SENDING_S = 2.5
 GAP_S = 0.002
 STOP_S = 15.0
+MS = 1_000
 # Modules of the commands that do not bear a program's name.
 MODULES = {"replica": "control", "relay": "control"}
+# Programs as the platform's own scripts start them.
+PLATFORM = "platform "
+STOPPED = "before it served"
 CHILD = [sys.executable, "-m", "features.support.signalchild"]
 
 
@@ -30,6 +34,9 @@
 
 def settings_of(context, program: str) -> dict:
     """Return the settings of a program that finds nobody else."""
+    if program == "platform replica":
+        return settings_of(context, "replica") | {"api_listen": address()}
+    program = program.removeprefix(PLATFORM)
     if program == "gateway":
         names = ("listen", "ready_listen", "directory_listen", "peer_listen")
         listen = {name: address() for name in names}
@@ -55,9 +62,16 @@
 def write_settings(context, program):
     path = context.folder / "settings.json"
     path.write_text(json.dumps(settings_of(context, program)))
+    context.command = [*command_of(program), "--settings", str(path)]
+
+
+def command_of(program: str) -> list[str]:
+    """Return how a program is started, without its settings."""
+    if program.startswith(PLATFORM):
+        role = program.removeprefix(PLATFORM)
+        return [sys.executable, f"platform/{MODULES.get(role, role)}.py"]
     name = MODULES.get(program, program)
-    context.command = [sys.executable, "-m", f"_coltsfootroad.commands.{name}"]
-    context.command += ["--settings", str(path)]
+    return [sys.executable, "-m", f"_coltsfootroad.commands.{name}"]
 
 
 def wait_until_prepared(process, number=signal.SIGHUP) -> None:
@@ -128,7 +142,7 @@
 
 @then("its output says that it stopped before it served")
 def says_so(context):
-    assert startsignals.STOPPED.decode() in context.errors, context.errors
+    assert STOPPED in context.errors, context.errors
 
 
 @when("it runs and gets SIGTERM without pause until it is gone")
@@ -242,3 +256,79 @@
 @then("it has written a dump")
 def dump_was_written(context):
     assert signalmodes.DUMP in context.errors, context.errors
+
+
+@when(
+    "a supervisor starts it, suspends it after {after:d} ms and sends {number}"
+)
+def signal_suspended(context, after, number):
+    context.process = launching.start(
+        context.command, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE
+    )
+    context.add_cleanup(reap, context.process)
+    time.sleep(after / MS)
+    context.process.send_signal(signal.SIGSTOP)
+    context.process.send_signal(signal.Signals[number])
+    context.process.send_signal(signal.SIGCONT)
+
+
+def reap(process) -> None:
+    """End a process that a scenario has left."""
+    if process.poll() is None:
+        process.kill()
+    process.communicate()
+
+
+@then("it ends before it serves")
+def ends_before_it_serves(context):
+    _, errors = context.process.communicate(timeout=STOP_S)
+    assert context.process.returncode == 0, context.process.returncode
+    assert STOPPED in errors.decode(), errors
+
+
+@then("it serves until it is stopped")
+def serves_until_stopped(context):
+    process = context.process
+    running.wait_until(lambda: runs(process), "it does not run")
+    assert process.poll() is None, process.returncode
+    process.send_signal(signal.SIGTERM)
+    process.communicate(timeout=STOP_S)
+    assert process.returncode == 0, process.returncode
+
+
+# Prints what had been imported when the first handler was installed.
+IMPORTED = """
+import sys
+sys.argv = ["colts-gateway", "--settings=none"]
+before = set(sys.modules)
+import _signal
+install = _signal.signal
+def installed(*words):
+    _signal.signal = install
+    print(*sorted(set(sys.modules) - before))
+    return install(*words)
+_signal.signal = installed
+import _coltsfootroad.commands
+"""
+
+
+@when("the programs' package is imported by a bare interpreter")
+def import_bare(context):
+    # Neither the site's modules nor those of the test.
+    context.child = subprocess.run(
+        [sys.executable, "-S", "-c", IMPORTED],
+        env={"PYTHONPATH": "src"},
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=STOP_S,
+    )
+
+
+@then("only built-in modules are there when signals are handled")
+def only_builtin(context):
+    found = context.child.stdout.split()
+    assert found, context.child
+    own = [name for name in found if name.startswith("_coltsfootroad")]
+    others = set(found) - set(own) - set(sys.builtin_module_names)
+    assert not others, others
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -114,11 +114,13 @@
     "reads its settings": (
         "import signal, time\n"
         "signal.signal(signal.SIGHUP, lambda *_: None)\n"
+        "signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])\n"
         "time.sleep(60)"
     ),
     "ends by itself": (
         "import os, signal, time\n"
         "signal.signal(signal.SIGHUP, lambda *_: os._exit(1))\n"
+        "signal.pthread_sigmask(signal.SIG_UNBLOCK, [signal.SIGHUP])\n"
         "time.sleep(60)"
     ),
 }
@@ -131,15 +133,11 @@
         command=[sys.executable, "-c", ON_SIGHUP[does]],
         log=context.folder / "gateway-0.log",
     )
-    # A module of the programs that behave has imported ignores it, and what a
-    # process ignores its children ignore.
-    before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
     context.program.start()
-    signal.signal(signal.SIGHUP, before)
     context.add_cleanup(context.program.kill)
     if does != "has not run any code":
         running.wait_until(
-            lambda: running.bears(context.program.process.pid, signal.SIGHUP),
+            lambda: running.acts(context.program.process.pid, signal.SIGHUP),
             "the program does not handle SIGHUP",
         )
 
@@ -273,7 +271,7 @@
     book.read_back = (3, b"three")
     book.versions = [(0, 1, 3)]
     book.final_versions = {0: 3}
-    book.exits = [("gateway 0", 0, 3.0)]
+    book.exits = [audit.Exit(name="gateway 0", code=0, took_s=3.0)]
     context.book = book
 
 
@@ -336,7 +334,9 @@
             "sent": [10.5 + n for n in range(10)],
             "arrivals": [("u", 10.0 + n / 10) for n in range(23)],
         },
-        "a process stops too slowly": {"exits": [("gateway 0", 0, 20.0)]},
+        "a process stops too slowly": {
+            "exits": [audit.Exit(name="gateway 0", code=0, took_s=20.0)]
+        },
     }
     for name, value in changes[fault].items():
         setattr(book, name, value)
--- a/features/support/running.py
+++ b/features/support/running.py
@@ -11,6 +11,13 @@
 # Longest that a program may take to load its libraries, on a slow machine.
 START_S = 30.0
 LOOK_EVERY_S = 0.002
+# Fields of a process's status, each a mask of signals.
+DEFAULT_ACTION = "with the default action"
+DISPOSITIONS = {
+    "SigBlk": "blocked",
+    "SigIgn": "ignored",
+    "SigCgt": "handled",
+}
 
 
 def masks(pid: int) -> dict[str, int]:
@@ -18,9 +25,7 @@
     status = pathlib.Path(f"/proc/{pid}/status").read_text()
     lines = dict(line.split(":\t", 1) for line in status.splitlines())
     return {
-        name: int(lines[name], 16)
-        for name in ("SigIgn", "SigCgt")
-        if name in lines
+        name: int(lines[name], 16) for name in DISPOSITIONS if name in lines
     }
 
 
@@ -29,10 +34,25 @@
     return bool(masks(pid).get("SigCgt", 0) & bit(number))
 
 
+def acts(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process runs its handler as soon as a signal comes."""
+    found = masks(pid)
+    is_blocked = found.get("SigBlk", 0) & bit(number)
+    return handles(pid, number) and not is_blocked
+
+
 def bears(pid: int, number: signal.Signals) -> bool:
     """Return whether a signal would not end a process by accident."""
+    return disposition(pid, number) != DEFAULT_ACTION
+
+
+def disposition(pid: int, number: signal.Signals) -> str:
+    """Return what a signal would do to a process now."""
     found = masks(pid)
-    return any(mask & bit(number) for mask in found.values())
+    words = [
+        DISPOSITIONS[name] for name, mask in found.items() if mask & bit(number)
+    ]
+    return f"{number.name} {' and '.join(words)}" if words else DEFAULT_ACTION
 
 
 def has_loaded(pid: int) -> bool:
--- a/src/_coltsfootroad/commands/__init__.py
+++ b/src/_coltsfootroad/commands/__init__.py
@@ -2,10 +2,13 @@
 
 import sys
 
-from _coltsfootroad.shell import clocks as clocks
-from _coltsfootroad.shell import early
 from _coltsfootroad.shell import startsignals
 
-# Before the libraries are imported, which takes most of a program's start.
+# Before anything else is imported.
 startsignals.install(sys.argv)
+
+from _coltsfootroad.shell import clocks as clocks  # noqa: E402
+from _coltsfootroad.shell import early  # noqa: E402
+
+# Before the libraries are imported, which takes most of a program's start.
 early.listen(sys.argv)
--- a/src/_coltsfootroad/fakes/fleet.py
+++ b/src/_coltsfootroad/fakes/fleet.py
@@ -16,6 +16,7 @@
 import attrs
 import tornado.httpclient
 
+from _coltsfootroad.fakes import launching
 from _coltsfootroad.fakes import ports as ports_lib
 
 HOST = ports_lib.HOST
@@ -38,7 +39,7 @@
     def start(self, *more: str) -> None:
         """Start the process."""
         with open(self.log, "ab") as log:
-            self.process = subprocess.Popen(
+            self.process = launching.start(
                 [*self.command, *more],
                 stdout=log,
                 stderr=log,
--- /dev/null
+++ b/src/_coltsfootroad/fakes/launching.py
@@ -0,0 +1,32 @@
+"""Starts programs as a supervisor does that loses no signal.
+
+A signal that arrives before a program has installed its handlers ends it by the
+default action, and nothing that the program does can prevent that. Signals that
+are blocked when it is started stay pending until it unblocks them.
+"""
+
+from collections.abc import Iterator
+import contextlib
+import signal
+import subprocess
+
+from _coltsfootroad.shell import startsignals
+
+
+@contextlib.contextmanager
+def blocked_signals() -> Iterator[None]:
+    """Block, in this thread, the signals that programs handle."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, startsignals.HANDLED)
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
+def start(command: list[str], **options) -> subprocess.Popen:
+    """Start a program whose signals stay pending until it handles them.
+
+    `options` are those of `subprocess.Popen`, whose errors are raised.
+    """
+    with blocked_signals():
+        return subprocess.Popen(command, **options)
--- a/src/_coltsfootroad/shell/early.py
+++ b/src/_coltsfootroad/shell/early.py
@@ -9,11 +9,11 @@
 of the settings and to the listener itself, which come later and say so.
 """
 
-from collections.abc import Sequence
 import json
 import socket
 
-SETTINGS_FLAG = "--settings"
+from _coltsfootroad.shell import commandline
+
 # Name of the setting that asks for this, and of the one with the address.
 ASKED = "listen_early"
 ADDRESS = "listen"
@@ -26,7 +26,8 @@
 def listen(arguments: list[str]) -> None:
     """Listen where the settings file of a command line says."""
     try:
-        with open(settings_path(arguments), encoding="utf-8") as file:
+        path = commandline.settings_path(arguments)
+        with open(path, encoding="utf-8") as file:
             settings = json.load(file)
         if settings.get(ASKED) is True:
             address = settings[ADDRESS]
@@ -36,24 +37,6 @@
         return
 
 
-def has_settings(arguments: Sequence[str]) -> bool:
-    """Return whether a command line names a settings file."""
-    return any(
-        word == SETTINGS_FLAG or word.startswith(SETTINGS_FLAG + "=")
-        for word in arguments
-    )
-
-
-def settings_path(arguments: list[str]) -> str:
-    """Return the path of the settings file, empty if none is given."""
-    for place, word in enumerate(arguments):
-        if word == SETTINGS_FLAG:
-            return arguments[place + 1]
-        if word.startswith(SETTINGS_FLAG + "="):
-            return word.partition("=")[2]
-    return ""
-
-
 def bound(address: str) -> socket.socket:
     """Return a socket that listens at `ip:port`; raises OSError."""
     host, _, port = address.rpartition(":")
--- a/src/_coltsfootroad/shell/startsignals.py
+++ b/src/_coltsfootroad/shell/startsignals.py
@@ -1,31 +1,41 @@
 """Handles signals while a program loads its libraries.
 
-Needs nothing but the standard library, as it comes before all others.
+Imports nothing but built-in modules: a signal that arrives before the handlers
+are installed ends the process by its default action. The public `signal` module
+imports `enum`, which takes longer than everything here.
 """
 
-from collections.abc import Sequence
-import os
-import signal
+import _signal
+from posix import _exit
+from posix import write
 
-from _coltsfootroad.shell import early
+from _coltsfootroad.shell import commandline
 
 STDERR = 2
-STOPPED = b"stopped by SIGTERM before it served\n"
+STOPPING = {_signal.SIGTERM: b"SIGTERM", _signal.SIGINT: b"SIGINT"}
+IGNORED = (_signal.SIGHUP, _signal.SIGUSR1)
+HANDLED = (*STOPPING, *IGNORED)
+STOPPED = b"stopped by %s before it served\n"
 
 
-def install(arguments: Sequence[str]) -> None:
-    """Let no signal end a program by its default action.
-
-    There is no state to dump yet and no settings to read again. Programs that
-    serve are given settings; others end by SIGTERM as any command does.
-    """
-    for number in (signal.SIGHUP, signal.SIGUSR1):
-        signal.signal(number, signal.SIG_IGN)
-    if early.has_settings(arguments):
-        signal.signal(signal.SIGTERM, end)
+def install(arguments) -> None:
+    """Let no signal end a serving program by its default action.
 
+    There is no state to dump yet and no settings to read again. Other programs
+    end by a signal as any command does.
 
-def end(_number, _frame) -> None:
-    """End a process that has read nothing from anybody, at once and well."""
-    os.write(STDERR, STOPPED)
-    os._exit(0)
+    A supervisor may block signals while it starts a program, so that they stay
+    pending until they are handled; they are unblocked here.
+    """
+    if commandline.has_settings(arguments):
+        for number in IGNORED:
+            _signal.signal(number, _signal.SIG_IGN)
+        for number in STOPPING:
+            _signal.signal(number, end)
+    _signal.pthread_sigmask(_signal.SIG_UNBLOCK, HANDLED)
+
+
+def end(number, _frame) -> None:
+    """End a process that has not accepted any request, with exit code 0."""
+    write(STDERR, STOPPED % STOPPING[number])
+    _exit(0)
