signals: let commands end by signals, servers only handle them

What operators saw: a colts-ctl that SIGTERM ended, as a script's time limit does, wrote 'stopped by SIGTERM before it served' and exited with 0: a configuration or a backup that was not written counted as done. colts-ctl and colts-replay outlived their terminal, as SIGHUP was ignored, and so did each process that a test imported commands into, with its children. Ruled out: a handler of ctl's own, it has none. Change: only programs that serve handle signals while they load; colts-ctl and colts-replay keep the default actions. Conclusion: an exit code of 0 means that the command was carried out.

--- a/features/shell/stopping.feature
+++ b/features/shell/stopping.feature
@@ -95,3 +95,18 @@
   Scenario: Signals are handled before any other module is imported
     When the programs' package is imported by a bare interpreter
     Then only built-in modules are there when signals are handled
+
+  # Guards against scripts that take a command that was ended for one that was
+  # carried out, and against commands that outlive their terminal.
+  Scenario Outline: <command> that gets <number> ends by it
+    When the command <command> gets <number> <moment>
+    Then it has ended with exit code <code>
+
+    Examples:
+      | command      | number  | moment         | code |
+      | colts-ctl    | SIGTERM | while it loads | -15  |
+      | colts-ctl    | SIGTERM | while it waits | -15  |
+      | colts-ctl    | SIGHUP  | while it waits | -1   |
+      | colts-ctl    | SIGUSR1 | while it loads | -10  |
+      | colts-replay | SIGTERM | while it loads | -15  |
+      | colts-replay | SIGHUP  | while it loads | -1   |
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -332,3 +333,40 @@
     own = [name for name in found if name.startswith("_coltsfootroad")]
     others = set(found) - set(own) - set(sys.builtin_module_names)
     assert not others, others
+
+
+@when("the command {command} gets {number} {moment}")
+def signal_command(context, command, number, moment):
+    listener = socket.create_server((ports.HOST, 0))
+    context.add_cleanup(listener.close)
+    process = start_command(context, command, listener)
+    context.process = process
+    context.add_cleanup(reap, process)
+    if moment == "while it waits":
+        listener.settimeout(running.START_S)
+        connection, _ = listener.accept()
+        context.add_cleanup(connection.close)
+    else:
+        running.wait_until(
+            lambda: not running.bears(process.pid, signal.SIGTERM),
+            "it blocks signals",
+        )
+    process.send_signal(signal.Signals[number])
+    process.wait(STOP_S)
+
+
+def start_command(context, command, listener) -> subprocess.Popen:
+    """Start a command that gets no response from a listener."""
+    name = command.removeprefix("colts-")
+    words = [sys.executable, "-m", f"_coltsfootroad.commands.{name}"]
+    if name == "ctl":
+        host, port = listener.getsockname()
+        path = context.folder / "ctl.json"
+        settings = {"control": [f"{host}:{port}"], "admin_token": "soak-token"}
+        path.write_text(json.dumps(settings))
+        words += ["--settings", str(path), "status"]
+    else:
+        words += ["examples/traces/lavared-month-end.jsonl"]
+    return launching.start(
+        words, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
+    )
--- a/src/_coltsfootroad/shell/commandline.py
+++ b/src/_coltsfootroad/shell/commandline.py
@@ -3,7 +3,14 @@
 Imports nothing but built-in modules: signals are handled only after it.
 """
 
+from sys import orig_argv as orig_argv
+
 SETTINGS_FLAG = "--settings"
+MODULE_FLAG = "-m"
+# Programs that carry out one command and end.
+ONE_SHOT = ("ctl", "replay")
+PREFIX = "colts-"
+SUFFIX = ".py"
 
 
 def has_settings(arguments) -> bool:
@@ -22,3 +29,24 @@
         if word.startswith(SETTINGS_FLAG + "="):
             return word.partition("=")[2]
     return ""
+
+
+def program_name(arguments, interpreter_arguments=None) -> str:
+    """Return the name of the program that a process runs.
+
+    While the package of a module is imported, `-m` stands in place of the
+    module's name, which only the interpreter's own arguments hold.
+    """
+    words = list(interpreter_arguments or orig_argv)
+    first = arguments[0] if arguments else ""
+    if first == MODULE_FLAG and MODULE_FLAG in words[:-1]:
+        module = words[words.index(MODULE_FLAG) + 1]
+        return module.rpartition(".")[2]
+    script = first.rpartition("/")[2]
+    return script.removesuffix(SUFFIX).removeprefix(PREFIX)
+
+
+def is_server(arguments, interpreter_arguments=None) -> bool:
+    """Return whether a command line starts a program that serves."""
+    name = program_name(arguments, interpreter_arguments)
+    return has_settings(arguments) and name not in ONE_SHOT
--- a/src/_coltsfootroad/shell/startsignals.py
+++ b/src/_coltsfootroad/shell/startsignals.py
@@ -27,7 +27,7 @@
     A supervisor may block signals while it starts a program, so that they stay
     pending until they are handled; they are unblocked here.
     """
-    if commandline.has_settings(arguments):
+    if commandline.is_server(arguments):
         for number in IGNORED:
             _signal.signal(number, _signal.SIG_IGN)
         for number in STOPPING:
