signals: keep the exit code of a program that ends by itself

What operators saw: a gateway with wrong settings that got SIGTERM while its interpreter ended exited with -15 in place of 2, so that a supervisor took a fault that no restart mends for a stop. Cause: the interpreter restores the default action of handled signals when it finalizes; programs that end before their loop runs still handled SIGTERM. Ruled out: the loop's end, which ignores all signals already (rows with a busy address and with nothing wrong). Change: signals are ignored before the fault is reported, and once a program's main function is over. Conclusion: the exit code of a serving program is its own.

--- a/features/shell/stopping.feature
+++ b/features/shell/stopping.feature
@@ -96,6 +96,23 @@
     When the programs' package is imported by a bare interpreter
     Then only built-in modules are there when signals are handled
 
+  # Guards against an exit code that a signal replaces while the interpreter ends.
+  Scenario Outline: A <program> with <fault> keeps its exit code if <number> comes at its end
+    Given <fault> in the settings of a <program>
+    When it is started and sends itself <number> while its interpreter ends
+    Then it has ended with exit code <code>
+
+    Examples:
+      | program | fault          | number  | code |
+      | gateway | nothing wrong  | SIGTERM | 0    |
+      | gateway | no seeds       | SIGTERM | 2    |
+      | gateway | half a file    | SIGTERM | 2    |
+      | gateway | half a file    | SIGINT  | 2    |
+      | gateway | half a file    | SIGHUP  | 2    |
+      | replica | a busy address | SIGTERM | 1    |
+      | replica | a busy address | SIGUSR1 | 1    |
+      | entry   | half a file    | SIGTERM | 2    |
+
   # Guards against scripts that take a command that was ended for one that was
   # carried out, and against commands that outlive their terminal.
   Scenario Outline: <command> that gets <number> ends by it
--- a/features/steps/signals_steps.py
+++ b/features/steps/signals_steps.py
@@ -335,6 +335,53 @@
     assert not others, others
 
 
+@given("{fault} in the settings of a {program}")
+def write_faulty_settings(context, fault, program):
+    write_settings(context, program)
+    context.fault = fault
+    path = context.folder / "settings.json"
+    text = path.read_text()
+    if fault == "no seeds":
+        path.write_text(json.dumps(json.loads(text) | {"seeds": []}))
+    elif fault == "half a file":
+        path.write_text(text[: len(text) // 2])
+    elif fault == "a busy address":
+        context.busy = socket.socket()
+        context.add_cleanup(context.busy.close)
+        host, port = json.loads(text)["listen"].split(":")
+        context.busy.bind((host, int(port)))
+        context.busy.listen()
+
+
+# Runs a program that signals itself once its interpreter finalizes.
+ENDING = """
+import os, runpy, sys
+number, module, sys.argv = int(sys.argv[1]), sys.argv[2], sys.argv[2:]
+class Last:
+    def __del__(self, kill=os.kill, pid=os.getpid()):
+        kill(pid, number)
+sys.last_of_all = Last()
+runpy.run_module(module, run_name="__main__", alter_sys=True)
+"""
+
+
+@when("it is started and sends itself {number} while its interpreter ends")
+def signal_at_the_end(context, number):
+    _, _, module, *arguments = context.command
+    value = str(int(signal.Signals[number]))
+    context.process = subprocess.Popen(
+        [sys.executable, "-c", ENDING, value, module, *arguments],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    process = context.process
+    context.add_cleanup(reap, process)
+    if context.fault == "nothing wrong":
+        running.wait_until(lambda: runs(process), "it does not run")
+        process.send_signal(signal.SIGTERM)
+    process.wait(STOP_S)
+
+
 @when("the command {command} gets {number} {moment}")
 def signal_command(context, command, number, moment):
     listener = socket.create_server((ports.HOST, 0))
--- a/src/_coltsfootroad/commands/common.py
+++ b/src/_coltsfootroad/commands/common.py
@@ -5,14 +5,17 @@
 import gc
 import signal
 import sys
+from typing import NoReturn
 
 from absl import flags
 
 from _coltsfootroad import version
+from _coltsfootroad.shell import commandline
 from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import processsignals
 from _coltsfootroad.shell import settings as settings_lib
+from _coltsfootroad.shell import startsignals
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -46,7 +49,11 @@
     # What the imports made stays for good and need not be looked at again.
     gc.freeze()
     gc.enable()
-    sys.exit(guarded(parse_flags(sys.argv)))
+    try:
+        sys.exit(guarded(parse_flags(sys.argv)))
+    finally:
+        if commandline.is_server(sys.argv):
+            startsignals.ignore()
 
 
 def flags_help() -> str:
@@ -61,8 +68,7 @@
     try:
         return flags.FLAGS(arguments)
     except flags.Error as error:
-        complain(f"{error}; see --help")
-        sys.exit(EXIT_USAGE)
+        reject_usage(f"{error}; see --help")
 
 
 def complain(message: str) -> None:
@@ -73,15 +79,21 @@
 def read_settings(kind: type) -> object:
     """Return the settings, or end the program with what is wrong."""
     if not SETTINGS.value:
-        complain("--settings is missing; see examples/ for a sample")
-        sys.exit(EXIT_USAGE)
+        reject_usage("--settings is missing; see examples/ for a sample")
     loaded = settings_lib.load(SETTINGS.value, kind)
     if loaded.is_error():
-        complain(loaded.error)
-        sys.exit(EXIT_USAGE)
+        reject_usage(loaded.error)
     return loaded.ok
 
 
+def reject_usage(message: str) -> NoReturn:
+    """Write what is wrong and end, whatever signals arrive meanwhile."""
+    if commandline.is_server(sys.argv):
+        startsignals.ignore()
+    complain(message)
+    sys.exit(EXIT_USAGE)
+
+
 def run_loop(main) -> int:
     """Run a program's coroutine function on one loop; return the exit code.
 
--- a/src/_coltsfootroad/commands/entry.py
+++ b/src/_coltsfootroad/commands/entry.py
@@ -34,8 +34,7 @@
     """Run an entry until it is told to stop."""
     settings = common.read_settings(settings_lib.EntrySettings)
     if not settings.control:
-        common.complain("settings: $.control is empty, needs an address")
-        return common.EXIT_USAGE
+        common.reject_usage("settings: $.control is empty, needs an address")
     logs.start(settings.log_level)
 
     async def serve() -> int:
--- a/src/_coltsfootroad/commands/gateway.py
+++ b/src/_coltsfootroad/commands/gateway.py
@@ -48,8 +48,7 @@
     """Run a gateway that speaks the given dialect."""
     settings = common.read_settings(settings_lib.GatewaySettings)
     if not settings.seeds:
-        common.complain("settings: $.seeds is empty, needs an address")
-        return common.EXIT_USAGE
+        common.reject_usage("settings: $.seeds is empty, needs an address")
     logs.start(settings.log_level, structured=True)
     return common.run_loop(lambda: serve(settings, dialect))
 
--- a/src/_coltsfootroad/shell/startsignals.py
+++ b/src/_coltsfootroad/shell/startsignals.py
@@ -35,6 +35,16 @@
     _signal.pthread_sigmask(_signal.SIG_UNBLOCK, HANDLED)
 
 
+def ignore() -> None:
+    """Let no signal replace the exit code of a process that ends.
+
+    The interpreter restores the default action of handled signals, and not of
+    ignored ones, when it finalizes.
+    """
+    for number in HANDLED:
+        _signal.signal(number, _signal.SIG_IGN)
+
+
 def end(number, _frame) -> None:
     """End a process that has not accepted any request, with exit code 0."""
     write(STDERR, STOPPED % STOPPING[number])
