soak, tests: say what the machine did while a scenario failed, keep logs of all failures

Ruled out: the soak's own lateness, which is written already. Change: each failed scenario and soak names for how long processes waited for processors, disk and memory (/proc/pressure) and what a hypervisor took; a soak's logs lie in its scenario's folder, which is kept for any failure; seconds.csv says what became of its requests. Conclusion: the next failure tells starved processors from a stalled disk.

--- a/features/environment.py
+++ b/features/environment.py
@@ -7,8 +7,12 @@
 import tempfile
 import time
 
+from features.support import machineload
+
 KEPT = pathlib.Path("build/failed")
 NAME_LENGTH = 60
+# What the machine did while a scenario failed.
+MACHINE = "machine.txt"
 
 
 def before_scenario(context, _):
@@ -16,13 +20,17 @@
     context.rng = random.Random(1)
     context.folder = pathlib.Path(tempfile.mkdtemp(prefix="colts-"))
     context.fleet = None
+    context.load_before = machineload.read()
 
 
 def after_scenario(context, scenario):
     """Stop what the scenario started; keep its files only if it failed."""
     if context.fleet is not None:
         context.fleet.stop()
-    if scenario.status.has_failed() and any(context.folder.iterdir()):
+    if scenario.status.has_failed():
+        found = machineload.words(context.load_before, machineload.read())
+        print(f"machine: {found}")
+        (context.folder / MACHINE).write_text(found + "\n")
         keep(context.folder, scenario.name)
     shutil.rmtree(context.folder, ignore_errors=True)
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -100,6 +100,26 @@
   Scenario: What a soak reports is kept with the logs, and their last lines are shown
     When a soak breaks a promise
     Then its logs and its promise are kept, and the last lines are shown
+    And the report names what processes waited for
+
+  # Guards against a soak that serves too little and breaks no promise, of which
+  # nobody can say when it stopped serving.
+  Scenario: What became of requests is written second by second
+    Given what was seen in a soak without a fault
+    When its seconds are written
+    Then each second says how many requests were sent and served
+
+  # Guards against failures put down to a busy machine without evidence.
+  Scenario Outline: A machine on which processes wait for <resource> says so
+    Given a machine on which processes have waited 1.5 s for <resource>
+    When they wait for 2 s more
+    Then "<resource> 2.0 s" is said, and 0.0 s of all others
+
+    Examples:
+      | resource |
+      | cpu      |
+      | io       |
+      | memory   |
 
   Scenario Outline: The audit notices <fault>
     Given what was seen in a soak without a fault
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -19,6 +19,8 @@
 from features.soak import endpoints as endpoints_lib
 from features.soak import fleet as fleet_lib
 from features.soak import plan
+from features.soak import timeline
+from features.support import machineload
 
 SEEDS = flags.DEFINE_list("seeds", [], "Seeds to run; drawn if none.")
 COUNT = flags.DEFINE_integer("count", 1, "How many seeds to draw.")
@@ -157,32 +159,48 @@
         book.final_versions[place] = version
 
 
-def run_seed(seed: int, size: plan.Size, keep: str) -> tuple[list[str], int]:
+def run_seed(
+    seed: int, size: plan.Size, keep: str, folder: pathlib.Path | None = None
+) -> tuple[list[str], int]:
     """Run one seed; return what was broken and how many were served.
 
-    The logs are kept in a folder `keep`, if it is named, when anything was.
+    Logs are written to `folder`, or to one that is removed afterwards. They are
+    kept in a folder `keep`, if it is named, when anything was broken.
     """
-    folder = pathlib.Path(tempfile.mkdtemp(prefix="colts-soak-"))
+    if folder is not None:
+        return run_seed_in(seed, size, keep, folder)
+    with tempfile.TemporaryDirectory(
+        prefix="colts-soak-", ignore_cleanup_errors=True
+    ) as name:
+        return run_seed_in(seed, size, keep, pathlib.Path(name))
+
+
+def run_seed_in(
+    seed: int, size: plan.Size, keep: str, folder: pathlib.Path
+) -> tuple[list[str], int]:
+    """Run one seed, with its logs in a folder that stays."""
+    before = machineload.read()
     try:
-        try:
-            book = asyncio.run(soak(seed, size, folder))
-        except TimeoutError as error:
-            faults, served = not_started(error, folder), 0
-        else:
-            faults, served = judge(book)
-            print(
-                f"seed {seed}: {len(book.outcomes)} requests, {served} served,"
-                f" {len(book.runs)} runs, {len(book.acknowledged)} versions,"
-                f" {len(faults)} broken promises"
-            )
-        if faults and keep:
-            kept = pathlib.Path(keep) / f"{seed}-{time.time_ns()}"
-            shutil.copytree(folder, kept)
-            (kept / "broken.txt").write_text("\n".join(faults) + "\n")
-            faults = [*faults, f"logs are kept in {kept}", *last_lines(folder)]
-        return faults, served
-    finally:
-        shutil.rmtree(folder, ignore_errors=True)
+        book = asyncio.run(soak(seed, size, folder))
+    except TimeoutError as error:
+        faults, served = not_started(error, folder), 0
+    else:
+        faults, served = judge(book)
+        timeline.write(book, folder / timeline.FILE)
+        print(
+            f"seed {seed}: {len(book.outcomes)} requests, {served} served,"
+            f" {len(book.runs)} runs, {len(book.acknowledged)} versions,"
+            f" {len(faults)} broken promises"
+        )
+    if faults:
+        found = machineload.words(before, machineload.read())
+        faults = [*faults, f"machine: {found}"]
+    if faults and keep:
+        kept = pathlib.Path(keep) / f"{seed}-{time.time_ns()}"
+        shutil.copytree(folder, kept)
+        (kept / "broken.txt").write_text("\n".join(faults) + "\n")
+        faults = [*faults, f"logs are kept in {kept}", *last_lines(folder)]
+    return faults, served
 
 
 def last_lines(folder: pathlib.Path) -> list[str]:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -19,6 +19,8 @@
 from features.soak import lateness
 from features.soak import plan
 from features.soak import run
+from features.soak import timeline
+from features.support import machineload
 from features.support import running
 
 REPLICAS = 3
@@ -26,20 +28,26 @@
 SECONDS = 14
 # Few enough for the slack to be a large part of what they may retry.
 SHED_CALLERS = 3
-# Logs of soaks that break a promise, in CI as well.
-KEPT_LOGS = "build/soak"
+
+
+def run_in_scenario(context, seed: int, size: plan.Size) -> None:
+    """Run a soak whose logs are kept if the scenario fails, for any reason."""
+    logs = context.folder / "soak"
+    logs.mkdir()
+    context.faults, context.served = run.run_seed(seed, size, "", logs)
+    context.faults += run.last_lines(logs) if context.faults else []
 
 
 @when("a soak of seed {seed:d} runs for {seconds:d} s")
 def soak(context, seed, seconds):
     size = plan.Size(seconds=seconds)
-    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
+    run_in_scenario(context, seed, size)
 
 
 @when("replicas, {count:d} of them, are replaced in a soak of seed {seed:d}")
 def soak_replacing(context, count, seed):
     size = plan.Size(replicas=count, replacing=True, seconds=SECONDS)
-    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
+    run_in_scenario(context, seed, size)
 
 
 @when(
@@ -54,19 +62,19 @@
         routes=routes,
         mbits=mbits,
     )
-    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
+    run_in_scenario(context, seed, size)
 
 
 @when("{count:d} poison requests come in a soak of seed {seed:d}")
 def soak_poison(context, count, seed):
     size = plan.Size(poisons=count, seconds=SECONDS)
-    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
+    run_in_scenario(context, seed, size)
 
 
 @when("endpoints shed beside restarts in a soak of seed {seed:d}")
 def soak_shedding(context, seed):
     size = plan.Size(shedding=True, seconds=SECONDS, callers=SHED_CALLERS)
-    context.faults, context.served = run.run_seed(seed, size, KEPT_LOGS)
+    run_in_scenario(context, seed, size)
 
 
 @then("no promise is broken and at least {served:d} requests are served")
@@ -371,6 +379,60 @@
     assert "gateway-0.log: last words" in context.faults, context.faults
 
 
+@then("the report names what processes waited for")
+def says_load(context):
+    (kept,) = context.kept.iterdir()
+    assert "processes waited for cpu" in (kept / "broken.txt").read_text()
+
+
+@when("its seconds are written")
+def write_seconds(context):
+    path = context.folder / timeline.FILE
+    timeline.write(context.book, path)
+    context.lines = path.read_text().splitlines()
+
+
+@then("each second says how many requests were sent and served")
+def check_seconds(context):
+    rows = [line.split(",") for line in context.lines[1:]]
+    sent = sum(int(row[1]) for row in rows)
+    served = sum(int(row[2]) for row in rows)
+    assert sent == len(context.book.outcomes), context.lines
+    assert served == len(context.book.outcomes), context.lines
+
+
+@given("a machine on which processes have waited {seconds:g} s for {resource}")
+def busy_machine(context, seconds, resource):
+    context.resource = resource
+    context.waited_s = 0.0
+    (context.folder / "stat").write_text("cpu  1 2 3 4 5 6 7 8 0 0\n")
+    wait_more(context, seconds)
+    context.load_of_machine = read_load_of(context)
+
+
+def read_load_of(context) -> machineload.MachineLoad:
+    """Return what the files of a made-up machine say."""
+    return machineload.read(context.folder, context.folder / "stat")
+
+
+@when("they wait for {seconds:g} s more")
+def wait_more(context, seconds):
+    context.waited_s += seconds
+    for name in machineload.RESOURCES:
+        waited_s = context.waited_s if name == context.resource else 0.0
+        some = f"some avg10=0.00 total={int(waited_s * 1e6)}"
+        (context.folder / name).write_text(f"{some}\nfull total=0\n")
+
+
+@then('"{words}" is said, and 0.0 s of all others')
+def said_of_machine(context, words):
+    found = machineload.words(context.load_of_machine, read_load_of(context))
+    assert words in found, found
+    for name in machineload.RESOURCES:
+        if name != context.resource:
+            assert f"{name} 0.0 s" in found, found
+
+
 @then("exactly this is reported: {words}")
 def reported(context, words):
     faults = audit.check(context.book)
