--- a/features/control/timers.feature
+++ b/features/control/timers.feature
@@ -21,3 +21,14 @@
     Given 3 replicas in processes of their own
     When all are killed and started 4 times
     Then each time one leads within 2 s and none takes over from it
+
+  # Guards against replicas that run and never elect, as their disks are slow.
+  Scenario Outline: Three replicas whose disks sync in <sync> s have a leader
+    Given 3 replicas in processes of their own
+    When they run for 24 s on disks that sync in <sync> s
+    Then they are never without a leader for 20 s, and have one most of the time
+
+    Examples:
+      | sync |
+      | 0.6  |
+      | 1.0  |
--- a/features/steps/timers_steps.py
+++ b/features/steps/timers_steps.py
@@ -23,6 +23,7 @@
 DOWN_S = 0.3
 WATCH_S = 4.0
 FIRST_S = 5.0
+LOOK_EVERY_S = 0.1
 
 
 class StubNode:
@@ -219,3 +220,51 @@
     for found in context.rounds:
         assert len(found) == 1, context.rounds
         assert found[0] < seconds, context.rounds
+
+
+@when("they run for {seconds:d} s on disks that sync in {sync:g} s")
+def run_on_slow_disks(context, seconds, sync):
+    async def story():
+        fleet = fleet_lib.Fleet(context.folder)
+        for place in range(context.count):
+            fleet.misbehave(place, sync_s=sync)
+        await fleet.start(context.count, 0)
+        try:
+            await until_they_run(fleet)
+            return await look_for_leaders(fleet, seconds)
+        finally:
+            await fleet.close()
+
+    context.looks = asyncio.run(story())
+
+
+async def look_for_leaders(
+    fleet: fleet_lib.Fleet, seconds: float
+) -> list[tuple[float, bool]]:
+    """Return at which times some replica said that it leads, or none did."""
+    began = time.monotonic()
+    looks = []
+    while time.monotonic() < began + seconds:
+        states = await asyncio.gather(
+            *(
+                asyncio.to_thread(fleet.dump, place)
+                for place in range(len(fleet.replicas))
+            )
+        )
+        leads = any(s and s["info"]["role"] == "leader" for s in states)
+        looks.append((time.monotonic() - began, leads))
+        await asyncio.sleep(LOOK_EVERY_S)
+    return looks
+
+
+@then(
+    "they are never without a leader for {longest:g} s, and have one most of"
+    " the time"
+)
+def had_leaders(context, longest):
+    without_from = 0.0
+    for at, leads in context.looks:
+        without_from = at if leads else without_from
+        assert at - without_from < longest, context.looks
+    count = sum(leads for _, leads in context.looks)
+    assert count > len(context.looks) / 2, context.looks
