raft: bound the count of failed elections, forget those of earlier processes

Cause: the multiple of the timeouts was 2 to the power of all failed elections: after 1,024 of them in a row, some 80 minutes without a quorum that leads, it raised OverflowError, which ends the replica; and a replica that started with a vote on its disk counted the election of its earlier process as failed, so that it waited twice as long after a loss of all power. Found by rereading the change, before it landed. Ruled out: an effect on replicas that run, whose elections are over when they vote again. Change: at most two doublings; the term that is on the disk counts as over. Names: timeouts for pauses, gaps for what a leader leaves, also in the log lines.

--- a/features/control/elections.feature
+++ b/features/control/elections.feature
@@ -119,3 +119,13 @@
       | 1.2   | 0.0  |
       | 0.0   | 0.6  |
       | 0.0   | 1.2  |
+
+  # Guards against a count of failed elections that grows without a bound.
+  Scenario: Timeouts stay bounded after 5000 failed elections
+    When a replica has seen 5000 failed elections
+    Then its election timeouts are at most 4 times the usual ones
+
+  # Guards against the vote of an earlier process that counts as a failed election.
+  Scenario: A replica that starts with a vote on its disk waits no longer than others
+    When a replica starts that has voted in its term, and stands for election
+    Then its election timeouts are at most 1 times the usual ones
--- a/features/steps/elections_steps.py
+++ b/features/steps/elections_steps.py
@@ -455,3 +455,29 @@
         for cluster in context.late
     ]
     assert min(shares) > 0.5, shares
+
+
+@when("a replica has seen {count:d} failed elections")
+def failed_elections(context, count):
+    raft = raft_lib.Raft("a#d", random.Random(1))
+    for _ in range(count):
+        raft.timer.note_failed(100.0)
+    context.timer = raft.timer
+
+
+@when("a replica starts that has voted in its term, and stands for election")
+def starts_with_vote(context):
+    raft = raft_lib.Raft(
+        "a#d",
+        random.Random(1),
+        hard_state=ready_lib.HardState(term=3, vote="b#d"),
+        started_at=100.0,
+    )
+    raft.tick(100.0)
+    raft.tick(raft.next_wake())
+    context.timer = raft.timer
+
+
+@then("its election timeouts are at most {times:g} times the usual ones")
+def bounded_timeouts(context, times):
+    assert context.timer.timeout_scale(100.2) <= times
--- a/src/_coltsfootroad/control/electiontimer.py
+++ b/src/_coltsfootroad/control/electiontimer.py
@@ -28,10 +28,11 @@
 # what others sent is read first.
 LATE_S = 0.1
 CATCH_UP_S = 0.1
-# Largest multiple of the usual pauses.
+# Largest multiple of the usual timeouts.
 MAX_SCALE = 4.0
-# Multiple of a leader's longest recent pause for which it is waited for.
-GAP_MARGIN = 2.0
+MAX_DOUBLINGS = 2
+# Multiple of a leader's longest recent gap for which followers wait.
+LEADER_GAP_MARGIN = 2.0
 # Lateness that has not been seen for this long is forgotten.
 FORGET_S = 10.0
 
@@ -49,11 +50,12 @@
         election_at: When it stands for election next.
         ticked: Whether the timer has run since the start.
         heard_term: Term of the leader that was heard last.
-        gap_s: Longest pause between two messages of one leader.
-        gap_at: When a pause was that long.
-        failed: Elections in a row in which votes were given to no avail.
-        failed_at: When the last of them was given up.
-        deferred: Whether the present pause was extended as it ended late.
+        leader_gap_s: Longest time between two messages of one leader.
+        leader_gap_at: When it was that long.
+        failed_elections: Elections in a row in which votes were granted and
+            nobody led.
+        election_failed_at: When the last of them ended.
+        deferred: Whether the timeout that fired late was extended.
     """
 
     rng: random.Random
@@ -62,10 +64,10 @@
     election_at: float = attrs.field(init=False)
     ticked: bool = False
     heard_term: int = 0
-    gap_s: float = 0.0
-    gap_at: float = NEVER
-    failed: int = 0
-    failed_at: float = NEVER
+    leader_gap_s: float = 0.0
+    leader_gap_at: float = NEVER
+    failed_elections: int = 0
+    election_failed_at: float = NEVER
     deferred: bool = False
 
     def __attrs_post_init__(self):
@@ -91,33 +93,39 @@
     def reset(self, now: float) -> None:
         """Wait a random time for a leader."""
         pause = self.rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
-        self.election_at = now + pause * self.scale(now)
+        self.election_at = now + pause * self.timeout_scale(now)
         self.deferred = False
 
-    def scale(self, now: float) -> float:
-        """Return by how much pauses are longer than usual.
+    def timeout_scale(self, now: float) -> float:
+        """Return by how much timeouts are longer than usual.
 
         Votes and heartbeats of processes that are late take longer than the
-        usual pauses, so no election would ever come to its end.
+        usual timeouts, so that no election would succeed.
         """
         scale = 1.0
-        if now < self.gap_at + FORGET_S:
-            scale = max(scale, GAP_MARGIN * self.gap_s / ELECTION_MIN_S)
-        if now < self.failed_at + FORGET_S:
-            scale = max(scale, 2.0**self.failed)
+        if now < self.leader_gap_at + FORGET_S:
+            needed_s = LEADER_GAP_MARGIN * self.leader_gap_s
+            scale = max(scale, needed_s / ELECTION_MIN_S)
+        if self.has_failed_lately(now):
+            doublings = min(self.failed_elections, MAX_DOUBLINGS)
+            scale = max(scale, 2.0**doublings)
         return min(scale, MAX_SCALE)
 
     def note_failed(self, now: float) -> None:
-        """Note an election in which votes were given and nobody led."""
-        if now >= self.failed_at + FORGET_S:
-            self.failed = 0
-        self.failed += 1
-        self.failed_at = now
+        """Note an election in which votes were granted and nobody led."""
+        if not self.has_failed_lately(now):
+            self.failed_elections = 0
+        self.failed_elections += 1
+        self.election_failed_at = now
+
+    def has_failed_lately(self, now: float) -> bool:
+        """Return whether elections failed within the remembered time."""
+        return now < self.election_failed_at + FORGET_S
 
     def is_due(self, now: float) -> bool:
         """Return whether to stand for election, with all messages read.
 
-        A pause that ends late is extended once.
+        A timeout that fires late is extended once.
         """
         if now < self.election_at:
             return False
@@ -129,7 +137,8 @@
 
     def reset_early(self, pre: bool, now: float) -> None:
         """Wait a short time, as nobody has heard a leader since the start."""
-        if self.failed > EARLY_FAILURES and now < self.failed_at + FORGET_S:
+        is_repeated = self.failed_elections > EARLY_FAILURES
+        if is_repeated and self.has_failed_lately(now):
             self.reset(now)
             return
         first = (FIRST_PAUSE_MIN_S, FIRST_PAUSE_MAX_S)
@@ -146,10 +155,10 @@
         self.reset(now)
 
     def note_gap(self, gap_s: float, now: float) -> None:
-        """Note a pause between two messages of one leader."""
-        if gap_s >= self.gap_s or now >= self.gap_at + FORGET_S:
-            self.gap_s = gap_s
-            self.gap_at = now
+        """Note the time between two messages of one leader."""
+        if gap_s >= self.leader_gap_s or now >= self.leader_gap_at + FORGET_S:
+            self.leader_gap_s = gap_s
+            self.leader_gap_at = now
 
     @property
     def heard_none(self) -> bool:
--- a/src/_coltsfootroad/control/raft.py
+++ b/src/_coltsfootroad/control/raft.py
@@ -57,8 +57,8 @@
     led_since: float = 0.0
     # From when the silence of a quorum counts, after this process stood still.
     quorum_since: float = 0.0
-    # Last term that is known to have had a leader, or to have ended without.
-    led_term: int = 0
+    # Last term whose election is over, with a leader or without.
+    elected_term: int = 0
     term_start: int = 0
     votes: set[str] = attrs.Factory(set)
     # Why others refused their votes in the last campaign, by identity.
@@ -71,6 +71,8 @@
     def __attrs_post_init__(self):
         self.commit = self.applied = self.log.snapshot.index
         self.timer = electiontimer.ElectionTimer(self.rng, self.started_at)
+        # How the election of an earlier process's term ended is not known.
+        self.elected_term = self.term
 
     # --- facts -----------------------------------------------------------
 
@@ -252,9 +254,9 @@
         return max(answering, key=answering.__getitem__, default="")
 
     def note_election(self, now: float) -> None:
-        """Note if the term that ends without a leader had this one's vote."""
-        if self.hard_state.vote and self.led_term < self.term:
-            self.led_term = self.term
+        """Note a term that got this replica's vote and had no leader."""
+        if self.hard_state.vote and self.elected_term < self.term:
+            self.elected_term = self.term
             self.timer.note_failed(now)
 
     def on_take_over(self, message: peers.TakeOver, now: float) -> None:
@@ -401,7 +403,7 @@
         self.role = Role.LEADER
         self.leader = self.identity
         self.led_since = now
-        self.led_term = self.term
+        self.elected_term = self.term
         self.heartbeat_commit = self.commit
         self.timer.heard_leader_at = now
         first = self.log.last_index + 1
@@ -435,7 +437,7 @@
         late_s = now - self.heartbeat_at
         if late_s > electiontimer.LATE_S:
             since = self.quorum_since = since + late_s
-        bound_s = electiontimer.ELECTION_MAX_S * self.timer.scale(now)
+        bound_s = electiontimer.ELECTION_MAX_S * self.timer.timeout_scale(now)
         if now - since > bound_s:
             self.become_follower(self.term, "", now)
 
@@ -526,7 +528,7 @@
         """Note that the leader of the current term is alive."""
         if self.role is not Role.FOLLOWER or self.leader != leader:
             self.become_follower(self.term, leader, now)
-        self.led_term = self.term
+        self.elected_term = self.term
         self.timer.hear(now, self.term)
 
     def store_entries(self, entries: tuple[log_lib.Entry, ...]) -> None:
--- a/src/_coltsfootroad/shell/commandline.py
+++ b/src/_coltsfootroad/shell/commandline.py
@@ -3,7 +3,7 @@
 Imports nothing but built-in modules: signals are handled only after it.
 """
 
-from sys import orig_argv as orig_argv
+from sys import orig_argv
 
 SETTINGS_FLAG = "--settings"
 MODULE_FLAG = "-m"
@@ -13,7 +13,7 @@
 SUFFIX = ".py"
 
 
-def has_settings(arguments) -> bool:
+def has_settings(arguments: list[str]) -> bool:
     """Return whether a command line names a settings file."""
     return any(
         word == SETTINGS_FLAG or word.startswith(SETTINGS_FLAG + "=")
@@ -21,7 +21,7 @@
     )
 
 
-def settings_path(arguments) -> str:
+def settings_path(arguments: list[str]) -> str:
     """Return the path of the settings file, empty if none is given."""
     for index, word in enumerate(arguments):
         if word == SETTINGS_FLAG:
@@ -31,7 +31,9 @@
     return ""
 
 
-def program_name(arguments, interpreter_arguments=None) -> str:
+def program_name(
+    arguments: list[str], interpreter_arguments: list[str] | None = None
+) -> str:
     """Return the name of the program that a process runs.
 
     While the package of a module is imported, `-m` stands in place of the
@@ -46,7 +48,9 @@
     return script.removesuffix(SUFFIX).removeprefix(PREFIX)
 
 
-def is_server(arguments, interpreter_arguments=None) -> bool:
+def is_server(
+    arguments: list[str], interpreter_arguments: list[str] | None = None
+) -> bool:
     """Return whether a command line starts a program that serves."""
     name = program_name(arguments, interpreter_arguments)
     return has_settings(arguments) and name not in ONE_SHOT
--- a/src/_coltsfootroad/shell/quorumlog.py
+++ b/src/_coltsfootroad/shell/quorumlog.py
@@ -89,10 +89,10 @@
         """Return what decides how long this replica waits for a leader."""
         timer = self.node.raft.timer
         return {
-            "pauses_times": round(timer.scale(now), 2),
-            "next_in_s": round(timer.election_at - now, 2),
-            "failed_elections": timer.failed,
-            "leader_pause_s": round(timer.gap_s, 2),
+            "timeout_scale": round(timer.timeout_scale(now), 2),
+            "election_in_s": round(timer.election_at - now, 2),
+            "failed_elections": timer.failed_elections,
+            "leader_gap_s": round(timer.leader_gap_s, 2),
         }
 
     def note_tolerance(self, view: quorum.QuorumView, now: float) -> None:
--- a/src/_coltsfootroad/shell/startsignals.py
+++ b/src/_coltsfootroad/shell/startsignals.py
@@ -18,7 +18,7 @@
 STOPPED = b"stopped by %s before it served\n"
 
 
-def install(arguments) -> None:
+def install(arguments: list[str]) -> None:
     """Let no signal end a serving program by its default action.
 
     There is no state to dump yet and no settings to read again. Other programs
