gateway: record which services it reaches, and why connects fail

Cause: from the log of a gateway that lost its paths, a lost path and crashed endpoints look alike: `not_sent` stands for refused, unanswered and a used-up retry budget, and nothing says how many endpoints it reaches. Ruled out: silence on established connections as evidence (a sound endpoint may be silent for a second); responses on old connections as a sign of return (they may live on while new ones are refused). Change: core/reachability.py (two endpoints that cannot be connected to within 5 s, no success between: isolated), reachmonitor.py (lines 'service not reached', 'service probed', 'service reached again'; one probe each 0.5 s while isolated), 'connect' in 'send ended', gauges colts_gateway_endpoints_reached and colts_gateway_isolated by service. Nothing is decided by it yet.

--- a/features/support/crashworld.py
+++ b/features/support/crashworld.py
@@ -67,10 +67,14 @@
     world: "CrashWorld"
     address: str
 
-    async def call(self, request, sink, _reuse, may_send) -> upstream.CallEnd:
+    async def call(
+        self, request, sink, _reuse, may_send, observer=None
+    ) -> upstream.CallEnd:
         """Deliver a request to the engine that listens on the address."""
         await asyncio.sleep(relayworld.ONE_WAY_DELAY_S)
         engine = self.world.engines[self.address]
+        if observer is not None:
+            observer.on_ended(connect_failure(engine))
         if not engine.up or engine.dark or not may_send():
             return upstream.CallEnd.NOT_SENT
         headers = httputil.HTTPHeaders(
@@ -103,6 +107,13 @@
         """Do nothing; there are no real connections."""
 
 
+def connect_failure(engine: Engine) -> upstream.ConnectFailure | None:
+    """Return why a connection to an engine fails, None if it does not."""
+    if engine.dark:
+        return upstream.ConnectFailure.UNANSWERED
+    return None if engine.up else upstream.ConnectFailure.REFUSED
+
+
 class CallerConnection:
     """Records the response of a gateway."""
 
--- a/src/_coltsfootroad/core/endpointset.py
+++ b/src/_coltsfootroad/core/endpointset.py
@@ -55,6 +55,11 @@
         """Return the endpoint's name."""
         return self.announcement.endpoint
 
+    @property
+    def incarnation_key(self) -> str:
+        """Return a key that identifies this incarnation of the endpoint."""
+        return f"{self.name}#{self.announcement.incarnation}"
+
     @property
     def accepts(self) -> bool:
         """Return whether the endpoint announces that it takes new work."""
--- a/src/_coltsfootroad/core/isolation.py
+++ b/src/_coltsfootroad/core/isolation.py
@@ -82,7 +82,7 @@
         self, endpoint: KnownEndpoint
     ) -> fingerprints.Fingerprint:
         """Return the suspect assigned to an incarnation of an endpoint."""
-        key = incarnation_key(endpoint)
+        key = endpoint.incarnation_key
         if key not in self.assignments:
             self.assignments[key] = max(
                 self.suspects, key=lambda suspect: score(endpoint, suspect)
@@ -90,11 +90,6 @@
         return self.assignments[key]
 
 
-def incarnation_key(endpoint: KnownEndpoint) -> str:
-    """Return a key that identifies an incarnation of an endpoint."""
-    return f"{endpoint.name}#{endpoint.announcement.incarnation}"
-
-
 def score(
     endpoint: KnownEndpoint, fingerprint: fingerprints.Fingerprint
 ) -> int:
@@ -103,4 +98,4 @@
     It depends on the incarnation: each restart reassigns the endpoint, so that
     no suspect depends on one endpoint.
     """
-    return hashing.stable_hash(incarnation_key(endpoint), fingerprint.text)
+    return hashing.stable_hash(endpoint.incarnation_key, fingerprint.text)
--- /dev/null
+++ b/src/_coltsfootroad/core/reachability.py
@@ -0,0 +1,174 @@
+"""Tracks whether this gateway reaches the endpoints of each service.
+
+Reachability belongs to a pair of gateway and endpoint. Failed connections to
+several endpoints without a successful one in between suggest that the gateway
+has lost its path to the service, while the endpoints may serve other gateways.
+Only failures to connect count: an endpoint that is silent on an established
+connection may just be slow.
+"""
+
+import attrs
+
+from _coltsfootroad.core import endpointset
+
+# One endpoint that cannot be connected to has probably failed by itself.
+MIN_FAILED_ENDPOINTS = 2
+# Older failed connections no longer count as evidence.
+EVIDENCE_WINDOW_S = 5.0
+# Consecutive connections that have to succeed before the service counts as
+# reachable again. Each relapse adds one, so that a link that comes and goes
+# does not make the gateway switch as often.
+MIN_PASSES = 2
+MAX_PASSES = 8
+RELAPSE_WINDOW_S = 30.0
+NEVER = float("-inf")
+
+
+@attrs.define
+class ServiceReach:
+    """Evidence on the path from this gateway to one service.
+
+    Times are seconds of the boot clock.
+
+    Attributes:
+        failed: Time of the last failed connection by endpoint incarnation,
+            without those that were connected to since.
+        connected_at: Time of the last successful connection.
+        isolated_at: Since when the gateway counts as isolated, None if not.
+        returned_at: End of the last isolation.
+        relapses: Isolations that shortly followed another one.
+        passes: Consecutive successful connections since the last failed one.
+        passed: Endpoint incarnations of these connections.
+    """
+
+    failed: dict[str, float] = attrs.Factory(dict)
+    connected_at: float = NEVER
+    isolated_at: float | None = None
+    returned_at: float = NEVER
+    relapses: int = 0
+    passes: int = 0
+    passed: set[str] = attrs.Factory(set)
+
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether the gateway counts as isolated from the service."""
+        return self.isolated_at is not None
+
+    @property
+    def required_passes(self) -> int:
+        """Return how many consecutive connections end the isolation."""
+        return min(MIN_PASSES + self.relapses, MAX_PASSES)
+
+    def record_failure(self, key: str, serving: int, now: float) -> bool:
+        """Record a failed connection; return whether isolation begins.
+
+        `serving` is the number of endpoints that take new work.
+        """
+        self.reset_passes()
+        self.failed = {
+            failed: at
+            for failed, at in self.failed.items()
+            if now - at < EVIDENCE_WINDOW_S
+        }
+        self.failed[key] = now
+        needed = min(MIN_FAILED_ENDPOINTS, serving)
+        if self.is_isolated or len(self.failed) < needed:
+            return False
+        is_relapse = now - self.returned_at < RELAPSE_WINDOW_S
+        self.relapses = self.relapses + 1 if is_relapse else 0
+        self.isolated_at = now
+        return True
+
+    def record_success(self, key: str, now: float) -> bool:
+        """Record a successful connection; return whether isolation ends."""
+        self.connected_at = now
+        if not self.is_isolated:
+            self.failed.clear()
+            return False
+        self.failed.pop(key, None)
+        self.passes += 1
+        self.passed.add(key)
+        if self.passes < self.required_passes:
+            return False
+        self.end_isolation(now)
+        return True
+
+    def end_isolation(self, now: float) -> None:
+        """Count the service as reachable again."""
+        self.isolated_at = None
+        self.returned_at = now
+        self.failed.clear()
+        self.reset_passes()
+
+    def reset_passes(self) -> None:
+        """Forget the successful connections."""
+        self.passes = 0
+        self.passed.clear()
+
+    def probe_candidates(
+        self, serving: list[endpointset.KnownEndpoint]
+    ) -> list[endpointset.KnownEndpoint]:
+        """Return the endpoints of which one is to be probed next.
+
+        New incarnations come first. Later probes of a series go to other
+        endpoints: a single reachable one does not make a service reachable.
+        """
+        seen = self.passed if self.passes else self.failed
+        return [e for e in serving if e.incarnation_key not in seen] or serving
+
+
+@attrs.define
+class Reachability:
+    """The path from this gateway to each service.
+
+    Attributes:
+        endpoints: The known endpoints.
+        services: Evidence by service.
+    """
+
+    endpoints: endpointset.EndpointSet
+    services: dict[str, ServiceReach] = attrs.Factory(dict)
+
+    def of(self, service: str) -> ServiceReach:
+        """Return the evidence on a service."""
+        if service not in self.services:
+            self.services[service] = ServiceReach()
+        return self.services[service]
+
+    def is_isolated_from(self, service: str) -> bool:
+        """Return whether the gateway counts as isolated from a service."""
+        reach = self.services.get(service)
+        return reach is not None and reach.is_isolated
+
+    def isolated_services(self) -> tuple[str, ...]:
+        """Return the services from which the gateway counts as isolated."""
+        return tuple(
+            service
+            for service, reach in self.services.items()
+            if reach.is_isolated
+        )
+
+    def record_failure(
+        self, endpoint: endpointset.KnownEndpoint, now: float
+    ) -> bool:
+        """Record a failed connection; return whether isolation begins."""
+        service = endpoint.announcement.service
+        serving = len(self.endpoints.serving_endpoints(service))
+        return self.of(service).record_failure(
+            endpoint.incarnation_key, max(1, serving), now
+        )
+
+    def record_success(
+        self, endpoint: endpointset.KnownEndpoint, now: float
+    ) -> bool:
+        """Record a successful connection; return whether isolation ends."""
+        reach = self.of(endpoint.announcement.service)
+        return reach.record_success(endpoint.incarnation_key, now)
+
+    def reached_endpoints(self, service: str) -> int:
+        """Return how many serving endpoints no failed connection speaks of."""
+        failed = self.of(service).failed
+        return sum(
+            known.incarnation_key not in failed
+            for known in self.endpoints.serving_endpoints(service)
+        )
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -249,6 +249,7 @@
         choice: engines.Choice,
         pool: upstream.EndpointPool,
         sink: responses.BufferedResponse,
+        observer: upstream.ConnectObserver,
     ) -> upstream.CallEnd:
         """Send, and stop if the endpoint is silent and another can be tried.
 
@@ -262,7 +263,11 @@
                 watchdog.start(timeout)
                 self.guard.send_timeout = timeout
                 return await pool.call(
-                    request, sink, self.route.idempotent, self.budget.charge
+                    request,
+                    sink,
+                    self.route.idempotent,
+                    self.budget.charge,
+                    observer,
                 )
         except TimeoutError:
             if not timeout.expired():
@@ -335,6 +340,7 @@
         self.work.begin(choice, self.admitted.prompt, late, now)
         sink = self.make_sink()
         pool = self.gateway.pool(endpoint.announcement.address)
+        connect = self.gateway.reach_monitor.connect_watch(endpoint)
         LOG.info(
             "sent",
             request=self.request_id,
@@ -354,7 +360,9 @@
             if self.guard.entry() is not None:
                 return sends_lib.Outcome.NOT_RUN
             self.sends.count += 1
-            end = await self.call_with_silence_timeout(choice, pool, sink)
+            end = await self.call_with_silence_timeout(
+                choice, pool, sink, connect
+            )
         finally:
             self.work.end()
             self.release_reservation()
@@ -373,6 +381,7 @@
             endpoint=endpoint.name,
             outcome=outcome.value,
             end=end.value,
+            connect=connect.outcome(),
             status=sink.status,
             took_s=round(clocks.boot_time() - now, 3),
             first_event_s=self.reply.first_event_s,
--- /dev/null
+++ b/src/_coltsfootroad/gateway/reachmonitor.py
@@ -0,0 +1,170 @@
+"""Observes connections to endpoints and detects the loss of a service's path.
+
+While the gateway is isolated from a service, a few random endpoints are probed,
+so that its return does not depend on requests.
+"""
+
+import asyncio
+import random
+
+import attrs
+
+from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import reachability
+from _coltsfootroad.gateway import endpointprobe
+from _coltsfootroad.gateway import upstream
+from _coltsfootroad.shell import clocks
+from _coltsfootroad.shell import logs
+
+LOG = logs.logger("reach")
+# Pause after a failed probe, by a random factor, so that gateways that were
+# isolated together do not connect together.
+PROBE_INTERVAL_S = 0.5
+PROBE_JITTER = (0.8, 1.2)
+# Pause between successful probes. A path has to work for a moment before it is
+# used again.
+PASS_INTERVAL_S = 0.2
+
+
+@attrs.define(eq=False)
+class ReachMonitor:
+    """Holds the evidence on paths to services and probes lost ones.
+
+    Attributes:
+        reach: Evidence by service.
+        rng: Selects endpoints and pauses.
+        probers: Running probe loops by service.
+        wake: Wakes the probe loops when an endpoint is announced anew.
+    """
+
+    reach: reachability.Reachability
+    rng: random.Random
+    probers: dict[str, asyncio.Task] = attrs.Factory(dict)
+    wake: asyncio.Event = attrs.Factory(asyncio.Event)
+
+    def connect_watch(
+        self, endpoint: endpointset.KnownEndpoint
+    ) -> "ConnectWatch":
+        """Return the observer of one connection attempt to an endpoint."""
+        return ConnectWatch(self, endpoint)
+
+    def record_connected(self, endpoint: endpointset.KnownEndpoint) -> None:
+        """Record a successful connection."""
+        now = clocks.boot_time()
+        service = endpoint.announcement.service
+        isolated_at = self.reach.of(service).isolated_at
+        if self.reach.record_success(endpoint, now):
+            self.log_return(service, now - isolated_at)
+
+    def record_failed(self, endpoint: endpointset.KnownEndpoint) -> None:
+        """Record a failed connection."""
+        now = clocks.boot_time()
+        if self.reach.record_failure(endpoint, now):
+            self.begin_isolation(endpoint.announcement.service, now)
+
+    def begin_isolation(self, service: str, now: float) -> None:
+        """Log that the path to a service is lost, and start to probe."""
+        reach = self.reach.of(service)
+        LOG.warning(
+            "service not reached",
+            service=service,
+            failed=list(reach.failed),
+            serving=len(self.reach.endpoints.serving_endpoints(service)),
+            connected_age_s=round(min(now - reach.connected_at, 1e6), 3),
+            relapses=reach.relapses,
+            passes_needed=reach.required_passes,
+        )
+        self.probers[service] = asyncio.ensure_future(self.probe(service))
+
+    def log_return(self, service: str, isolated_s: float) -> None:
+        """Log that a service is reached again."""
+        reach = self.reach.of(service)
+        LOG.warning(
+            "service reached again",
+            service=service,
+            isolated_s=round(isolated_s, 3),
+            serving=len(self.reach.endpoints.serving_endpoints(service)),
+            relapses=reach.relapses,
+        )
+
+    def on_endpoint_started(self) -> None:
+        """Probe soon, as a new incarnation may be reachable."""
+        self.wake.set()
+
+    async def probe(self, service: str) -> None:
+        """Probe endpoints of a service until the isolation ends."""
+        reach = self.reach.of(service)
+        while reach.is_isolated:
+            endpoint = self.next_endpoint(service)
+            if endpoint is None:
+                now = clocks.boot_time()
+                self.log_return(service, now - reach.isolated_at)
+                reach.end_isolation(now)
+                return
+            self.wake.clear()
+            listener = await endpointprobe.probe(endpoint.announcement.address)
+            LOG.info(
+                "service probed",
+                service=service,
+                endpoint=endpoint.name,
+                listener=listener.value,
+                passes=reach.passes,
+            )
+            if listener is endpointprobe.ListenerState.OPEN:
+                self.record_connected(endpoint)
+                await asyncio.sleep(PASS_INTERVAL_S)
+            else:
+                self.record_failed(endpoint)
+                await self.pause()
+
+    def next_endpoint(self, service: str) -> endpointset.KnownEndpoint | None:
+        """Return the endpoint to probe next, None if there is none."""
+        serving = self.reach.endpoints.serving_endpoints(service)
+        found = self.reach.of(service).probe_candidates(serving)
+        return self.rng.choice(found) if found else None
+
+    async def pause(self) -> None:
+        """Wait for the next probe, or until an endpoint has started."""
+        pause_s = PROBE_INTERVAL_S * self.rng.uniform(*PROBE_JITTER)
+        try:
+            async with asyncio.timeout(pause_s):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+
+    def stop(self) -> None:
+        """Stop all probes."""
+        for prober in self.probers.values():
+            prober.cancel()
+
+
+@attrs.define(eq=False)
+class ConnectWatch(upstream.ConnectObserver):
+    """Reports one connection attempt to the monitor.
+
+    Attributes:
+        monitor: Receives the result.
+        endpoint: The endpoint that is connected to.
+        ended: Whether the attempt has ended.
+        failure: Why the attempt failed, None if it did not.
+    """
+
+    monitor: ReachMonitor
+    endpoint: endpointset.KnownEndpoint
+    ended: bool = False
+    failure: upstream.ConnectFailure | None = None
+
+    def outcome(self) -> str:
+        """Return the result for logs, empty if nothing was connected."""
+        if not self.ended:
+            return ""
+        return self.failure.value if self.failure else "established"
+
+    def on_ended(self, failure):
+        """Record the result of the attempt."""
+        self.ended = True
+        self.failure = failure
+        if failure is None:
+            self.monitor.record_connected(self.endpoint)
+        else:
+            self.monitor.record_failed(self.endpoint)
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -9,6 +9,7 @@
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import isolation
 from _coltsfootroad.core import minimumshare
+from _coltsfootroad.core import reachability
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import routeview
@@ -23,6 +24,7 @@
 from _coltsfootroad.gateway import gossip as gossip_lib
 from _coltsfootroad.gateway import leaderclient
 from _coltsfootroad.gateway import quarantine
+from _coltsfootroad.gateway import reachmonitor
 from _coltsfootroad.gateway import retryborrower
 from _coltsfootroad.gateway import startup
 from _coltsfootroad.gateway import upstream
@@ -88,6 +90,8 @@
             self.rng,
             self.isolation,
         )
+        self.reach = reachability.Reachability(self.endpoints)
+        self.reach_monitor = reachmonitor.ReachMonitor(self.reach, self.rng)
         self.crash_detector = crashdetector.CrashDetector(
             self.endpoints, self.spawn, self.report_crash
         )
@@ -190,6 +194,7 @@
             await asyncio.wait(self.tasks, timeout=FINAL_TASKS_TIMEOUT_S)
         LOG.info("stopped", running=len(self.running))
         self.ticker.cancel()
+        self.reach_monitor.stop()
         self.gossip.close()
         self.crash_reporter.stop()
         await self.watch.close()
@@ -227,7 +232,10 @@
             state=announcement.state.value,
             address=announcement.address,
         )
-        if learned is endpointset.AnnouncementResult.RESTARTED:
+        restarted = learned is endpointset.AnnouncementResult.RESTARTED
+        if before is None or restarted:
+            self.reach_monitor.on_endpoint_started()
+        if restarted:
             # Idle connections to the earlier incarnation are dead.
             self.pool(before.announcement.address).close()
 
@@ -324,6 +332,7 @@
                 "quarantine": list(self.quarantine.view.entries.values()),
                 "crashes": list(self.crash_reporter.recent.values()),
                 "isolated": list(self.isolation.suspects),
+                "reach": self.reach.services,
                 "running": [e.request_id for e in self.running],
             }
         )
@@ -367,6 +376,24 @@
             "Endpoints that take work",
             lambda: sum(k.accepts for k in self.endpoints.known.values()),
         )
+        self.metrics.labelled_gauge(
+            "colts_gateway_endpoints_reached",
+            "Endpoints that take work and no failed connection speaks of",
+            "service",
+            lambda: {
+                service: self.reach.reached_endpoints(service)
+                for service in self.reach.services
+            },
+        )
+        self.metrics.labelled_gauge(
+            "colts_gateway_isolated",
+            "Whether this gateway counts as isolated from the service",
+            "service",
+            lambda: {
+                service: int(reach.is_isolated)
+                for service, reach in self.reach.services.items()
+            },
+        )
         counter(
             "colts_gateway_answers",
             "Whole answers of endpoints",
--- a/src/_coltsfootroad/gateway/upstream.py
+++ b/src/_coltsfootroad/gateway/upstream.py
@@ -37,6 +37,22 @@
 RESPONSE_KIND = "answer"
 
 
+class ConnectFailure(enum.Enum):
+    """Why a new connection was not established."""
+
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+    FAILED = "failed"
+
+
+class ConnectObserver(abc.ABC):
+    """Receives the result of one attempt to connect."""
+
+    @abc.abstractmethod
+    def on_ended(self, failure: ConnectFailure | None) -> None:
+        """Receive the result; `failure` is None for a new connection."""
+
+
 class CallEnd(enum.Enum):
     """How a call on a connection ended."""
 
@@ -126,8 +142,19 @@
     busy: int = 0
     opened: int = 0
 
-    async def connect(self) -> iostream.IOStream | None:
+    async def connect(
+        self, observer: ConnectObserver | None = None
+    ) -> iostream.IOStream | None:
         """Return a new connection, None on failure or time-out."""
+        stream, failure = await self.open_stream()
+        if observer is not None:
+            observer.on_ended(failure)
+        return stream
+
+    async def open_stream(
+        self,
+    ) -> tuple[iostream.IOStream | None, ConnectFailure | None]:
+        """Return a new connection, or why there is none."""
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sockets.tune(raw)
         stream = iostream.IOStream(raw)
@@ -137,13 +164,13 @@
                 stream.connect(settings_lib.split_address(self.address)),
                 CONNECT_TIMEOUT_S,
             )
-        except (iostream.StreamClosedError, OSError, TimeoutError):
+        except (iostream.StreamClosedError, OSError, TimeoutError) as error:
             stream.close()
-            return None
+            return None, connect_failure(error)
         except asyncio.CancelledError:
             stream.close()
             raise
-        return stream
+        return stream, None
 
     def take_idle(self) -> iostream.IOStream | None:
         """Return an idle connection that is safe to reuse, None if none is."""
@@ -163,6 +190,7 @@
         sink: ResponseSink,
         reuse: bool,
         may_send: Callable[[], bool] = allow_send,
+        observer: ConnectObserver | None = None,
     ) -> CallEnd:
         """Send a request and read its response.
 
@@ -172,7 +200,7 @@
         """
         stream = self.take_idle() if reuse else None
         if stream is None:
-            stream = await self.connect()
+            stream = await self.connect(observer)
         if stream is None:
             return CallEnd.NOT_SENT
         if not may_send():
@@ -243,6 +271,16 @@
 )
 
 
+def connect_failure(error: Exception) -> ConnectFailure:
+    """Return why a connection failed, by the error of the attempt."""
+    cause = getattr(error, "real_error", None) or error
+    if isinstance(cause, TimeoutError):
+        return ConnectFailure.UNANSWERED
+    if isinstance(cause, (ConnectionRefusedError, ConnectionResetError)):
+        return ConnectFailure.REFUSED
+    return ConnectFailure.FAILED
+
+
 def ignore_close() -> None:
     """Ignore that an idle connection closed; `take_idle` detects it."""
 
--- a/src/_coltsfootroad/shell/metrics.py
+++ b/src/_coltsfootroad/shell/metrics.py
@@ -79,6 +79,7 @@
     gauges: list[ObservableMetric] = attrs.Factory(list)
     counters: list[ObservableMetric] = attrs.Factory(list)
     labelled: list[LabelledMetric] = attrs.Factory(list)
+    labelled_gauges: list[LabelledMetric] = attrs.Factory(list)
     histograms: list[Histogram] = attrs.Factory(list)
     registry: object | None = None
 
@@ -104,6 +105,15 @@
         self.check_not_loaded()
         self.labelled.append(LabelledMetric(name, description, label, read))
 
+    def labelled_gauge(
+        self, name: str, description: str, label: str, read: ReadLabelledValues
+    ) -> None:
+        """Add a gauge with one label."""
+        self.check_not_loaded()
+        self.labelled_gauges.append(
+            LabelledMetric(name, description, label, read)
+        )
+
     def histogram(self, name: str, description: str) -> Histogram:
         """Add a histogram in seconds and return it."""
         self.check_not_loaded()
@@ -146,6 +156,12 @@
                 [labelled_callback(labelled)],
                 description=labelled.description,
             )
+        for labelled in self.labelled_gauges:
+            meter.create_observable_gauge(
+                labelled.name,
+                [labelled_callback(labelled)],
+                description=labelled.description,
+            )
         for histogram in self.histograms:
             histogram.attach(meter)
 
