gateway: forward requests through a gateway that reaches the service

Callers of gateways that had lost their links to all endpoints got 503 after 10 ms (refused) or 410 to 1,614 ms (unanswered), while other gateways were answered by the same endpoints. Cause: health was held by endpoint, as one gateway sees it. A gateway without a path ejected every endpoint in turn; nobody who reaches them was asked. Ruled out: telling callers to go elsewhere (each counts as a failed try); a port of its own between gateways (needs trust of its own); silence as evidence. Change: while a gateway is isolated from a service, its requests go to the callers' listener of another gateway, with the caller's key, the time left, the lowest version of the routes and the attempts left. The header that marks them can only take rights away; such a request is never forwarded again. Summaries between gateways name the services that the sender does not reach. A lost peer counts as all attempts used: its request is never said not to have run. Up to three gateways, same zone first; if none is left, 503 at once, back after 0.5 s.

--- a/features/gateway/cutoff.feature
+++ b/features/gateway/cutoff.feature
@@ -14,3 +14,78 @@
       | 2   | 3   | reset      |
       | 2   | 3   | silent     |
       | 1   | 3   | refuse new |
+
+  # Guards against gateways that forward a request to each other in a circle.
+  Scenario Outline: Every gateway is cut off, links <how>
+    Given 3 gateways and 6 endpoints
+    When every gateway is cut off and known to be, their links <how>
+    Then a request gets 503 within 0.1 s and may return after 0.5 s
+    And no gateway forwarded a request that another one had forwarded
+
+    Examples:
+      | how    |
+      | reset  |
+      | silent |
+
+  # Guards against a gateway that never sends directly again after a cut.
+  Scenario Outline: Links heal after a cut, links <how>
+    Given 3 gateways and 6 endpoints
+    When gateway g1 is cut off and healed 2 s later, its links <how>
+    Then 1.5 s after the heal its requests go to endpoints directly again
+
+    Examples:
+      | how        |
+      | reset      |
+      | silent     |
+      | refuse new |
+
+  # Guards against taking a slow or silent endpoint for a lost path.
+  Scenario: Endpoints are silent for 1.2 s on open connections
+    Given 2 gateways and 3 endpoints
+    When the links of gateway g1 are silent for 1.2 s while connections open
+    Then gateway g1 did not count as isolated
+
+  # Guards against a response that is said not to have run after its gateway died.
+  Scenario: The forwarding target dies while an unsafe request runs
+    Given 2 gateways and 2 endpoints
+    When gateway g2 dies while it serves an unsafe request that g1 forwarded
+    Then the caller of g1 gets 502
+    And the request ran once
+
+  # Guards against a deadline that starts anew at the other gateway.
+  Scenario: The endpoint is told the time that is left
+    Given 2 gateways and 2 endpoints
+    When g1 forwards a request with a timeout of 2000 ms that it has held for 0.5 s
+    Then the endpoint is told at most 1500 ms
+
+  # Guards against endpoints that work on for a caller that has left.
+  Scenario: The caller of a forwarded request leaves
+    Given 2 gateways and 2 endpoints
+    When the caller of a request that g1 forwarded leaves
+    Then the endpoint's connection is closed within 0.5 s
+
+  # Guards against streams that look complete after their gateway died.
+  Scenario: The forwarding target dies in the middle of a stream
+    Given 2 gateways and 2 endpoints
+    When gateway g2 dies while it serves a stream that g1 forwarded
+    Then the stream of g1's caller is truncated
+
+  # Guards against weaker checks on the path between gateways.
+  Scenario Outline: A caller sets the header of forwarded requests and <has>
+    Given 2 gateways and 2 endpoints
+    When a caller that <has> sends a request to <gateway> as if it were forwarded
+    Then the caller gets <status>
+    And no endpoint sees the headers of forwarded requests
+
+    Examples:
+      | has              | gateway              | status |
+      | has a key        | g2                   | 200    |
+      | has no key       | g2                   | 401    |
+      | has a key        | the cut-off g1       | 503    |
+      | needs version 99 | g2                   | 503    |
+
+  # Guards against older routes that are applied to a forwarded request.
+  Scenario: Another gateway does not know the routes yet
+    Given 3 gateways and 2 endpoints
+    When g1 has newer routes than g2 and forwards 6 requests
+    Then all of them are answered, none of them by g2
--- a/features/steps/cutoff_steps.py
+++ b/features/steps/cutoff_steps.py
@@ -1,11 +1,14 @@
 """Steps for gateways that are cut off from endpoints."""
 
 import asyncio
+import time
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 
+from features.support import gatewaybed
 from features.support import gatewayfleet
 
 # Requests count from this long after a cut, and are sent for this long then.
@@ -94,3 +97,298 @@
         if found.kind == "unsafe" and context.runs[found.request_id] > 1
     ]
     assert not repeated, repeated
+
+
+# --- single requests ------------------------------------------------------
+
+GONE_S = 0.5
+LEARNED_S = 2.5
+# Long enough for a forwarded request to reach its endpoint.
+IN_FLIGHT_S = 0.4
+
+
+async def cut_and_learn(fleet, names, how: str) -> None:
+    """Cut gateways off and wait until they and the others know it."""
+    fleet.cut(names, how)
+    await fleet.load(LEARNED_S, 0.2)
+
+
+async def until_running(fleet, before: int = 0) -> gatewayfleet.PathEndpoint:
+    """Wait until an endpoint has received a request; return the endpoint."""
+    while True:
+        for endpoint in fleet.endpoints.values():
+            if len(endpoint.seen) > before:
+                return endpoint
+        await asyncio.sleep(0.01)
+
+
+def forget_seen(fleet, act: str) -> None:
+    """Forget earlier requests and set how endpoints handle later ones."""
+    for endpoint in fleet.endpoints.values():
+        endpoint.seen.clear()
+        endpoint.runs.clear()
+        endpoint.hung_up.clear()
+        endpoint.act = act
+
+
+def kill(gateway) -> None:
+    """Close the listener and all connections, as the end of a process does."""
+    gateway.front.server.stop()
+    for exchange in list(gateway.running):
+        exchange.connection.stream.close()
+
+
+@when("every gateway is cut off and known to be, their links {how}")
+def every_gateway(context, how):
+    async def story(fleet):
+        await fleet.load(BEFORE_CUT_S)
+        await cut_and_learn(fleet, fleet.gateways, how)
+        # A probe may be about to test the path again.
+        context.last = [
+            await fleet.ask(name, "unsafe") for name in fleet.gateways
+        ]
+        context.forwards = {
+            name: dict(gateway.forwards)
+            for name, gateway in fleet.gateways.items()
+        }
+
+    run_with_fleet(context, story)
+
+
+@then("a request gets 503 within {most:g} s and may return after {pause:g} s")
+def refused_at_once(context, most, pause):
+    for found in context.last:
+        assert found.answer.status == 503, found
+        assert found.took_s <= most, found
+        assert float(found.answer.headers["retry-after"]) == pause, found
+
+
+@then("no gateway forwarded a request that another one had forwarded")
+def no_second_hop(context):
+    sent = sum(f.get("sent", 0) for f in context.forwards.values())
+    received = sum(f.get("received", 0) for f in context.forwards.values())
+    own = len(context.tries)
+    # Each request of a caller is forwarded to each other gateway at most once.
+    assert received <= sent <= own * (len(context.forwards) - 1), (
+        context.forwards,
+        own,
+    )
+
+
+@when("gateway g1 is cut off and healed 2 s later, its links {how}")
+def cut_and_heal(context, how):
+    async def story(fleet):
+        await fleet.load(BEFORE_CUT_S)
+        fleet.cut({"g1"}, how)
+        await fleet.load(2.0)
+        context.forwarded = fleet.gateways["g1"].forwards["sent"]
+        await fleet.heal({"g1"})
+        await fleet.load(1.5)
+        healed = fleet.gateways["g1"].forwards["sent"]
+        context.last = [
+            await fleet.ask("g1", kind) for kind in ("safe", "unsafe")
+        ]
+        context.after_heal = fleet.gateways["g1"].forwards["sent"] - healed
+
+    run_with_fleet(context, story)
+
+
+@then("1.5 s after the heal its requests go to endpoints directly again")
+def direct_again(context):
+    assert context.forwarded > 0
+    assert context.after_heal == 0, context.after_heal
+    assert all(found.served for found in context.last), context.last
+
+
+@when(
+    "the links of gateway g1 are silent for {seconds:g} s while connections open"
+)
+def silent_for(context, seconds):
+    async def story(fleet):
+        await fleet.load(BEFORE_CUT_S)
+        links = [
+            link for (name, _), link in fleet.links.items() if name == "g1"
+        ]
+        for link in links:
+            link.proxy.set_mode("silence")
+        await fleet.load(seconds)
+        for link in links:
+            link.proxy.set_mode("")
+        context.isolated = fleet.gateways["g1"].reach.of("shop").returned_at
+        context.is_isolated = fleet.gateways["g1"].reach.is_isolated_from(
+            "shop"
+        )
+
+    run_with_fleet(context, story)
+
+
+@then("gateway g1 did not count as isolated")
+def not_isolated(context):
+    assert not context.is_isolated
+    assert context.isolated == float("-inf")
+
+
+@when("gateway g2 dies while it serves an unsafe request that g1 forwarded")
+def target_dies(context):
+    forward_and_kill(context, "unsafe", "hang")
+
+
+@when("gateway g2 dies while it serves a stream that g1 forwarded")
+def target_dies_in_stream(context):
+    forward_and_kill(context, "stream", "stall")
+
+
+def forward_and_kill(context, kind: str, act: str) -> None:
+    """Kill g2 while an endpoint handles a request that g1 forwarded to it."""
+
+    async def story(fleet):
+        await cut_and_learn(fleet, {"g1"}, "reset")
+        forget_seen(fleet, act)
+        asking = asyncio.ensure_future(fleet.ask("g1", kind))
+        await until_running(fleet)
+        await asyncio.sleep(IN_FLIGHT_S)
+        kill(fleet.gateways["g2"])
+        context.answer = (await asking).answer
+
+    run_with_fleet(context, story)
+
+
+@then("the caller of g1 gets {status:d}")
+def caller_of_g1(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@then("the request ran once")
+def request_ran_once(context):
+    assert sum(context.runs.values()) == 1, context.runs
+
+
+@then("the stream of g1's caller is truncated")
+def stream_truncated(context):
+    assert context.answer.status == 200, context.answer
+    assert not context.answer.whole, context.answer
+
+
+@when(
+    "g1 forwards a request with a timeout of {ms:d} ms that it has held for {held:g} s"
+)
+def forwards_held(context, ms, held):
+    async def story(fleet):
+        await cut_and_learn(fleet, {"g1"}, "reset")
+        forget_seen(fleet, "")
+        gateway = fleet.gateways["g1"]
+        forward = gateway.peers.choose
+
+        def choose_late(*arguments):
+            # The loop stands still, as on a machine that is busy.
+            time.sleep(held)
+            return forward(*arguments)
+
+        with mock.patch.object(
+            type(gateway.peers), "choose", lambda _, *a: choose_late(*a)
+        ):
+            await fleet.ask("g1", "safe", deadline_ms=ms)
+        context.told_ms = [
+            int(seen.headers["x-deadline-ms"])
+            for endpoint in fleet.endpoints.values()
+            for seen in endpoint.seen
+        ]
+
+    run_with_fleet(context, story)
+
+
+@then("the endpoint is told at most {ms:d} ms")
+def told_at_most(context, ms):
+    assert context.told_ms, "no endpoint was asked"
+    assert max(context.told_ms) <= ms, context.told_ms
+
+
+@when("the caller of a request that g1 forwarded leaves")
+def caller_leaves(context):
+    async def story(fleet):
+        await cut_and_learn(fleet, {"g1"}, "reset")
+        forget_seen(fleet, "hang")
+        port = int(fleet.gateways["g1"].settings.listen.rpartition(":")[2])
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(
+            b"POST /safe/x HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Request-Id: leaver\r\nX-Deadline-Ms: 5000\r\n"
+            b"X-Api-Key: key-of-acme\r\nContent-Length: 0\r\n\r\n"
+        )
+        endpoint = await until_running(fleet)
+        writer.close()
+        async with asyncio.timeout(GONE_S):
+            await endpoint.hung_up.wait()
+        context.left = True
+
+    context.left = False
+    run_with_fleet(context, story)
+
+
+@then("the endpoint's connection is closed within {_} s")
+def connection_closed(context, _):
+    assert context.left
+
+
+@when(
+    "a caller that {has} sends a request to {gateway} as if it were forwarded"
+)
+def forged(context, has, gateway):
+    async def story(fleet):
+        await cut_and_learn(fleet, {"g1"}, "reset")
+        forget_seen(fleet, "")
+        version = "99" if has.startswith("needs") else "1"
+        extra = {
+            "X-Forwarded-By-Gateway": "g9",
+            "X-Routes-Version": version,
+            "X-Attempts-Left": "1",
+        }
+        options = {"key": "unknown"} if has == "has no key" else {}
+        found = await fleet.ask(
+            gateway.split()[-1], "safe", extra=extra, **options
+        )
+        context.answer = found.answer
+        context.seen = [
+            seen.headers
+            for endpoint in fleet.endpoints.values()
+            for seen in endpoint.seen
+        ]
+
+    run_with_fleet(context, story)
+
+
+@then("the caller gets {status:d}")
+def caller_gets(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@then("no endpoint sees the headers of forwarded requests")
+def no_hop_headers(context):
+    for headers in context.seen:
+        assert not headers.keys() & {
+            "x-forwarded-by-gateway",
+            "x-routes-version",
+            "x-attempts-left",
+        }, headers
+
+
+@when("g1 has newer routes than g2 and forwards {count:d} requests")
+def newer_routes(context, count):
+    async def story(fleet):
+        await cut_and_learn(fleet, {"g1"}, "reset")
+        forget_seen(fleet, "")
+        for name in ("g1", "g3"):
+            fleet.gateways[name].adopt(gatewaybed.config(2))
+        for gateway in fleet.gateways.values():
+            gateway.pools.clear()
+        context.last = [await fleet.ask("g1", "unsafe") for _ in range(count)]
+        g2 = fleet.gateways["g2"]
+        context.opened_by_g2 = sum(pool.opened for pool in g2.pools.values())
+
+    run_with_fleet(context, story)
+
+
+@then("all of them are answered, none of them by g2")
+def none_by_g2(context):
+    assert all(found.served for found in context.last), context.last
+    assert context.opened_by_g2 == 0, context.opened_by_g2
--- a/features/support/crashworld.py
+++ b/features/support/crashworld.py
@@ -107,6 +107,44 @@
         """Do nothing; there are no real connections."""
 
 
+@attrs.define(eq=False)
+class PeerPool:
+    """Simulates the connections of a gateway to another one."""
+
+    world: "CrashWorld"
+    gateway: object
+
+    async def call(
+        self, request, sink, _reuse, may_send, _observer=None
+    ) -> upstream.CallEnd:
+        """Serve a forwarded request at the other gateway."""
+        if not may_send():
+            return upstream.CallEnd.NOT_SENT
+        await asyncio.sleep(relayworld.ONE_WAY_DELAY_S)
+        names = self.gateway.dialect.names
+        connection = await self.world.serve(
+            self.gateway,
+            admission.CallerRequest(
+                httputil.RequestStartLine(
+                    request.method, request.target, "HTTP/1.1"
+                ),
+                request.headers,
+                request.body,
+                self.world.now,
+                request.headers[names.forwarded_by],
+            ),
+        )
+        if not connection.status:
+            return upstream.CallEnd.LOST
+        headers = httputil.HTTPHeaders(connection.headers)
+        sink.on_head(connection.status, "", headers)
+        sink.on_data(connection.body)
+        return upstream.CallEnd.COMPLETE
+
+    def close(self) -> None:
+        """Do nothing; there are no real connections."""
+
+
 def connect_failure(engine: Engine) -> upstream.ConnectFailure | None:
     """Return why a connection to an engine fails, None if it does not."""
     if engine.dark:
@@ -215,7 +253,14 @@
         gateway = self.gateways[name]
         gateway.start_up.done = True
         gateway.rng.seed(self.rng.random())
-        gateway.pool = lambda address: WorldPool(self, address)
+        gateway.pool = self.pool
+
+    def pool(self, address: str) -> "WorldPool | PeerPool":
+        """Return the simulated pool of an engine's or gateway's address."""
+        for gateway in self.gateways.values():
+            if gateway.settings.listen == address:
+                return PeerPool(self, gateway)
+        return WorldPool(self, address)
 
     def renew_endpoints(self) -> None:
         """Announce all running engines."""
@@ -294,7 +339,6 @@
     ) -> CallerConnection:
         """Send a request to a given or random gateway; return the response."""
         gateway = gateway or self.rng.choice(list(self.gateways.values()))
-        connection = CallerConnection()
         request = admission.CallerRequest(
             httputil.RequestStartLine("POST", f"/{kind}/x", "HTTP/1.1"),
             httputil.HTTPHeaders(
@@ -308,6 +352,13 @@
             body,
             self.now,
         )
+        return await self.serve(gateway, request)
+
+    async def serve(
+        self, gateway, request: admission.CallerRequest
+    ) -> CallerConnection:
+        """Serve a request at a gateway; return the response."""
+        connection = CallerConnection()
         exchange = exchange_lib.Exchange(gateway, connection, request)
         gateway.running.add(exchange)
         try:
--- a/features/support/relayworld.py
+++ b/features/support/relayworld.py
@@ -37,6 +37,7 @@
 STALENESS_S = 4.5
 MAX_REVOCATION_S = 5.0
 STEP_S = 0.05
+FIRST_GATEWAY_PORT = 20_000
 
 
 @attrs.define(eq=False)
@@ -219,6 +220,8 @@
         self.processes: dict[str, Process] = {}
         self.by_address: dict[str, Process] = {}
         self.gateways = {}
+        # Ports of gateways by name; a restarted gateway keeps its port.
+        self.gateway_ports: dict[str, int] = {}
         self.frozen: dict[str, float] = {}
         self.no_leader_until = 0.0
         self.seqs = itertools.count(1)
@@ -265,7 +268,10 @@
 
     def add_gateway(self, name: str, zone: str) -> None:
         """Start or restart a gateway."""
-        gateway = gatewaybed.Bed.without_sockets(name, zone)
+        port = self.gateway_ports.setdefault(
+            name, FIRST_GATEWAY_PORT + len(self.gateway_ports)
+        )
+        gateway = gatewaybed.Bed.without_sockets(name, zone, port)
         gateway.front.apply = lambda limits: None
         gateway.incarnation = next(self.seqs)
         watch = watch_lib.Watch(gateway)
@@ -465,4 +471,5 @@
             if process.up:
                 process.watch_server.leader_poller.stop()
         for gateway in self.gateways.values():
+            gateway.reach_monitor.stop()
             gateway.watch.task.cancel()
--- a/src/_coltsfootroad/core/reachability.py
+++ b/src/_coltsfootroad/core/reachability.py
@@ -140,6 +140,12 @@
         reach = self.services.get(service)
         return reach is not None and reach.is_isolated
 
+    def isolated_at(self, service: str) -> float:
+        """Return since when the gateway is isolated, infinity if it is not."""
+        reach = self.services.get(service)
+        is_isolated = reach is not None and reach.is_isolated
+        return reach.isolated_at if is_isolated else float("inf")
+
     def isolated_services(self) -> tuple[str, ...]:
         """Return the services from which the gateway counts as isolated."""
         return tuple(
@@ -165,10 +171,15 @@
         reach = self.of(endpoint.announcement.service)
         return reach.record_success(endpoint.incarnation_key, now)
 
-    def reached_endpoints(self, service: str) -> int:
-        """Return how many serving endpoints no failed connection speaks of."""
+    def untested_endpoints(self, service: str) -> list[str]:
+        """Return the serving endpoints that no failed connection speaks of."""
         failed = self.of(service).failed
-        return sum(
-            known.incarnation_key not in failed
+        return [
+            known.name
             for known in self.endpoints.serving_endpoints(service)
-        )
+            if known.incarnation_key not in failed
+        ]
+
+    def reached_endpoints(self, service: str) -> int:
+        """Return how many endpoints the gateway seems to reach."""
+        return len(self.untested_endpoints(service))
--- a/src/_coltsfootroad/core/sends.py
+++ b/src/_coltsfootroad/core/sends.py
@@ -32,7 +32,7 @@
     Attributes:
         attempts: Number of endpoints at which it may run, by its route.
         idempotent: Whether it may run more than once.
-        count: Number of sends.
+        count: Number of sends to endpoints.
         runs: Number of sends that may have run.
         tried: Endpoints that were chosen, regardless of the outcome.
     """
@@ -49,12 +49,19 @@
 
     def stop_reason(self, outcome: Outcome) -> str:
         """Return why the request may not be sent again, empty if it may."""
+        reason = self.run_limit_reason(outcome)
+        if reason or outcome is Outcome.NO_MEMORY:
+            return reason
+        if self.count >= self.attempts + EXTRA_NOT_RUN_SENDS:
+            return f"it was sent {self.count} times"
+        return ""
+
+    def run_limit_reason(self, outcome: Outcome) -> str:
+        """Return why the request may not run again, empty if it may."""
         if outcome is Outcome.NO_MEMORY:
             return ""
         if outcome is not Outcome.NOT_RUN and not self.idempotent:
             return "it may have run and must not run twice"
         if self.runs >= self.attempts:
             return f"{self.runs} endpoints of {self.attempts} were used"
-        if self.count >= self.attempts + EXTRA_NOT_RUN_SENDS:
-            return f"it was sent {self.count} times"
         return ""
--- a/src/_coltsfootroad/core/workload.py
+++ b/src/_coltsfootroad/core/workload.py
@@ -38,13 +38,17 @@
 
 @attrs.frozen(kw_only=True)
 class Summary:
-    """Changes of one gateway's work, or all its work if `full`."""
+    """Changes of one gateway's work, or all its work if `full`.
+
+    `isolated_from` names the services that the gateway does not reach.
+    """
 
     gateway: str
     incarnation: int
     seq: int
     full: bool
     changes: tuple[Change, ...] = ()
+    isolated_from: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -56,12 +60,14 @@
         received_at: Arrival time of that summary.
         works: Work items by the keys that the gateway gave them.
         prompts: Keys of the work items that are prompts.
+        isolated_from: Services that the gateway does not reach.
     """
 
     mark: tuple[int, int]
     received_at: float
     works: dict[int, work_lib.WorkItem] = attrs.Factory(dict)
     prompts: set[int] = attrs.Factory(set)
+    isolated_from: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -156,6 +162,7 @@
             known = self.foreign[summary.gateway] = ForeignWork(mark, now)
         known.mark = mark
         known.received_at = now
+        known.isolated_from = summary.isolated_from
         for change in summary.changes:
             self.apply_change(summary.gateway, known, change, now)
         return True
@@ -181,6 +188,12 @@
             work.leads and work.prompt_tokens > 0 for work in self.own.values()
         )
 
+    def is_isolated(self, gateway: str, service: str, now: float) -> bool:
+        """Return whether another gateway does not reach a service."""
+        self.expire(now)
+        known = self.foreign.get(gateway)
+        return known is not None and service in known.isolated_from
+
     def gateways_with_prompts(self) -> set[str]:
         """Return the names of other gateways that have prompts at engines."""
         return {name for name, known in self.foreign.items() if known.prompts}
--- a/src/_coltsfootroad/gateway/admission.py
+++ b/src/_coltsfootroad/gateway/admission.py
@@ -22,6 +22,8 @@
 NO_ROUTES_RETRY_AFTER_S = 2.0
 # After the leader is lost, an election takes at most 1.2 s.
 FENCED_RETRY_AFTER_S = 1.2
+# A newer version reaches all gateways within about this time.
+OUTDATED_RETRY_AFTER_S = 0.2
 # A stated timeout that is shorter than the route's by more than this means that
 # the caller has spent the difference on an earlier try; network transit takes
 # only a few milliseconds.
@@ -37,17 +39,24 @@
         headers: Headers as received.
         body: The complete body.
         arrived_at: Boot clock seconds when the headers were read.
+        forwarded_by: Gateway that forwarded the request, empty if none did.
     """
 
     start: httputil.RequestStartLine
     headers: httputil.HTTPHeaders
     body: bytes
     arrived_at: float
+    forwarded_by: str = ""
+
+    def stated_number(self, name: str, default: int) -> int:
+        """Return the number in a header, `default` if it holds none."""
+        text = self.headers.get(name, "")
+        return int(text) if text.isdigit() else default
 
     def stated_timeout_s(self, names: names_lib.HeaderNames) -> float:
         """Return the timeout that the caller states, in seconds."""
-        text = self.headers.get(names.deadline_ms, "")
-        return int(text) / MS if text.isdigit() else DEFAULT_DEADLINE_S
+        default_ms = int(DEFAULT_DEADLINE_S * MS)
+        return self.stated_number(names.deadline_ms, default_ms) / MS
 
 
 @attrs.frozen(kw_only=True)
@@ -104,7 +113,9 @@
     host = request.headers.get("Host", "").partition(":")[0]
     path = request.start.path.partition("?")[0]
     route = table.match(host, path)
-    failure = gateway_refusal(gateway, now)
+    failure = gateway_refusal(gateway, now) or outdated_refusal(
+        gateway, request
+    )
     if failure is not None:
         # Checked before "not found" and "unauthorized": with outdated routes,
         # an unknown host or key may exist by now.
@@ -165,6 +176,24 @@
     return None
 
 
+def outdated_refusal(gateway, request: CallerRequest) -> errors.Failure | None:
+    """Return why a forwarded request needs newer routes, None if it does not.
+
+    The forwarding gateway may have applied its version to this caller before.
+    """
+    if not request.forwarded_by:
+        return None
+    name = gateway.dialect.names.routes_version
+    needed = request.stated_number(name, routes.NO_VERSION)
+    if needed <= gateway.view.version:
+        return None
+    return refusal(
+        errors.ErrorCode.UNAVAILABLE,
+        f"version {needed} of the routes is not known yet",
+        OUTDATED_RETRY_AFTER_S,
+    )
+
+
 def parse_prompt(
     text: str, route: routes.Route
 ) -> engineplacement.Prompt | None:
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -19,6 +19,7 @@
 from _coltsfootroad.gateway import memoryreservation
 from _coltsfootroad.gateway import names as names_lib
 from _coltsfootroad.gateway import ownwork
+from _coltsfootroad.gateway import peerforwarding
 from _coltsfootroad.gateway import reply as reply_lib
 from _coltsfootroad.gateway import responses
 from _coltsfootroad.gateway import sendbudget
@@ -35,6 +36,9 @@
 # Stated when no endpoint is reachable: a restarted endpoint announces itself
 # within a second, and callers retry only once.
 NO_ENDPOINT_RETRY_AFTER_S = 0.2
+# Stated when this gateway reaches no endpoint and knows no gateway that does; a
+# lost path is probed this often.
+UNREACHABLE_RETRY_AFTER_S = 0.5
 # Range of the random pause before memory is requested again, so that two long
 # prompts that competed for the same engines do not collide a second time.
 MEMORY_RETRY_PAUSE_S = (0.05, 0.2)
@@ -56,6 +60,7 @@
         guard: Applies the quarantine to the request.
         budget: Charges retries to the service's retry budget.
         work: Reports the current send as load.
+        forwarding: Forwards the request through another gateway.
         reply: Writes to the caller's connection.
     """
 
@@ -70,6 +75,7 @@
     guard: contentguard.ContentGuard = attrs.field(init=False)
     budget: sendbudget.SendBudget = attrs.field(init=False)
     work: ownwork.OwnWork = attrs.field(init=False)
+    forwarding: peerforwarding.PeerForwarding = attrs.field(init=False)
     reply: reply_lib.Reply = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -78,6 +84,7 @@
         self.guard = contentguard.ContentGuard(self)
         self.budget = sendbudget.SendBudget(self)
         self.work = ownwork.OwnWork(self.gateway)
+        self.forwarding = peerforwarding.PeerForwarding(self)
         self.reply = reply_lib.Reply(
             self.gateway,
             self.connection,
@@ -131,7 +138,7 @@
             return
         self.admitted = result.ok
         self.sends = sends_lib.SendHistory(
-            attempts=self.route.attempts, idempotent=self.route.idempotent
+            attempts=self.allowed_attempts(), idempotent=self.route.idempotent
         )
         await start_up.wait(
             arrived_at,
@@ -139,7 +146,11 @@
             self.has_room,
             startup.CHOICE_POLL_INTERVAL_S,
         )
-        self.gateway.budget(self.service.name).on_request(now)
+        if self.request.forwarded_by:
+            self.log_forwarded()
+        else:
+            # The forwarding gateway has counted a forwarded request.
+            self.gateway.budget(self.service.name).on_request(now)
         left_s = self.deadline - clocks.boot_time()
         try:
             async with asyncio.timeout(max(0.0, left_s)):
@@ -150,6 +161,27 @@
             self.work.end()
             self.budget.release()
 
+    def allowed_attempts(self) -> int:
+        """Return at how many endpoints the request may run."""
+        if not self.request.forwarded_by:
+            return self.route.attempts
+        left = self.request.stated_number(
+            self.names.attempts_left, self.route.attempts
+        )
+        return min(self.route.attempts, left)
+
+    def log_forwarded(self) -> None:
+        """Count and log a request that another gateway has forwarded."""
+        self.gateway.forwards["received"] += 1
+        LOG.info(
+            "request from gateway",
+            request=self.request_id,
+            gateway=self.request.forwarded_by,
+            service=self.service.name,
+            attempts=self.sends.attempts,
+            version=self.gateway.view.version,
+        )
+
     def has_room(self) -> bool:
         """Return whether a known endpoint can serve the request in time.
 
@@ -175,22 +207,8 @@
     async def attempt_until_done(self) -> None:
         """Send until an endpoint responds or no further send is allowed."""
         while True:
-            if await self.guard.refuse():
-                return
-            now = clocks.boot_time()
-            reason = self.cannot_send_reason(now)
-            choice = None if reason else self.choose(now)
-            if choice is None:
-                self.send_final_failure(
-                    reason or "no endpoint serves the request now"
-                )
-                return
-            retry_after_s = self.shed_delay_s(choice)
-            if retry_after_s is not None:
-                self.shed(choice, retry_after_s)
-                return
-            outcome = await self.attempt(choice)
-            if outcome is sends_lib.Outcome.ANSWERED:
+            outcome = await self.attempt_once()
+            if outcome is None or outcome is sends_lib.Outcome.ANSWERED:
                 return
             if self.guard.stopped and await self.guard.refuse():
                 return
@@ -205,6 +223,57 @@
                 self.send_final_failure(reason)
                 return
 
+    async def attempt_once(self) -> sends_lib.Outcome | None:
+        """Send once; return the outcome, None if the request was refused."""
+        now = clocks.boot_time()
+        reason = self.cannot_send_reason(now)
+        peer = None if reason else self.forwarding.choose(now)
+        if peer is not None:
+            return await self.forwarding.forward(peer)
+        if await self.guard.refuse():
+            return None
+        now = clocks.boot_time()
+        reason = self.cannot_send_reason(now)
+        if not reason and self.is_unreachable():
+            self.refuse_unreachable()
+            return None
+        choice = None if reason else self.choose(now)
+        if choice is None:
+            self.send_final_failure(
+                reason or "no endpoint serves the request now"
+            )
+            return None
+        retry_after_s = self.shed_delay_s(choice)
+        if retry_after_s is not None:
+            self.shed(choice, retry_after_s)
+            return None
+        return await self.attempt(choice)
+
+    def is_unreachable(self) -> bool:
+        """Return whether no endpoint can be reached.
+
+        Endpoints that were not tried since the path was lost, such as a new
+        incarnation, are left to requests that nobody forwarded: the gateway
+        that forwards may know another one that reaches the service.
+        """
+        if not self.forwarding.is_isolated:
+            return False
+        untested = self.gateway.reach.untested_endpoints(self.service.name)
+        return bool(self.request.forwarded_by) or not untested
+
+    def refuse_unreachable(self) -> None:
+        """Refuse a request whose service no known gateway reaches."""
+        if self.reply.streaming or self.budget.arrivals:
+            self.send_final_failure("no endpoint of the service is reached")
+            return
+        self.refuse(
+            admission.refusal(
+                errors.ErrorCode.ENDPOINTS_UNREACHABLE,
+                f"no endpoint of {self.service.name!r} is reached",
+                UNREACHABLE_RETRY_AFTER_S,
+            )
+        )
+
     def rank(self, choice: engines.Choice, now: float) -> int:
         """Return the rank of a send in its engine's queue."""
         waited_s = now - self.request.arrived_at
@@ -288,12 +357,14 @@
         if self.guard.on_trial or not self.sends.may_fail_over():
             return False
         now = clocks.boot_time()
-        if self.cannot_send_reason(now) or not self.has_untried_endpoint(now):
+        if self.cannot_send_reason(now) or not self.has_alternative(now):
             return False
         return self.budget.reserve(now)
 
-    def has_untried_endpoint(self, now: float) -> bool:
-        """Return whether an endpoint is left that was not tried."""
+    def has_alternative(self, now: float) -> bool:
+        """Return whether a gateway or an untried endpoint can take a send."""
+        if self.forwarding.is_isolated:
+            return self.forwarding.choose(now) is not None
         choice = self.choose(now)
         return (
             choice is not None and choice.endpoint.name not in self.sends.tried
@@ -320,7 +391,12 @@
 
     def stop_reason(self, outcome: sends_lib.Outcome) -> str:
         """Return why no further send is allowed, empty if one is."""
-        reason = self.sends.stop_reason(outcome)
+        # Failed connections to endpoints do not keep another gateway from
+        # serving the request.
+        if self.forwarding.choose(clocks.boot_time()) is not None:
+            reason = self.sends.run_limit_reason(outcome)
+        else:
+            reason = self.sends.stop_reason(outcome)
         if self.guard.on_trial and self.sends.runs:
             return "its trial has ended"
         if reason or outcome is sends_lib.Outcome.NO_MEMORY:
@@ -482,7 +558,7 @@
         if self.reply.streaming:
             self.reply.abort_stream("the time is over")
             return
-        if not self.sends.count:
+        if not self.sends.count and not self.forwarding.tried:
             self.refuse(
                 admission.refusal(
                     errors.ErrorCode.UNAVAILABLE, "the time is over"
--- a/src/_coltsfootroad/gateway/front.py
+++ b/src/_coltsfootroad/gateway/front.py
@@ -49,8 +49,13 @@
 
     def finish(self):
         """Start to serve the complete request."""
+        names = self.gateway.dialect.names
         request = admission.CallerRequest(
-            self.start, self.headers, b"".join(self.parts), self.arrived_at
+            self.start,
+            self.headers,
+            b"".join(self.parts),
+            self.arrived_at,
+            self.headers.get(names.forwarded_by, ""),
         )
         exchange = exchange_lib.Exchange(self.gateway, self.connection, request)
         self.connection.set_close_callback(self.on_caller_gone)
--- a/src/_coltsfootroad/gateway/gossip.py
+++ b/src/_coltsfootroad/gateway/gossip.py
@@ -65,6 +65,8 @@
     changes: tuple[WireChange, ...]
     # Whether the receiver forwards it to the other gateways of its zone.
     pass_on: bool = False
+    # Services of which the sender reaches no endpoint.
+    isolated_from: tuple[str, ...] = ()
 
 
 DECODER = msgspec.msgpack.Decoder(WireSummary)
@@ -79,6 +81,7 @@
         summary.seq,
         summary.full,
         tuple(WireChange(*attrs.astuple(change)) for change in summary.changes),
+        isolated_from=summary.isolated_from,
     )
 
 
@@ -103,6 +106,7 @@
             workload.Change(*msgspec.structs.astuple(change))
             for change in wire.changes
         ),
+        isolated_from=wire.isolated_from,
     )
 
 
@@ -117,7 +121,8 @@
         self.fanout_round = 0
         self.send_timer: asyncio.TimerHandle | None = None
         self.last_full_at = 0.0
-        self.last_full_count = 0
+        # Whether the last full summary held work or services.
+        self.last_full_mattered = False
         self.dropped = 0
 
     async def start(self, address: str) -> None:
@@ -167,11 +172,12 @@
         if now - self.last_full_at < FULL_SUMMARY_INTERVAL_S:
             return
         self.last_full_at = now
-        count = len(self.gateway.load.own)
+        gateway = self.gateway
+        matters = bool(gateway.load.own or gateway.reach.isolated_services())
         # An empty summary is sent once, in case the last datagram was lost.
-        if count or self.last_full_count:
+        if matters or self.last_full_mattered:
             self.send_summary(full=True)
-        self.last_full_count = count
+        self.last_full_mattered = matters
 
     def send(self) -> None:
         """Send a summary of the changes."""
@@ -179,6 +185,11 @@
         if self.gateway.load.changed:
             self.send_summary(full=False)
 
+    def announce_isolation(self) -> None:
+        """Send the services that this gateway does not reach at once."""
+        self.last_full_mattered = True
+        self.send_summary(full=False)
+
     def send_summary(self, full: bool) -> None:
         """Send a summary to the gateways that currently choose endpoints."""
         if self.transport is None or self.transport.is_closing():
@@ -195,6 +206,7 @@
                 seq=self.seq,
                 full=full,
                 changes=changes[:MAX_CHANGES],
+                isolated_from=self.gateway.reach.isolated_services(),
             )
         )
         self.fanout_round += full
--- a/src/_coltsfootroad/gateway/names.py
+++ b/src/_coltsfootroad/gateway/names.py
@@ -36,6 +36,10 @@
         last_event_id: ID of the last event received; the stream resumes after
             it.
         retry_after: Seconds after which a refused caller should retry.
+        forwarded_by: Gateway that forwards the request to another one.
+        routes_version: Lowest version of the routes that may apply to a
+            forwarded request.
+        attempts_left: Endpoints at which a forwarded request may still run.
     """
 
     request_id: str = "X-Request-Id"
@@ -51,6 +55,9 @@
     faulty_peer: str = "X-Faulty-Peer"
     last_event_id: str = "Last-Event-Id"
     retry_after: str = "Retry-After"
+    forwarded_by: str = "X-Forwarded-By-Gateway"
+    routes_version: str = "X-Routes-Version"
+    attempts_left: str = "X-Attempts-Left"
 
     def overridden(self) -> frozenset[str]:
         """Return the lower-case names that only the gateway may set."""
@@ -61,5 +68,8 @@
             self.helpers,
             self.urgency,
             self.deadline_ms,
+            self.forwarded_by,
+            self.routes_version,
+            self.attempts_left,
         )
         return frozenset(name.lower() for name in names)
--- a/src/_coltsfootroad/gateway/reachmonitor.py
+++ b/src/_coltsfootroad/gateway/reachmonitor.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import random
 
 import attrs
@@ -33,12 +34,14 @@
     Attributes:
         reach: Evidence by service.
         rng: Selects endpoints and pauses.
+        on_change: Called when an isolation begins or ends.
         probers: Running probe loops by service.
         wake: Wakes the probe loops when an endpoint is announced anew.
     """
 
     reach: reachability.Reachability
     rng: random.Random
+    on_change: Callable[[], None]
     probers: dict[str, asyncio.Task] = attrs.Factory(dict)
     wake: asyncio.Event = attrs.Factory(asyncio.Event)
 
@@ -54,7 +57,7 @@
         service = endpoint.announcement.service
         isolated_at = self.reach.of(service).isolated_at
         if self.reach.record_success(endpoint, now):
-            self.log_return(service, now - isolated_at)
+            self.end_isolation(service, now - isolated_at)
 
     def record_failed(self, endpoint: endpointset.KnownEndpoint) -> None:
         """Record a failed connection."""
@@ -75,9 +78,10 @@
             passes_needed=reach.required_passes,
         )
         self.probers[service] = asyncio.ensure_future(self.probe(service))
+        self.on_change()
 
-    def log_return(self, service: str, isolated_s: float) -> None:
-        """Log that a service is reached again."""
+    def end_isolation(self, service: str, isolated_s: float) -> None:
+        """Log and announce that a service is reached again."""
         reach = self.reach.of(service)
         LOG.warning(
             "service reached again",
@@ -86,6 +90,7 @@
             serving=len(self.reach.endpoints.serving_endpoints(service)),
             relapses=reach.relapses,
         )
+        self.on_change()
 
     def on_endpoint_started(self) -> None:
         """Probe soon, as a new incarnation may be reachable."""
@@ -98,8 +103,9 @@
             endpoint = self.next_endpoint(service)
             if endpoint is None:
                 now = clocks.boot_time()
-                self.log_return(service, now - reach.isolated_at)
+                isolated_s = now - reach.isolated_at
                 reach.end_isolation(now)
+                self.end_isolation(service, isolated_s)
                 return
             self.wake.clear()
             listener = await endpointprobe.probe(endpoint.announcement.address)
--- a/src/_coltsfootroad/gateway/reply.py
+++ b/src/_coltsfootroad/gateway/reply.py
@@ -97,6 +97,9 @@
 
     def complete(self, sink) -> None:
         """Complete the response with an endpoint's complete response."""
+        if self.streaming and not sink.is_stream():
+            self.abort_stream(f"a later send got status {sink.status}")
+            return
         if not self.streaming:
             body = b"".join(sink.parts)
             headers = end_to_end_headers(sink.headers)
--- a/src/_coltsfootroad/gateway/responses.py
+++ b/src/_coltsfootroad/gateway/responses.py
@@ -61,6 +61,10 @@
         """Return whether the response proves that the request did not run."""
         return self.status == MISDIRECTED or self.names.not_run in self.headers
 
+    def is_stream(self) -> bool:
+        """Return whether the body is forwarded event by event."""
+        return False
+
     def is_body_complete(self) -> bool:
         """Return whether the body is complete, beyond its HTTP framing."""
         return True
--- a/src/_coltsfootroad/gateway/sendbudget.py
+++ b/src/_coltsfootroad/gateway/sendbudget.py
@@ -67,6 +67,10 @@
         self.arrivals += 1
         return True
 
+    def on_not_arrived(self) -> None:
+        """Take back the arrival of the last send, which reached no endpoint."""
+        self.arrivals -= 1
+
     def release(self) -> None:
         """Return a reserved retry that was not sent to the budget."""
         retry, self.retry = self.retry, None
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -9,6 +9,7 @@
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import isolation
 from _coltsfootroad.core import minimumshare
+from _coltsfootroad.core import peerchoice
 from _coltsfootroad.core import reachability
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
@@ -91,7 +92,12 @@
             self.isolation,
         )
         self.reach = reachability.Reachability(self.endpoints)
-        self.reach_monitor = reachmonitor.ReachMonitor(self.reach, self.rng)
+        self.reach_monitor = reachmonitor.ReachMonitor(
+            self.reach, self.rng, self.on_reach_change
+        )
+        self.peers = peerchoice.PeerChooser(
+            settings.gateway, settings.availability_zone, self.rng
+        )
         self.crash_detector = crashdetector.CrashDetector(
             self.endpoints, self.spawn, self.report_crash
         )
@@ -109,6 +115,8 @@
         self.leaving = False
         self.stopping_at = float("inf")
         self.counts: collections.Counter = collections.Counter()
+        # Requests sent to, answered by and received from other gateways.
+        self.forwards: collections.Counter = collections.Counter()
         self.lost_in_crashes = 0
         self.front = front_lib.Front(self)
         self.gossip = gossip_lib.Gossip(self)
@@ -290,6 +298,10 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def on_reach_change(self) -> None:
+        """Announce a service that is no longer reached, or is again."""
+        self.gossip.announce_isolation()
+
     def notify_peers(self, urgent: bool = False) -> None:
         """Schedule a load summary to the other gateways."""
         self.gossip.schedule_send(
@@ -333,6 +345,8 @@
                 "crashes": list(self.crash_reporter.recent.values()),
                 "isolated": list(self.isolation.suspects),
                 "reach": self.reach.services,
+                "forwards": dict(self.forwards),
+                "forwards_in_flight": dict(self.peers.in_flight),
                 "running": [e.request_id for e in self.running],
             }
         )
@@ -394,6 +408,12 @@
                 for service, reach in self.reach.services.items()
             },
         )
+        self.metrics.labelled_counter(
+            "colts_gateway_forwards",
+            "Requests sent to, answered by and received from other gateways",
+            "direction",
+            lambda: dict(self.forwards),
+        )
         counter(
             "colts_gateway_answers",
             "Whole answers of endpoints",
