gateway: do not report crashes of endpoints that only this gateway lost

A reset connection and a refused new one were proof that the endpoint's process had ended; a lost path looks the same. Change: a crash needs a sign that the path works: a connection to another endpoint of the service since the loss, or one made now (2, then 6 more). Without it, the endpoint counts as crashed only once control learns of its restart or of the end of its lease, within 10 s. Ruled out: endpoints of another service as witnesses (a gateway may reach one service and not the other); two witnesses only (a rack of three of four endpoints and three rows of quarantine.feature failed). Evidence: cutoff.feature 'Links are reset while endpoints run 4 requests', 4 of 4 rows failed before (4 crashes counted), hold; a rack that ends is still counted; crashes.feature, 21 rows of quarantine.feature and quarantinedefects.feature hold.

--- a/features/gateway/cutoff.feature
+++ b/features/gateway/cutoff.feature
@@ -89,3 +89,22 @@
     Given 3 gateways and 2 endpoints
     When g1 has newer routes than g2 and forwards 6 requests
     Then all of them are answered, none of them by g2
+
+  # Guards against suspects of crashes that never happened: a cut resets connections
+  # and refuses new ones, as the end of a process does.
+  Scenario Outline: Links are reset while endpoints run 4 requests, <then>
+    Given 2 gateways and 4 endpoints
+    When gateway g1 is cut off while it has 4 requests in flight, and <then>
+    Then g1 counts <crashes> crashes
+
+    Examples:
+      | then                                | crashes |
+      | the endpoints work on               | 0       |
+      | endpoint e1 restarts under its name | 1       |
+      | the lease of endpoint e1 ends       | 1       |
+      | endpoint e1 leaves                  | 0       |
+
+  Scenario: A rack of endpoints ends while another endpoint is reached
+    Given 1 gateways and 4 endpoints
+    When endpoints e1, e2 and e3 end while they run a request each
+    Then g1 counts 3 crashes
--- a/features/steps/cutoff_steps.py
+++ b/features/steps/cutoff_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from _coltsfootroad.core import registry
 from features.support import gatewaybed
 from features.support import gatewayfleet
 
@@ -392,3 +393,66 @@
 def none_by_g2(context):
     assert all(found.served for found in context.last), context.last
     assert context.opened_by_g2 == 0, context.opened_by_g2
+
+
+# --- crashes --------------------------------------------------------------
+
+# Probes of an endpoint and of others, and evidence of the control plane.
+EVIDENCE_S = 2.0
+
+
+async def fill(fleet, endpoints: int) -> list[asyncio.Future]:
+    """Send one request to each endpoint through g1; all stay in flight."""
+    for endpoint in fleet.endpoints.values():
+        endpoint.act = "hang"
+    asking = []
+    for _ in range(endpoints):
+        asking.append(asyncio.ensure_future(fleet.ask("g1", "unsafe")))
+        while sum(len(e.seen) for e in fleet.endpoints.values()) < len(asking):
+            await asyncio.sleep(0.01)
+    return asking
+
+
+def learn_fate(fleet, fate: str) -> None:
+    """Give gateway g1 the control plane's word on endpoint e1."""
+    gateway, endpoint = fleet.gateways["g1"], fleet.endpoints["e1"]
+    if fate == "endpoint e1 restarts under its name":
+        fleet.announce(gateway, endpoint, 2)
+    elif fate == "the lease of endpoint e1 ends":
+        gateway.endpoints.expire("e1")
+    elif fate == "endpoint e1 leaves":
+        gateway.learn_endpoint(registry.sign_off_announcement("e1", 1))
+
+
+@when(
+    "gateway g1 is cut off while it has {count:d} requests in flight, and {fate}"
+)
+def cut_in_flight(context, count, fate):
+    async def story(fleet):
+        asking = await fill(fleet, count)
+        fleet.cut({"g1"}, "reset")
+        await asyncio.gather(*asking)
+        learn_fate(fleet, fate)
+        await asyncio.sleep(EVIDENCE_S)
+        context.crashed = fleet.gateways["g1"].crash_detector.crashed
+
+    run_with_fleet(context, story)
+
+
+@when("endpoints e1, e2 and e3 end while they run a request each")
+def rack_ends(context):
+    async def story(fleet):
+        asking = await fill(fleet, len(fleet.endpoints))
+        for name in ("e1", "e2", "e3"):
+            fleet.links["g1", name].cut("reset")
+        await asyncio.sleep(EVIDENCE_S)
+        context.crashed = fleet.gateways["g1"].crash_detector.crashed
+        fleet.endpoints["e4"].break_connections()
+        await asyncio.gather(*asking)
+
+    run_with_fleet(context, story)
+
+
+@then("g1 counts {count:d} crashes")
+def counts_crashes(context, count):
+    assert len(context.crashed) == count, context.crashed
--- a/src/_coltsfootroad/gateway/crashdetector.py
+++ b/src/_coltsfootroad/gateway/crashdetector.py
@@ -1,6 +1,7 @@
 """Detects endpoint crashes from sends whose connection was lost."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import attrs
@@ -16,6 +17,10 @@
 # The connections of an ending process close in any order, and its listener may
 # close last.
 PROBE_DELAY_S = 0.01
+# After this gateway lost its path to a service, an endpoint counts as crashed
+# only if control learns of its restart or lease end within this time.
+END_EVIDENCE_S = 10.0
+END_EVIDENCE_POLL_S = 0.25
 # Crashed endpoints that are remembered, as sends that are found lost later
 # belong to the same crash.
 MAX_CRASHED = 256
@@ -29,6 +34,8 @@
         endpoints: Known endpoints with their states and restarts.
         spawn: Runs a probe in the background.
         on_crash: Called with each crash, and again with later suspects.
+        reaches_another: Returns whether this gateway has reached an endpoint
+            other than the given one since a time, or knows of no other one.
         suspects: Lost sends by endpoint, while a probe is in progress.
         crashed: Boot clock seconds of the first lost send of each crash.
     """
@@ -36,6 +43,9 @@
     endpoints: endpointset.EndpointSet
     spawn: Callable
     on_crash: Callable[[crashes.Crash], None]
+    reaches_another: Callable[
+        [endpointset.KnownEndpoint, float], Awaitable[bool]
+    ]
     suspects: dict[crashes.EndpointKey, list[crashes.Suspect]] = attrs.Factory(
         dict
     )
@@ -70,13 +80,27 @@
         """Probe an endpoint and report a crash if its process has ended."""
         await asyncio.sleep(PROBE_DELAY_S)
         listener = await endpointprobe.probe(endpoint.announcement.address)
-        lost_sends = self.suspects.pop(key)
         has_crashed = self.has_crashed(endpoint, listener)
+        # A lost path resets connections and refuses new ones as well.
+        path_works = not has_crashed or await self.reaches_another(
+            endpoint, lost_at
+        )
+        if not path_works:
+            LOG.info(
+                "endpoint not reached",
+                endpoint=key.endpoint,
+                incarnation=key.incarnation,
+                listener=listener.value,
+                suspects=len(self.suspects[key]),
+            )
+            has_crashed = await self.has_ended(endpoint)
+        lost_sends = self.suspects.pop(key)
         LOG.info(
             "endpoint crashed" if has_crashed else "endpoint broke connection",
             endpoint=key.endpoint,
             incarnation=key.incarnation,
             listener=listener.value,
+            path_works=path_works,
             state=endpoint.announcement.state.value,
             suspects=[suspect.fingerprint.text for suspect in lost_sends],
         )
@@ -102,6 +126,17 @@
             return False
         return listener is endpointprobe.ListenerState.CLOSED
 
+    async def has_ended(self, endpoint: endpointset.KnownEndpoint) -> bool:
+        """Return whether the control plane learns of an endpoint's crash."""
+        end = clocks.boot_time() + END_EVIDENCE_S
+        while clocks.boot_time() < end:
+            if self.endpoints.has_restarted(endpoint) or endpoint.expired:
+                return True
+            if not self.endpoints.is_current(endpoint):
+                return False
+            await asyncio.sleep(END_EVIDENCE_POLL_S)
+        return False
+
     def record_crash(self, key: crashes.EndpointKey, lost_at: float) -> None:
         """Record a crash; drop the oldest one beyond the limit."""
         self.crashed[key] = lost_at
--- a/src/_coltsfootroad/gateway/reachmonitor.py
+++ b/src/_coltsfootroad/gateway/reachmonitor.py
@@ -22,6 +22,9 @@
 # isolated together do not connect together.
 PROBE_INTERVAL_S = 0.5
 PROBE_JITTER = (0.8, 1.2)
+# Numbers of endpoints that are connected to, in turn, to tell a lost path from
+# a crash; the later ones matter only if many endpoints crash together.
+WITNESS_COUNTS = (2, 6)
 # Pause between successful probes. A path has to work for a moment before it is
 # used again.
 PASS_INTERVAL_S = 0.2
@@ -92,6 +95,45 @@
         )
         self.on_change()
 
+    async def reaches_another(
+        self, endpoint: endpointset.KnownEndpoint, since: float
+    ) -> bool:
+        """Return whether another endpoint of the service was reached `since`.
+
+        Also returns True if the service has no other endpoint.
+        """
+        service = endpoint.announcement.service
+        reach = self.reach.of(service)
+        if reach.connected_at >= since:
+            return True
+        self.record_failed(endpoint)
+        serving = self.reach.endpoints.serving_endpoints(service)
+        others = [other for other in serving if other is not endpoint]
+        if not others:
+            return True
+        self.rng.shuffle(others)
+        for count in WITNESS_COUNTS:
+            witnesses, others = others[:count], others[count:]
+            await asyncio.gather(*map(self.test, witnesses))
+            if reach.connected_at >= since:
+                return True
+        return False
+
+    async def test(self, endpoint: endpointset.KnownEndpoint) -> bool:
+        """Connect to an endpoint, record the result and return it."""
+        listener = await endpointprobe.probe(endpoint.announcement.address)
+        LOG.info(
+            "path probed",
+            service=endpoint.announcement.service,
+            endpoint=endpoint.name,
+            listener=listener.value,
+        )
+        if listener is endpointprobe.ListenerState.OPEN:
+            self.record_connected(endpoint)
+            return True
+        self.record_failed(endpoint)
+        return False
+
     def on_endpoint_started(self) -> None:
         """Probe soon, as a new incarnation may be reachable."""
         self.wake.set()
@@ -108,19 +150,9 @@
                 self.end_isolation(service, isolated_s)
                 return
             self.wake.clear()
-            listener = await endpointprobe.probe(endpoint.announcement.address)
-            LOG.info(
-                "service probed",
-                service=service,
-                endpoint=endpoint.name,
-                listener=listener.value,
-                passes=reach.passes,
-            )
-            if listener is endpointprobe.ListenerState.OPEN:
-                self.record_connected(endpoint)
+            if await self.test(endpoint):
                 await asyncio.sleep(PASS_INTERVAL_S)
             else:
-                self.record_failed(endpoint)
                 await self.pause()
 
     def next_endpoint(self, service: str) -> endpointset.KnownEndpoint | None:
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -99,7 +99,10 @@
             settings.gateway, settings.availability_zone, self.rng
         )
         self.crash_detector = crashdetector.CrashDetector(
-            self.endpoints, self.spawn, self.report_crash
+            self.endpoints,
+            self.spawn,
+            self.report_crash,
+            self.reach_monitor.reaches_another,
         )
         self.pools: dict[str, upstream.EndpointPool] = {}
         self.budgets: dict[str, windowbudget.WindowBudget] = {}
