gateway: leave gateways that reach no endpoint out of the addresses

What callers saw: they kept coming to gateways that were cut off from all endpoints in proportion (66 first tries there, 53 elsewhere). Cause: the addresses knew load, zone and leaving of a gateway, not whether it reaches endpoints. Change: a gateway that is isolated from every service says so with its watch, and all gateways leave it out of the addresses, as long as half of the gateways are left. Beyond that callers stay: forwarding serves them, and a few gateways could not bear all connections; the list is never empty for this reason. Ruled out: taking it out of the rotation, which would also change the shares of limits and who receives summaries; 'not ready', as it serves. Evidence: directory.feature, four of eight new rows failed before, all hold.

--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -1,5 +1,6 @@
 """Steps for the addresses of gateways that callers get."""
 
+import attrs
 from behave import given
 from behave import then
 
@@ -23,6 +24,24 @@
     )
 
 
+@given("{counts} of the gateways of each zone reach no endpoint")
+def reach_no_endpoint(context, counts):
+    left = dict(zip(ZONES, map(int, counts.split()), strict=True))
+    members = []
+    for member in context.members:
+        isolated = left[member.availability_zone] > 0
+        left[member.availability_zone] -= isolated
+        members.append(attrs.evolve(member, isolated=isolated))
+    context.members = tuple(members)
+
+
+@then("callers of zone {zone} get isolated gateways: {kept}")
+def isolated_kept(context, zone, kept):
+    found = directory.addresses_for_zone(context.members, zone)
+    isolated = {m.address for m in context.members if m.isolated}
+    assert bool(isolated.intersection(found)) == (kept == "yes"), found
+
+
 @then("callers of zone {zone} get {near:d} local and {far:d} remote gateways")
 def local_and_remote(context, zone, near, far):
     found = directory.addresses_for_zone(context.members, zone)
--- a/src/_coltsfootroad/core/endpointset.py
+++ b/src/_coltsfootroad/core/endpointset.py
@@ -146,6 +146,14 @@
             ]
         return found
 
+    def serving_services(self) -> set[str]:
+        """Return the services that have endpoints that take new work."""
+        return {
+            known.announcement.service
+            for known in self.known.values()
+            if known.accepts
+        }
+
     def serves(self, name: str, service: str) -> bool:
         """Return whether an endpoint takes new work of a service."""
         known = self.known.get(name)
--- a/src/_coltsfootroad/core/reachability.py
+++ b/src/_coltsfootroad/core/reachability.py
@@ -140,6 +140,13 @@
         reach = self.services.get(service)
         return reach is not None and reach.is_isolated
 
+    def is_isolated_from_all(self) -> bool:
+        """Return whether the gateway reaches no service that has endpoints."""
+        if not self.isolated_services():
+            return False
+        services = self.endpoints.serving_services()
+        return bool(services) and all(map(self.is_isolated_from, services))
+
     def isolated_at(self, service: str) -> float:
         """Return since when the gateway is isolated, infinity if it is not."""
         reach = self.services.get(service)
--- a/src/_coltsfootroad/gateway/directory.py
+++ b/src/_coltsfootroad/gateway/directory.py
@@ -14,6 +14,10 @@
 MIN_ADDRESSES = 4
 HASH_KEY_PREFIX = "directory"
 MAX_ADDRESSES = 64
+# Isolated gateways are left out only while at least this share of the gateways
+# is not isolated. They still serve callers through the others, and few gateways
+# could not bear the connections of all callers.
+MIN_REACHING_SHARE = 0.5
 MAX_QUERY_BODY = 1024
 
 
@@ -21,6 +25,9 @@
     members: tuple[addresses.Member, ...], zone: str
 ) -> tuple[str, ...]:
     """Return the addresses of gateways for the callers of a zone."""
+    reaching = tuple(m for m in members if not m.isolated)
+    if len(reaching) >= MIN_REACHING_SHARE * len(members):
+        members = reaching
     local = [m for m in members if m.availability_zone == zone]
     remote = [m for m in members if m.availability_zone != zone]
     # Zones that need remote gateways choose different ones.
