gateway: a send that the budget refuses says nothing about its endpoint

What callers saw: after the retry budget had refused a send, its endpoint was ejected for 0.7 s and more, as if it could not be connected to. Change: the end of such a call is 'not_allowed'; health is not updated by it. Evidence: promises.feature 'A send that the retry budget refuses says nothing about its endpoint' failed before (four endpoints ejected) and holds.

--- a/features/gateway/promises.feature
+++ b/features/gateway/promises.feature
@@ -67,3 +67,9 @@
     When a version comes that fails to apply, and 1 s later another one
     Then all gateways serve the last version within 1 s
     And no gateway counted the version before it as current meanwhile
+
+  # Guards against ejecting an endpoint for a retry that this gateway's own budget
+  # refused before anything was sent.
+  Scenario: A send that the retry budget refuses says nothing about its endpoint
+    When the retry budget refuses each send of a safe request
+    Then no endpoint was sent anything, and none is ejected
--- a/features/steps/promises_steps.py
+++ b/features/steps/promises_steps.py
@@ -11,6 +11,7 @@
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.gateway import sendbudget
 from _coltsfootroad.gateway import watch as watch_lib
 from _coltsfootroad.shell import clocks
 from benchmarks import mixes
@@ -276,3 +277,27 @@
 @then("no gateway counted the version before it as current meanwhile")
 def not_current(context):
     assert max(context.proved) <= relayworld.ONE_WAY_DELAY_S * 4, context.proved
+
+
+@when("the retry budget refuses each send of a safe request")
+def budget_refuses(context):
+    async def story(bed):
+        endpoints = [await bed.add(f"e{n}", "answer") for n in range(4)]
+        with mock.patch.object(
+            sendbudget.SendBudget, "charge", return_value=False
+        ):
+            await bed.ask("/safe/x")
+        context.seen = [seen for e in endpoints for seen in e.seen]
+        context.ejected = [
+            known.name
+            for known in bed.gateway.endpoints.known.values()
+            if known.ejected_until > 0
+        ]
+
+    gateway_steps.run_with_bed(context, story)
+
+
+@then("no endpoint was sent anything, and none is ejected")
+def none_ejected(context):
+    assert not context.seen, context.seen
+    assert not context.ejected, context.ejected
--- a/features/support/crashworld.py
+++ b/features/support/crashworld.py
@@ -75,8 +75,10 @@
         engine = self.world.engines[self.address]
         if observer is not None:
             observer.on_ended(connect_failure(engine))
-        if not engine.up or engine.dark or not may_send():
+        if not engine.up or engine.dark:
             return upstream.CallEnd.NOT_SENT
+        if not may_send():
+            return upstream.CallEnd.NOT_ALLOWED
         headers = httputil.HTTPHeaders(
             {
                 "X-Request-Id": request.headers["X-Request-Id"],
@@ -119,7 +121,7 @@
     ) -> upstream.CallEnd:
         """Serve a forwarded request at the other gateway."""
         if not may_send():
-            return upstream.CallEnd.NOT_SENT
+            return upstream.CallEnd.NOT_ALLOWED
         await asyncio.sleep(relayworld.ONE_WAY_DELAY_S)
         names = self.gateway.dialect.names
         connection = await self.world.serve(
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -487,7 +487,7 @@
         self, end: upstream.CallEnd, sink: responses.BufferedResponse
     ) -> sends_lib.Outcome:
         """Return the outcome of a send."""
-        if end is upstream.CallEnd.NOT_SENT:
+        if end in upstream.NOTHING_SENT:
             return sends_lib.Outcome.NOT_RUN
         if sink.genuine and sink.proves_not_run():
             return sends_lib.Outcome.NOT_RUN
--- a/src/_coltsfootroad/gateway/health.py
+++ b/src/_coltsfootroad/gateway/health.py
@@ -23,8 +23,7 @@
 ) -> None:
     """Record the outcome of a send for the endpoints that took part."""
     name = choice.endpoint.name
-    if end is upstream.CallEnd.STOPPED:
-        # The gateway itself stopped the send; the endpoint is not at fault.
+    if end in upstream.OWN_ENDS:
         return
     if not endpoints.is_current(choice.endpoint):
         # The outcome of an earlier incarnation does not apply to this one.
--- a/src/_coltsfootroad/gateway/peerforwarding.py
+++ b/src/_coltsfootroad/gateway/peerforwarding.py
@@ -143,7 +143,7 @@
         sent again after its connection was lost.
         """
         sends = self.exchange.sends
-        if end is upstream.CallEnd.NOT_SENT:
+        if end in upstream.NOTHING_SENT:
             return sends_lib.Outcome.NOT_RUN
         is_complete = (
             end is upstream.CallEnd.COMPLETE and sink.is_body_complete()
--- a/src/_coltsfootroad/gateway/upstream.py
+++ b/src/_coltsfootroad/gateway/upstream.py
@@ -65,13 +65,22 @@
     """How a call on a connection ended."""
 
     COMPLETE = "complete"
+    # No connection was established.
     NOT_SENT = "not_sent"
+    # The sender itself refused the send right before it.
+    NOT_ALLOWED = "not_allowed"
     LOST = "lost"
     SILENT = "silent"
     # Cancelled by the gateway because the request went into quarantine.
     STOPPED = "stopped"
 
 
+# Ends of calls that wrote nothing to the connection.
+NOTHING_SENT = (CallEnd.NOT_SENT, CallEnd.NOT_ALLOWED)
+# Ends that the gateway itself caused, so that the endpoint is not at fault.
+OWN_ENDS = (CallEnd.NOT_ALLOWED, CallEnd.STOPPED)
+
+
 @attrs.frozen(kw_only=True)
 class UpstreamRequest:
     """The request line, headers and body that are sent unchanged."""
@@ -220,7 +229,7 @@
             return CallEnd.NOT_SENT
         if not may_send():
             stream.close()
-            return CallEnd.NOT_SENT
+            return CallEnd.NOT_ALLOWED
         self.busy += 1
         try:
             return await self.exchange(stream, request, sink)
