gateway: keep a cancellation that arrives with a connection's result

What was seen: requests.feature, 'with no endpoint alive is refused at once', did not end in 5 of 10 runs since endpoints are probed; a probe went on after its cancellation. A caller that left in that moment kept its send, before too. Cause: asyncio.wait_for drops a cancellation if the awaited future is done. Change: asyncio.timeout for connections and probes. The headers between gateways are named X-Gateway-..., so that no caller's header is taken for one. Left: wait_for in watchserver, entryserver, controlserver and links.

--- a/features/gateway/cutoff.feature
+++ b/features/gateway/cutoff.feature
@@ -115,3 +115,14 @@
     When the links of gateway g1 fall silent and then a first request arrives
     Then the caller gets 200
     And the response took at most 0.6 s
+
+  # Guards against a probe that outlives its cancellation and keeps a process that
+  # stops from ending.
+  Scenario Outline: A <task> is cancelled as its result arrives
+    When a <task> is cancelled in the moment at which its connection is refused
+    Then the cancellation is not lost
+
+    Examples:
+      | task       |
+      | probe      |
+      | connection |
--- a/features/steps/cutoff_steps.py
+++ b/features/steps/cutoff_steps.py
@@ -7,8 +7,11 @@
 from behave import given
 from behave import then
 from behave import when
+from tornado import iostream
 
 from _coltsfootroad.core import registry
+from _coltsfootroad.gateway import endpointprobe
+from _coltsfootroad.gateway import upstream
 from features.support import gatewaybed
 from features.support import gatewayfleet
 
@@ -341,8 +344,8 @@
         version = "99" if has.startswith("needs") else "1"
         extra = {
             "X-Forwarded-By-Gateway": "g9",
-            "X-Routes-Version": version,
-            "X-Attempts-Left": "1",
+            "X-Gateway-Routes-Version": version,
+            "X-Gateway-Attempts-Left": "1",
         }
         options = {"key": "unknown"} if has == "has no key" else {}
         found = await fleet.ask(
@@ -368,8 +371,8 @@
     for headers in context.seen:
         assert not headers.keys() & {
             "x-forwarded-by-gateway",
-            "x-routes-version",
-            "x-attempts-left",
+            "x-gateway-routes-version",
+            "x-gateway-attempts-left",
         }, headers
 
 
@@ -471,3 +474,37 @@
 @then("the response took at most {most:g} s")
 def took_at_most(context, most):
     assert context.took_s <= most, context.took_s
+
+
+@when("a {task} is cancelled in the moment at which its connection is refused")
+def cancelled_with_result(context, task):
+    async def run():
+        loop = asyncio.get_running_loop()
+        connecting = loop.create_future()
+
+        def connect(*_):
+            return connecting
+
+        pool = upstream.EndpointPool("127.0.0.1:1")
+        with (
+            mock.patch.object(loop, "sock_connect", connect),
+            mock.patch.object(iostream.IOStream, "connect", connect),
+        ):
+            started = asyncio.ensure_future(
+                endpointprobe.probe("127.0.0.1:1")
+                if task == "probe"
+                else pool.connect()
+            )
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            connecting.set_exception(ConnectionRefusedError())
+            started.cancel()
+            await asyncio.wait([started])
+        context.cancelled = started.cancelled()
+
+    asyncio.run(run())
+
+
+@then("the cancellation is not lost")
+def cancellation_kept(context):
+    assert context.cancelled
--- a/src/_coltsfootroad/gateway/endpointprobe.py
+++ b/src/_coltsfootroad/gateway/endpointprobe.py
@@ -28,10 +28,10 @@
     raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     raw.setblocking(False)
     try:
-        await asyncio.wait_for(
-            loop.sock_connect(raw, settings_lib.split_address(address)),
-            timeout_s,
-        )
+        # Unlike `asyncio.wait_for`, this does not drop a cancellation that
+        # arrives together with the result.
+        async with asyncio.timeout(timeout_s):
+            await loop.sock_connect(raw, settings_lib.split_address(address))
     except (ConnectionRefusedError, ConnectionResetError):
         return ListenerState.CLOSED
     except (OSError, TimeoutError):
--- a/src/_coltsfootroad/gateway/names.py
+++ b/src/_coltsfootroad/gateway/names.py
@@ -56,8 +56,8 @@
     last_event_id: str = "Last-Event-Id"
     retry_after: str = "Retry-After"
     forwarded_by: str = "X-Forwarded-By-Gateway"
-    routes_version: str = "X-Routes-Version"
-    attempts_left: str = "X-Attempts-Left"
+    routes_version: str = "X-Gateway-Routes-Version"
+    attempts_left: str = "X-Gateway-Attempts-Left"
 
     def overridden(self) -> frozenset[str]:
         """Return the lower-case names that only the gateway may set."""
--- a/src/_coltsfootroad/gateway/upstream.py
+++ b/src/_coltsfootroad/gateway/upstream.py
@@ -184,10 +184,10 @@
         stream = iostream.IOStream(raw)
         self.opened += 1
         try:
-            await asyncio.wait_for(
-                stream.connect(settings_lib.split_address(self.address)),
-                CONNECT_TIMEOUT_S,
-            )
+            # Unlike `asyncio.wait_for`, this does not drop a cancellation that
+            # arrives together with the result.
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await stream.connect(settings_lib.split_address(self.address))
         except (iostream.StreamClosedError, OSError, TimeoutError) as error:
             stream.close()
             return None, connect_failure(error)
