soak: cut gateways off from all endpoints, in series and beside signals

The audit checks first tries at cut-off gateways from 3 s on: two thirds as often as at others, or at most 10 and one in 50 failing. Ruled out: proxies by pair of gateway and endpoint, as endpoints announce one address; the gateway's launcher redirects its connections instead.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -53,6 +53,15 @@
       | seed | served |
       | 1    | 60     |
 
+  # Guards against gateways that fail callers although others reach the endpoints.
+  Scenario Outline: Gateways are cut off from all endpoints in series, seed <seed>
+    When gateways are cut off from all endpoints in a soak of seed <seed>
+    Then no guarantee is violated and at least <served> requests are served
+
+    Examples:
+      | seed | served |
+      | 1    | 300    |
+
   Scenario Outline: A seed draws the same faults, within the fault tolerance
     Then seeds 0 to <most> draw the same faults twice
     And no disk is lost within <clear> s of another fault of the replicas
@@ -146,4 +155,6 @@
       | another request is quarantined         | is in quarantine          |
       | retries exceed the budget              | retries in 10 s           |
       | retries use up the budget              | nothing                   |
+      | cut-off gateways serve too little      | cut off from endpoints served 20 of 60 |
+      | cut-off gateways serve enough          | nothing                   |
       | a process stops too slowly             | exited with 0 after 20.0 s |
--- a/features/soak/audit.py
+++ b/features/soak/audit.py
@@ -27,6 +27,12 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 20.0
 RETRY_WINDOW_S = 10.0
+# From a cut off from all endpoints on, a gateway has this long to find another
+# way; then it may fail these many first tries, or serve this part as often.
+CONTACT_S = 3.0
+FAILED_CUT_OFF = 10
+FAILED_CUT_OFF_SHARE = 1 / 50
+MIN_CUT_OFF_RATIO = 2 / 3
 # Gateway of a disturbance that keeps all gateways from reaching the replicas.
 ALL_GATEWAYS = -1
 
@@ -98,6 +104,8 @@
     revoked_at: dict[str, float] = attrs.Factory(dict)
     left_at: dict[str, float] = attrs.Factory(dict)
     disturbances: list[Disturbance] = attrs.Factory(list)
+    # Times in which a gateway was cut off from all endpoints.
+    cuts: list[Disturbance] = attrs.Factory(list)
     exits: list[Exit] = attrs.Factory(list)
     read_back: tuple[int, bytes] | None = None
     # Repairs of lost replicas that did not complete in time.
@@ -133,6 +141,7 @@
     violations += check_exits(observed)
     violations += check_quarantine(observed)
     violations += check_retry_budget(observed)
+    violations += check_cuts(observed)
     return violations + observed.repair_failures
 
 
@@ -154,6 +163,46 @@
     return [worst[1]] if worst[0] > 0 else []
 
 
+def check_cuts(observed: Observations) -> list[str]:
+    """Check that cut-off gateways serve two thirds as often as the others.
+
+    Each request of a caller is a first try. Requests count from CONTACT_S after
+    the cut on, and if nothing else disturbs their gateway or the replicas.
+    """
+    cut_off, others = [], []
+    for outcome in observed.outcomes:
+        active = [
+            cut
+            for cut in observed.cuts
+            if cut.begin <= outcome.ended_at and cut.end >= outcome.started_at
+        ]
+        if not active or is_disturbed(outcome, observed, True):
+            continue
+        own = [cut for cut in active if cut.gateway == outcome.gateway]
+        if not own:
+            others.append(outcome)
+        elif outcome.started_at >= own[0].begin + CONTACT_S:
+            cut_off.append(outcome)
+    if not cut_off or not others:
+        return []
+    failed = sum(not is_served(outcome) for outcome in cut_off)
+    share = 1 - failed / len(cut_off)
+    expected = sum(map(is_served, others)) / len(others)
+    total = len(cut_off) + len(others)
+    allowed = FAILED_CUT_OFF + FAILED_CUT_OFF_SHARE * total
+    if share >= MIN_CUT_OFF_RATIO * expected or failed <= allowed:
+        return []
+    return [
+        f"gateways cut off from endpoints served {len(cut_off) - failed} of"
+        f" {len(cut_off)} requests, others {expected:.2f} of {len(others)}"
+    ]
+
+
+def is_served(outcome: Outcome) -> bool:
+    """Return whether a request got a complete success."""
+    return 200 <= outcome.status < 300 and outcome.complete
+
+
 def retry_excess(
     begin: float, retries: list[float], sent: list[float]
 ) -> tuple[float, str]:
--- a/features/soak/driver.py
+++ b/features/soak/driver.py
@@ -1,7 +1,9 @@
 """Injects the faults of a plan into a running fleet."""
 
 import asyncio
+import collections
 from collections.abc import Callable
+import contextlib
 import json
 import random
 import signal
@@ -11,13 +13,16 @@
 
 from _coltsfootroad.control import messages
 from _coltsfootroad.core import routes
+from _coltsfootroad.fakes import ports
 from features.soak import audit
 from features.soak import callers
 from features.soak import endpoints as endpoints_lib
 from features.soak import fleet as fleet_lib
 from features.soak import plan
+from features.soak import unanswered
 from features.support import gatewaybed
 
+HOST = "127.0.0.1"
 SLOW_DISK_SYNC_S = 0.4
 CLOCK_STEP_S = {"forward": 3_600.0, "back": -3_600.0}
 OPERATOR_TIMEOUT_S = 2.0
@@ -52,6 +57,12 @@
     # How much later than planned faults are injected.
     delay_s: float = 0.0
     keys: list[str] = attrs.Factory(callers.initial_keys)
+    # Gateways that are cut off from all endpoints now.
+    cut_off: set[int] = attrs.Factory(set)
+    # Cuts of one gateway follow each other.
+    cut_locks: dict[int, asyncio.Lock] = attrs.Factory(
+        lambda: collections.defaultdict(asyncio.Lock)
+    )
 
     async def run_faults(
         self, faults: list[plan.Fault], started_at: float
@@ -108,12 +119,24 @@
             )
         )
 
+    def record_broken_connections(self, gateway: int) -> None:
+        """Record that a gateway's connections break now.
+
+        Requests that cut-off gateways forward through it may break as well.
+        """
+        now = time.monotonic()
+        self.observed.disturbances += [
+            audit.Disturbance(gateway=index, begin=now, end=now)
+            for index in {gateway, *self.cut_off}
+        ]
+
     # --- gateways --------------------------------------------------------
 
     async def do_kill_gateway(self, fault):
         """Kill a gateway and restart it."""
         program = self.fleet.gateways[fault.target]
         self.record_disturbance(fault.target, fault, GATEWAY_RECOVERY_S)
+        self.record_broken_connections(fault.target)
         program.kill()
         await asyncio.sleep(fault.duration_s)
         self.restart(program)
@@ -131,6 +154,26 @@
         """Send SIGHUP to a gateway, which must not end it."""
         self.fleet.gateways[fault.target].signal(signal.SIGHUP)
 
+    async def do_cut_gateway(self, fault):
+        """Cut a gateway off from all endpoints for the duration."""
+        index = fault.target
+        async with self.cut_locks[index]:
+            with contextlib.ExitStack() as stack:
+                instead = f"{HOST}:{ports.free_port(HOST)}"
+                if fault.mode == "silent":
+                    instead = stack.enter_context(unanswered.listener())
+                self.cut_off.add(index)
+                if fault.mode == "reset":
+                    self.record_broken_connections(index)
+                self.fleet.cut(index, instead, fault.mode == "reset")
+                begin = time.monotonic()
+                await asyncio.sleep(fault.duration_s)
+                self.fleet.heal(index)
+                self.cut_off.discard(index)
+        self.observed.cuts.append(
+            audit.Disturbance(gateway=index, begin=begin, end=time.monotonic())
+        )
+
     # --- replicas --------------------------------------------------------
 
     async def do_kill_replica(self, fault):
--- a/features/soak/fleet.py
+++ b/features/soak/fleet.py
@@ -20,6 +20,7 @@
 from features.support import processstate
 
 LAUNCHER = pathlib.Path(__file__).with_name("launch.py")
+GATEWAY_LAUNCHER = pathlib.Path(__file__).with_name("launchgateway.py")
 TOKEN = "soak-token"
 HOST = ports_lib.process_host()
 STOP_TIMEOUT_S = 12.0
@@ -90,6 +91,8 @@
     folder: pathlib.Path
     # Rate of the link to each replica in bytes/s; 0 for no limit.
     link_bytes_per_s: float = 0.0
+    # Whether the gateways' paths to endpoints can be cut.
+    cutting: bool = False
     replicas: list[Program] = attrs.Factory(list)
     gateways: list[Program] = attrs.Factory(list)
     proxies: list[proxy_lib.Proxy] = attrs.Factory(list)
@@ -192,8 +195,11 @@
         self.addresses.append(ports["listen"])
         self.ready.append(ports["ready_listen"])
         self.directory.append(ports["directory_listen"])
-        module = "_coltsfootroad.commands.gateway"
-        command = [sys.executable, "-m", module, "--settings", str(path)]
+        command = [sys.executable, "-m", "_coltsfootroad.commands.gateway"]
+        if self.cutting:
+            command = [sys.executable, str(GATEWAY_LAUNCHER)]
+            command += ["--faults", str(self.cut_path(index))]
+        command += ["--settings", str(path)]
         log = self.folder / f"gateway-{index}.log"
         self.gateways.append(Program(f"gateway {index}", command, log))
 
@@ -209,6 +215,19 @@
         """Replace a replica's active faults; none clears them."""
         self.faults_path(index).write_text(json.dumps(faults))
 
+    def cut_path(self, index: int) -> pathlib.Path:
+        """Return the path of the file with a gateway's active cut."""
+        return self.folder / f"cut-{index}.json"
+
+    def cut(self, index: int, instead: str, reset: bool) -> None:
+        """Connect a gateway to another address instead of any endpoint."""
+        cut = {"gateways": self.addresses, "instead": instead, "reset": reset}
+        self.cut_path(index).write_text(json.dumps(cut))
+
+    def heal(self, index: int) -> None:
+        """Restore a gateway's paths to all endpoints."""
+        self.cut_path(index).unlink(missing_ok=True)
+
     def write_settings(self, name: str, settings: dict) -> pathlib.Path:
         """Write a settings file."""
         path = self.folder / f"{name}.json"
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -15,6 +15,8 @@
 # be lost at a time, and it counts as lost until it has caught up.
 WIPE_ISOLATION_S = 8.0
 KEY_COUNT = 6
+# Longer than the time that a gateway has to find another way.
+CUT_DURATION_S = (5.0, 8.0)
 # A replacement replica has started and votes within this time.
 REPLACEMENT_START_S = 4.0
 
@@ -40,6 +42,7 @@
     LEAVE_ENDPOINT = "leave endpoint"
     MISBEHAVE = "misbehave endpoint"
     SHED_ENDPOINTS = "shed at all endpoints"
+    CUT_GATEWAY = "cut gateway off from endpoints"
     VERSION = "version"
     VERSION_BURST = "storm of versions"
     VERSION_RACE = "race of versions"
@@ -65,7 +68,11 @@
 # Faults that lose a replica's disk permanently.
 LOSS_KINDS = (FaultKind.WIPE_REPLICA, FaultKind.REPLACE_REPLICA)
 # Drawn only for soaks of their own.
-SPECIAL_KINDS = (FaultKind.REPLACE_REPLICA, FaultKind.SHED_ENDPOINTS)
+SPECIAL_KINDS = (
+    FaultKind.REPLACE_REPLICA,
+    FaultKind.SHED_ENDPOINTS,
+    FaultKind.CUT_GATEWAY,
+)
 DRAWN_KINDS = tuple(kind for kind in FaultKind if kind not in SPECIAL_KINDS)
 ENDPOINT_KINDS = (
     FaultKind.ENDPOINT_LINK,
@@ -73,6 +80,13 @@
     FaultKind.LEAVE_ENDPOINT,
     FaultKind.MISBEHAVE,
 )
+KINDS_BESIDE_CUTS = (
+    FaultKind.KILL_GATEWAY,
+    FaultKind.STOP_GATEWAY,
+    FaultKind.RELOAD_GATEWAY,
+    FaultKind.CRASH_ENDPOINT,
+    FaultKind.VERSION,
+)
 # Modes of each kind, one of which is drawn with the fault.
 MODES = {
     FaultKind.STORAGE: ("slow", "full"),
@@ -92,6 +106,7 @@
         "silence",
     ),
     FaultKind.REPLACE_REPLICA: ("without a word", "planned"),
+    FaultKind.CUT_GATEWAY: ("reset", "silent", "refuse new"),
     FaultKind.MISBEHAVE: (
         "fail",
         "reject",
@@ -117,6 +132,7 @@
         routes: Additional routes of each version that receive no requests.
         poisons: Poison requests, which crash each endpoint that runs them.
         shedding: Whether all endpoints shed while gateways restart in series.
+        cutting: Whether gateways are cut off from all endpoints in series.
     """
 
     replicas: int = 3
@@ -129,6 +145,7 @@
     routes: int = 0
     poisons: int = 0
     shedding: bool = False
+    cutting: bool = False
 
     @property
     def callers_stop_s(self) -> float:
@@ -257,6 +274,41 @@
     return found
 
 
+def draw_with_cuts(seed: int, options: SoakOptions) -> list[Fault]:
+    """Return series of cuts of one or most gateways beside other faults.
+
+    Cuts of a series begin together; the next series may overlap. Signals,
+    restarts of gateways, crashes of endpoints and versions come at random.
+    """
+    rng = random.Random(seed)
+    found = []
+    at = WARM_UP_S
+    while at < WARM_UP_S + options.seconds:
+        count = rng.choice((1, 1, options.gateways // 2, options.gateways - 1))
+        duration_s = rng.uniform(*CUT_DURATION_S)
+        mode = rng.choice(MODES[FaultKind.CUT_GATEWAY])
+        for target in rng.sample(range(options.gateways), count):
+            found.append(
+                Fault(
+                    at=at,
+                    kind=FaultKind.CUT_GATEWAY,
+                    target=target,
+                    duration_s=duration_s,
+                    mode=mode,
+                )
+            )
+        at += rng.uniform(0.6, 1.2) * duration_s
+    at = WARM_UP_S
+    while at < WARM_UP_S + options.seconds:
+        at += rng.expovariate(1 / (3 * MEAN_FAULT_INTERVAL_S))
+        kind = rng.choice(KINDS_BESIDE_CUTS)
+        is_endpoint = kind is FaultKind.CRASH_ENDPOINT
+        targets = options.endpoints if is_endpoint else options.gateways
+        target = rng.randrange(targets)
+        found.append(Fault(at=at, kind=kind, target=target, duration_s=1.0))
+    return sorted(found, key=lambda fault: fault.at)
+
+
 def follows_earlier_loss(fault: Fault, losses: list[Fault]) -> bool:
     """Return whether a fault loses a replica after an earlier loss."""
     is_later = bool(losses) and fault.at > losses[-1].at
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -43,6 +43,9 @@
 SHEDDING = flags.DEFINE_bool(
     "shedding", False, "All endpoints shed while gateways restart in series."
 )
+CUTTING = flags.DEFINE_bool(
+    "cutting", False, "Gateways are cut off from all endpoints in series."
+)
 ROUTES = flags.DEFINE_integer(
     "routes", 0, "Additional routes without requests."
 )
@@ -64,7 +67,9 @@
     observed = audit.Observations()
     rng = random.Random(seed)
     fleet = fleet_lib.Fleet(
-        folder, link_bytes_per_s=options.mbits * BYTES_PER_MBIT
+        folder,
+        link_bytes_per_s=options.mbits * BYTES_PER_MBIT,
+        cutting=options.cutting,
     )
     stopping = threading.Event()
     threads = []
@@ -108,6 +113,8 @@
         return plan.draw_with_poison(seed, options)
     if options.shedding:
         return plan.draw_with_shedding(seed, options)
+    if options.cutting:
+        return plan.draw_with_cuts(seed, options)
     if options.replacing:
         return plan.draw_replacements(seed, options)
     return plan.draw_faults(seed, options)
@@ -273,6 +280,7 @@
         routes=ROUTES.value,
         poisons=POISONS.value,
         shedding=SHEDDING.value,
+        cutting=CUTTING.value,
     )
     failed = 0
     for seed in seeds:
--- a/features/steps/crashes_steps.py
+++ b/features/steps/crashes_steps.py
@@ -1,8 +1,6 @@
 """Steps for crashes of endpoints."""
 
 import asyncio
-import contextlib
-import socket
 import subprocess
 import sys
 
@@ -12,12 +10,11 @@
 from _coltsfootroad.core import fingerprints
 from _coltsfootroad.core import registry
 from _coltsfootroad.gateway import endpointprobe
+from features.soak import unanswered
 from features.steps import gateway_steps
 
 # Margin after a probe's time-out; its result is known by then.
 SETTLED_S = 0.15
-# Connections that fill the accept queue of a listener with backlog 0.
-FULL_BACKLOG = 4
 REQUEST = {
     "method": "POST",
     "host": "shop.example",
@@ -35,21 +32,6 @@
 }
 
 
-@contextlib.contextmanager
-def silent_listener():
-    """Yield an address at which connection attempts time out."""
-    with contextlib.ExitStack() as stack:
-        listener = stack.enter_context(socket.socket())
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(0)
-        address = listener.getsockname()
-        for _ in range(FULL_BACKLOG):
-            raw = stack.enter_context(socket.socket())
-            raw.setblocking(False)
-            raw.connect_ex(address)
-        yield f"{address[0]}:{address[1]}"
-
-
 async def until_in_flight(endpoint, count: int) -> None:
     """Wait until an endpoint has received some requests."""
     while len(endpoint.seen) < count:
@@ -79,7 +61,7 @@
             asyncio.ensure_future(bed.ask("/unsafe/x")) for _ in range(count)
         ]
         await until_in_flight(endpoint, count)
-        with silent_listener() as address:
+        with unanswered.listener() as address:
             if act == "lose its network":
                 bed.announce(endpoint, seq=2, address=address)
             await perform(bed, endpoint, act)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -71,6 +71,12 @@
     run_in_scenario(context, seed, options)
 
 
+@when("gateways are cut off from all endpoints in a soak of seed {seed:d}")
+def soak_cutting(context, seed):
+    options = plan.SoakOptions(cutting=True, seconds=SECONDS)
+    run_in_scenario(context, seed, options)
+
+
 @when("all endpoints shed while gateways restart in a soak of seed {seed:d}")
 def soak_shedding(context, seed):
     options = plan.SoakOptions(
@@ -294,6 +300,27 @@
     context.observed = observed
 
 
+def cut_off_outcomes(served: int) -> dict[str, list]:
+    """Return observations of a cut-off gateway that serves some of 60."""
+    found = [
+        outcome(
+            f"o{number}",
+            "safe",
+            gateway=number % 2,
+            started_at=14.0,
+            ended_at=14.1,
+            status=200 if number % 2 == 0 or number // 2 < served else 503,
+            body=audit.response_body(f"o{number}", "e1"),
+        )
+        for number in range(120)
+    ]
+    return {
+        "outcomes": found,
+        "runs": [ran(o.request, 14.05) for o in found if o.status == 200],
+        "cuts": [audit.Disturbance(gateway=1, begin=10.0, end=16.0)],
+    }
+
+
 @when("they are changed so that {fault}")
 def changed(context, fault):
     observed = context.observed
@@ -360,6 +387,8 @@
             "sent": [10.5 + n for n in range(10)],
             "arrivals": [("u", 10.0 + n / 10) for n in range(23)],
         },
+        "cut-off gateways serve too little": cut_off_outcomes(20),
+        "cut-off gateways serve enough": cut_off_outcomes(50),
         "a process stops too slowly": {
             "exits": [audit.Exit(name="gateway 0", code=0, took_s=20.0)]
         },
--- a/features/support/gatewayfleet.py
+++ b/features/support/gatewayfleet.py
@@ -5,7 +5,6 @@
 import concurrent.futures
 import contextlib
 import itertools
-import socket
 import time
 
 import attrs
@@ -19,12 +18,11 @@
 from _coltsfootroad.shell import metrics
 from _coltsfootroad.shell import settings as settings_lib
 from features.soak import proxy as proxy_lib
+from features.soak import unanswered
 from features.support import gatewaybed
 
 HOST = "127.0.0.1"
 ZONE = "a"
-# Connections that fill the accept queue of a listener with backlog 0.
-FULL_BACKLOG = 4
 PROOF_VALID_S = 1_000.0
 CALLER_THREADS = 64
 KINDS = ("safe", "unsafe", "stream")
@@ -48,7 +46,7 @@
         elif how == "silent":
             self.proxy.set_mode("silence")
             self.silent = contextlib.ExitStack()
-            hold_unanswered(self.silent, self.proxy.port)
+            self.silent.enter_context(unanswered.listener(self.proxy.port))
 
     async def heal(self) -> None:
         """Restore the path for new connections."""
@@ -65,18 +63,6 @@
         await self.proxy.close()
 
 
-def hold_unanswered(stack: contextlib.ExitStack, port: int) -> None:
-    """Listen at a port so that connection attempts are not answered."""
-    listener = stack.enter_context(socket.socket())
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((HOST, port))
-    listener.listen(0)
-    for _ in range(FULL_BACKLOG):
-        raw = stack.enter_context(socket.socket())
-        raw.setblocking(False)
-        raw.connect_ex((HOST, port))
-
-
 class PathEndpoint(gatewaybed.ScriptedEndpoint):
     """Streams on the stream route, else responds; counts runs by request."""
 
