--- a/src/_coltsfootroad/gateway/sockets.py
+++ b/src/_coltsfootroad/gateway/sockets.py
@@ -3,7 +3,9 @@
 import socket
 
 # A peer may vanish without a TCP reset. A connection with unacknowledged data
-# is closed after this time; idle connections send keep-alive probes.
+# is closed after this time; idle connections send keep-alive probes. On Linux,
+# this time also decides when unanswered probes close a connection, before their
+# count does. A sound peer may be silent for about a second.
 USER_TIMEOUT_MS = 3_000
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
