soak: count first tries only while another gateway can serve them

Change: a request counts only while another gateway runs, is not cut off and has had 3 s to return; stops of gateways are recorded. A row of the audit keeps it: 'no gateway reaches an endpoint'; the row that must fail still fails. Ruled out: counting a stopping gateway as able: it leaves the rotation, and refuses 3 s after its SIGTERM.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -157,4 +157,5 @@
       | retries use up the budget              | nothing                   |
       | cut-off gateways serve too little      | cut off from endpoints served 20 of 60 |
       | cut-off gateways serve enough          | nothing                   |
+      | no gateway reaches an endpoint         | nothing                   |
       | a process stops too slowly             | exited with 0 after 20.0 s |
--- a/features/soak/audit.py
+++ b/features/soak/audit.py
@@ -106,6 +106,8 @@
     disturbances: list[Disturbance] = attrs.Factory(list)
     # Times in which a gateway was cut off from all endpoints.
     cuts: list[Disturbance] = attrs.Factory(list)
+    # Times from the stop of a gateway to its restart.
+    absences: list[Disturbance] = attrs.Factory(list)
     exits: list[Exit] = attrs.Factory(list)
     read_back: tuple[int, bytes] | None = None
     # Repairs of lost replicas that did not complete in time.
@@ -167,9 +169,11 @@
     """Check that cut-off gateways serve two thirds as often as the others.
 
     Each request of a caller is a first try. Requests count from CONTACT_S after
-    the cut on, and if nothing else disturbs their gateway or the replicas.
+    the cut on, if nothing else disturbs their gateway or the replicas, and if
+    another gateway can serve them.
     """
     cut_off, others = [], []
+    gateways = {outcome.gateway for outcome in observed.outcomes}
     for outcome in observed.outcomes:
         active = [
             cut
@@ -181,7 +185,9 @@
         own = [cut for cut in active if cut.gateway == outcome.gateway]
         if not own:
             others.append(outcome)
-        elif outcome.started_at >= own[0].begin + CONTACT_S:
+        elif outcome.started_at >= own[0].begin + CONTACT_S and any(
+            can_serve(gateway, outcome, observed) for gateway in gateways
+        ):
             cut_off.append(outcome)
     if not cut_off or not others:
         return []
@@ -198,6 +204,20 @@
     ]
 
 
+def can_serve(gateway: int, outcome: Outcome, observed: Observations) -> bool:
+    """Return whether a gateway runs and reaches endpoints during a request.
+
+    After the end of a cut or of an absence, it has CONTACT_S to return.
+    """
+    spans = [*observed.cuts, *observed.absences, *observed.disturbances]
+    return not any(
+        span.gateway == gateway
+        and span.begin <= outcome.ended_at
+        and span.end + CONTACT_S >= outcome.started_at
+        for span in spans
+    )
+
+
 def is_served(outcome: Outcome) -> bool:
     """Return whether a request got a complete success."""
     return 200 <= outcome.status < 300 and outcome.complete
--- a/features/soak/driver.py
+++ b/features/soak/driver.py
@@ -148,7 +148,13 @@
 
     async def do_stop_gateway(self, fault):
         """Stop a gateway with SIGTERM and restart it after its exit."""
+        begin = time.monotonic()
         await self.stop_and_start(self.fleet.gateways[fault.target], fault)
+        self.observed.absences.append(
+            audit.Disturbance(
+                gateway=fault.target, begin=begin, end=time.monotonic()
+            )
+        )
 
     async def do_reload_gateway(self, fault):
         """Send SIGHUP to a gateway, which must not end it."""
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -389,6 +389,10 @@
         },
         "cut-off gateways serve too little": cut_off_outcomes(20),
         "cut-off gateways serve enough": cut_off_outcomes(50),
+        "no gateway reaches an endpoint": cut_off_outcomes(20)
+        | {
+            "absences": [audit.Disturbance(gateway=0, begin=9.0, end=12.0)],
+        },
         "a process stops too slowly": {
             "exits": [audit.Exit(name="gateway 0", code=0, took_s=20.0)]
         },
