--- a/features/gateway/cutoff.feature
+++ b/features/gateway/cutoff.feature
@@ -131,3 +131,9 @@
       | task       |
       | probe      |
       | connection |
+
+  # Guards against a gateway that does not answer other gateways either.
+  Scenario: One of the other gateways does not listen
+    Given 3 gateways and 4 endpoints
+    When g1 is cut off, g2 does not listen and g1 gets 6 requests
+    Then all of them are answered
--- a/features/steps/cutoff_steps.py
+++ b/features/steps/cutoff_steps.py
@@ -535,3 +535,21 @@
 @then("the cancellation is not lost")
 def cancellation_kept(context):
     assert context.cancelled
+
+
+@when("g1 is cut off, g2 does not listen and g1 gets {count:d} requests")
+def other_does_not_listen(context, count):
+    async def story(fleet):
+        await cut_and_learn(fleet, {"g1"}, "reset")
+        forget_seen(fleet, "")
+        kill(fleet.gateways["g2"])
+        for pool in fleet.gateways["g1"].pools.values():
+            pool.close()
+        context.last = [await fleet.ask("g1", "unsafe") for _ in range(count)]
+
+    run_with_fleet(context, story)
+
+
+@then("all of them are answered")
+def all_answered(context):
+    assert all(found.served for found in context.last), context.last
