tests: measure the length of a call in virtual time

Cause: 'A call that takes 5 ms is not reported' slept 5 ms of real time; a process that stood still for 30 ms meanwhile reported the call (known failure). Change: the call runs in virtual time, with a stall of 30 ms injected, so the row that failed once fails always in the old form: reproduced before, holds now.

--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -1,6 +1,7 @@
 """Steps on members, the gateways in rotation and their summaries of work."""
 
 import asyncio
+import time
 
 import attrs
 from behave import given
@@ -19,6 +20,9 @@
 from _coltsfootroad.gateway import ownwork
 from _coltsfootroad.gateway import watch as watch_lib
 from features.support import gatewaybed
+from features.support import virtualloop
+
+STALL_S = 0.03
 
 
 def member(name: str, zone: str = "z1") -> addresses.Member:
@@ -198,11 +202,14 @@
     async def call():
         work = ownwork.OwnWork(gateway)
         work.begin(engines.Choice(endpoint=known), None, False, 10.0)
+        # Keeps the process from running, as on a machine that is busy.
+        asyncio.get_running_loop().call_later(0.001, time.sleep, STALL_S)
         await asyncio.sleep(took / 1000)
         work.end()
         await asyncio.sleep(0.05)
 
-    asyncio.run(call())
+    with virtualloop.virtual_time() as loop:
+        loop.run_until_complete(call())
 
 
 @then("the call is {reported}")
