gateway: keep what concerns forwarding in one module

Change: moved to PeerForwarding: is_unreachable, allowed_attempts, record_received; 'test' of the monitor is test_path. No behaviour.

--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -138,7 +138,8 @@
             return
         self.admitted = result.ok
         self.sends = sends_lib.SendHistory(
-            attempts=self.allowed_attempts(), idempotent=self.route.idempotent
+            attempts=self.forwarding.allowed_attempts(),
+            idempotent=self.route.idempotent,
         )
         await start_up.wait(
             arrived_at,
@@ -147,9 +148,9 @@
             startup.CHOICE_POLL_INTERVAL_S,
         )
         if self.request.forwarded_by:
-            self.log_forwarded()
+            # The forwarding gateway counts it for the retry budget.
+            self.forwarding.record_received()
         else:
-            # The forwarding gateway has counted a forwarded request.
             self.gateway.budget(self.service.name).on_request(now)
         left_s = self.deadline - clocks.boot_time()
         try:
@@ -161,27 +162,6 @@
             self.work.end()
             self.budget.release()
 
-    def allowed_attempts(self) -> int:
-        """Return at how many endpoints the request may run."""
-        if not self.request.forwarded_by:
-            return self.route.attempts
-        left = self.request.stated_number(
-            self.names.attempts_left, self.route.attempts
-        )
-        return min(self.route.attempts, left)
-
-    def log_forwarded(self) -> None:
-        """Count and log a request that another gateway has forwarded."""
-        self.gateway.forwards["received"] += 1
-        LOG.info(
-            "request from gateway",
-            request=self.request_id,
-            gateway=self.request.forwarded_by,
-            service=self.service.name,
-            attempts=self.sends.attempts,
-            version=self.gateway.view.version,
-        )
-
     def has_room(self) -> bool:
         """Return whether a known endpoint can serve the request in time.
 
@@ -234,7 +214,7 @@
             return None
         now = clocks.boot_time()
         reason = self.cannot_send_reason(now)
-        if not reason and self.is_unreachable():
+        if not reason and self.forwarding.is_unreachable():
             self.refuse_unreachable()
             return None
         choice = None if reason else self.choose(now)
@@ -249,18 +229,6 @@
             return None
         return await self.attempt(choice)
 
-    def is_unreachable(self) -> bool:
-        """Return whether no endpoint can be reached.
-
-        Endpoints that were not tried since the path was lost, such as a new
-        incarnation, are left to requests that nobody forwarded: the gateway
-        that forwards may know another one that reaches the service.
-        """
-        if not self.forwarding.is_partitioned:
-            return False
-        untested = self.gateway.reach.untested_endpoints(self.service.name)
-        return bool(self.request.forwarded_by) or not untested
-
     def refuse_unreachable(self) -> None:
         """Refuse a request whose service no known gateway reaches."""
         if self.reply.streaming or self.budget.arrivals:
--- a/src/_coltsfootroad/gateway/peerforwarding.py
+++ b/src/_coltsfootroad/gateway/peerforwarding.py
@@ -1,6 +1,6 @@
-"""Forwards a request through another gateway that reaches its service.
+"""Forwards requests between gateways while a service is not reached.
 
-The request goes to the other gateway's listener for callers, with the caller's
+A request goes to the other gateway's listener for callers, with the caller's
 own key, so that path needs no trust of its own. A header marks it as forwarded;
 such a request is never forwarded again. A caller that sets the header itself
 only gives up being forwarded.
@@ -66,6 +66,45 @@
         exchange = self.exchange
         return exchange.gateway.reach.is_partitioned_from(exchange.service.name)
 
+    def is_unreachable(self) -> bool:
+        """Return whether no endpoint can be reached from this gateway.
+
+        Endpoints that were not tried since the path was lost, such as a new
+        incarnation, are left to requests that nobody forwarded: the gateway
+        that forwards may know another one that reaches the service.
+        """
+        if not self.is_partitioned:
+            return False
+        exchange = self.exchange
+        untested = exchange.gateway.reach.untested_endpoints(
+            exchange.service.name
+        )
+        return bool(exchange.request.forwarded_by) or not untested
+
+    def allowed_attempts(self) -> int:
+        """Return at how many endpoints the request may run."""
+        exchange = self.exchange
+        attempts = exchange.route.attempts
+        if not exchange.request.forwarded_by:
+            return attempts
+        left = exchange.request.stated_number(
+            exchange.names.attempts_left, attempts
+        )
+        return min(attempts, left)
+
+    def record_received(self) -> None:
+        """Count and log a request that another gateway has forwarded."""
+        exchange = self.exchange
+        exchange.gateway.forwards["received"] += 1
+        LOG.info(
+            "request from gateway",
+            request=exchange.request_id,
+            gateway=exchange.request.forwarded_by,
+            service=exchange.service.name,
+            attempts=exchange.sends.attempts,
+            version=exchange.gateway.view.version,
+        )
+
     def choose(self, now: float) -> addresses.Member | None:
         """Return the gateway to forward to, None if the request is not."""
         exchange = self.exchange
--- a/src/_coltsfootroad/gateway/reachmonitor.py
+++ b/src/_coltsfootroad/gateway/reachmonitor.py
@@ -120,7 +120,7 @@
         self.rng.shuffle(others)
         for count in WITNESS_COUNTS:
             witnesses, others = others[:count], others[count:]
-            await asyncio.gather(*map(self.test, witnesses))
+            await asyncio.gather(*map(self.test_path, witnesses))
             if reach.connected_at >= since:
                 return True
         return False
@@ -136,10 +136,12 @@
         others = [other for other in serving if other is not endpoint]
         if others:
             self.second_connects[service] = asyncio.ensure_future(
-                self.test(self.rng.choice(others), SECOND_CONNECT_TIMEOUT_S)
+                self.test_path(
+                    self.rng.choice(others), SECOND_CONNECT_TIMEOUT_S
+                )
             )
 
-    async def test(
+    async def test_path(
         self,
         endpoint: endpointset.KnownEndpoint,
         timeout_s: float = endpointprobe.PROBE_TIMEOUT_S,
@@ -176,7 +178,7 @@
                 self.on_partition_ended(service, partitioned_s)
                 return
             self.wake.clear()
-            if await self.test(endpoint):
+            if await self.test_path(endpoint):
                 await asyncio.sleep(PASS_INTERVAL_S)
             else:
                 await self.pause()
