gateway: plain words in the evidence on paths

Cause: reading the change as a newcomer would: two comments and a metric's help spoke in figures. Change: comments, one help text and one private name. No behaviour.

--- a/src/_coltsfootroad/core/reachability.py
+++ b/src/_coltsfootroad/core/reachability.py
@@ -31,8 +31,8 @@
     Times are seconds of the boot clock.
 
     Attributes:
-        failed: Time of the last failed connection by endpoint incarnation,
-            without those that were connected to since.
+        failed: Time of the last failed connection by endpoint incarnation; a
+            successful connection removes the entry.
         connected_at: Time of the last successful connection.
         partitioned_at: Since when the gateway counts as partitioned, or None.
         returned_at: End of the last partition.
@@ -179,7 +179,7 @@
         return reach.record_success(endpoint.incarnation_key, now)
 
     def untested_endpoints(self, service: str) -> list[str]:
-        """Return the serving endpoints that no failed connection speaks of."""
+        """Return the serving endpoints without a failed connection."""
         failed = self.of(service).failed
         return [
             known.name
--- a/src/_coltsfootroad/gateway/gossip.py
+++ b/src/_coltsfootroad/gateway/gossip.py
@@ -121,8 +121,8 @@
         self.fanout_round = 0
         self.send_timer: asyncio.TimerHandle | None = None
         self.last_full_at = 0.0
-        # Whether the last full summary held work or services.
-        self.last_full_mattered = False
+        # Whether the last full summary held work or lost services.
+        self.last_full_had_content = False
         self.dropped = 0
 
     async def start(self, address: str) -> None:
@@ -173,11 +173,13 @@
             return
         self.last_full_at = now
         gateway = self.gateway
-        matters = bool(gateway.load.own or gateway.reach.partitioned_services())
+        has_content = bool(
+            gateway.load.own or gateway.reach.partitioned_services()
+        )
         # An empty summary is sent once, in case the last datagram was lost.
-        if matters or self.last_full_mattered:
+        if has_content or self.last_full_had_content:
             self.send_summary(full=True)
-        self.last_full_mattered = matters
+        self.last_full_had_content = has_content
 
     def send(self) -> None:
         """Send a summary of the changes."""
@@ -187,7 +189,7 @@
 
     def announce_partition(self) -> None:
         """Send the services that this gateway does not reach at once."""
-        self.last_full_mattered = True
+        self.last_full_had_content = True
         self.send_summary(full=False)
 
     def send_summary(self, full: bool) -> None:
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -395,7 +395,7 @@
         )
         self.metrics.labelled_gauge(
             "colts_gateway_endpoints_reached",
-            "Endpoints that take work and no failed connection speaks of",
+            "Endpoints that take work and have no failed connection",
             "service",
             lambda: {
                 service: self.reach.reached_endpoints(service)
