gateway: log the shared parts of lost requests and how answers end

Cause: logs told neither which parts the prompts of lost requests had, nor whether an answer's end was marked by a length, by chunks or by the connection. The hypotheses of shared-parts-that-crash-servers could not be told apart.

--- a/src/_coltsfootroad/gateway/contentguard.py
+++ b/src/_coltsfootroad/gateway/contentguard.py
@@ -7,6 +7,7 @@
 from _coltsfootroad.core import crashes
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import fingerprints
+from _coltsfootroad.core import promptparts
 from _coltsfootroad.core import quarantine
 from _coltsfootroad.gateway import crashdetector
 from _coltsfootroad.shell import logs
@@ -51,6 +52,13 @@
             )
         return self.cached_fingerprint
 
+    def parts(self) -> tuple[str, ...]:
+        """Return the parts of the prompt that other requests share."""
+        names = self.exchange.names
+        return promptparts.shared_parts(
+            self.exchange.request.headers.get(names.prompt_parts, "")
+        )
+
     def entry(self) -> quarantine.Entry | None:
         """Return the entry that blocks the request, None if it may run."""
         view = self.exchange.gateway.quarantine.view
@@ -138,6 +146,7 @@
             workspace=self.exchange.admitted.workspace,
             fingerprint=suspect.fingerprint.text,
             body_bytes=suspect.fingerprint.body_bytes,
+            parts=list(self.parts()),
             has_output=has_output,
         )
         self.exchange.gateway.crash_detector.on_lost(endpoint, suspect)
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -427,6 +427,7 @@
             end=end.value,
             connect=connect.outcome(),
             status=sink.status,
+            framing=sink.framing(),
             took_s=round(clocks.boot_time() - now, 3),
             first_event_s=self.reply.first_event_s,
             longest_pause_s=round(self.reply.longest_pause_s, 3),
--- a/src/_coltsfootroad/gateway/names.py
+++ b/src/_coltsfootroad/gateway/names.py
@@ -27,6 +27,8 @@
         key: API key of a workspace; never forwarded.
         workspace: Workspace of the API key, set for endpoints.
         tokens: Prompt tokens and maximum output tokens, comma-separated.
+        prompt_parts: Parts of the prompt as comma-separated `ID:TOKENS`; the last
+            is the request's own.
         signature: Present if the endpoint itself produced the response.
         not_run: States that the endpoint did not run the request.
         expected_endpoint: The only endpoint that may run the request.
@@ -47,6 +49,7 @@
     key: str = "X-Api-Key"
     workspace: str = "X-Workspace"
     tokens: str = "X-Tokens"
+    prompt_parts: str = "X-Prompt-Parts"
     signature: str = "X-Signature"
     not_run: str = "X-Not-Run"
     expected_endpoint: str = "X-Expected-Endpoint"
--- a/src/_coltsfootroad/gateway/responses.py
+++ b/src/_coltsfootroad/gateway/responses.py
@@ -61,6 +61,14 @@
         """Return whether the response proves that the request did not run."""
         return self.status == MISDIRECTED or self.names.not_run in self.headers
 
+    def framing(self) -> str:
+        """Return what marks the end of the body: length, chunks or close."""
+        if "Transfer-Encoding" in self.headers:
+            return "chunks"
+        if "Content-Length" in self.headers:
+            return "length"
+        return "close" if self.status else "none"
+
     def is_stream(self) -> bool:
         """Return whether the body is forwarded event by event."""
         return False
