quarantine: convict parts that prompts share, not only whole contents

What callers saw: requests that share one part of their prompt, no two alike, crashed engine after engine; each was new to the quarantine. Cause: the quarantine's identity, a whole content, is narrower than what may crash an endpoint. Evidence against one content says nothing about the next. Ruled out: late convictions as the only cause (no content came again after its conviction); an isolation of suspects by part, which would squeeze all traffic of a popular part onto one engine. Change: suspects carry the shared parts of their prompts. All gateways report answers to suspected features, also from before.

--- a/features/support/partworld.py
+++ b/features/support/partworld.py
@@ -287,9 +287,11 @@
 @contextlib.contextmanager
 def fleet(gateways: int = 9, engines: int = 16, seed: int = 1):
     """Yield a world with a running fleet, and a function to run coroutines."""
-    with mock.patch.object(crashworld, "CrashWorld", PartWorld):
-        with crashworld.fleet(gateways, engines, seed) as (world, run):
-            yield world, run
+    with (
+        mock.patch.object(crashworld, "CrashWorld", PartWorld),
+        crashworld.fleet(gateways, engines, seed) as (world, run),
+    ):
+        yield world, run
 
 
 def use_workspaces(world: PartWorld, *workspaces: str) -> None:
--- a/src/_coltsfootroad/control/coordinator.py
+++ b/src/_coltsfootroad/control/coordinator.py
@@ -15,6 +15,7 @@
 from _coltsfootroad.core import endpoints
 from _coltsfootroad.core import fingerprints
 from _coltsfootroad.core import registry as registry_lib
+from _coltsfootroad.core import sharedfeatures
 
 HEARTBEAT_LEASE_S = 4.0
 # Added to the long-poll time of a watch: a watcher sends its next request as
@@ -106,6 +107,7 @@
     retry_lender: retrylending.RetryLender = attrs.field(init=False)
     groups: groups_lib.GroupLedger = attrs.Factory(groups_lib.GroupLedger)
     crashes: crashledger.CrashLedger = attrs.Factory(crashledger.CrashLedger)
+    shared_features: sharedfeatures.SharedFeatures = attrs.field(init=False)
     # When the crashes were last evaluated.
     evaluated_at: float = float("-inf")
     # Quarantine entries that are not applied yet, oldest first.
@@ -119,6 +121,7 @@
         return self.started_at
 
     def __attrs_post_init__(self):
+        self.shared_features = sharedfeatures.SharedFeatures(self.crashes)
         self.shares = shares_lib.ShareTable(started_at=self.started_at)
         self.retry_lender = retrylending.RetryLender(self.started_at)
         self.take_over()
@@ -357,12 +360,17 @@
         released = [f for f in report.cleared if self.has_crash_quarantine(f)]
         for fingerprint in report.cleared:
             self.crashes.clear(fingerprint, now)
+        for answer in report.answered:
+            self.shared_features.on_answer(
+                answer.fingerprint, now - max(0.0, answer.age_s)
+            )
         for aged in report.stopped:
             self.crashes.record_stopped(crashreports.with_times(aged, now))
         for aged in report.crashes:
             self.crashes.record(crashreports.with_times(aged, now), now)
+        found = self.quarantine_suspects(now)
         self.publish_suspects()
-        return [*map(end_quarantine, released), *self.quarantine_suspects(now)]
+        return [*map(end_quarantine, released), *found]
 
     def has_crash_quarantine(
         self, fingerprint: fingerprints.Fingerprint
@@ -378,9 +386,14 @@
 
     def quarantine_delayed(self, now: float) -> list[crashreports.Quarantine]:
         """Return entries that became due by time since the last evaluation."""
-        if not self.crashes.has_new_evidence(self.evaluated_at, now):
+        if not (
+            self.crashes.has_new_evidence(self.evaluated_at, now)
+            or self.shared_features.is_undecided(now)
+        ):
             return []
-        return self.quarantine_suspects(now)
+        found = self.quarantine_suspects(now)
+        self.publish_suspects()
+        return found
 
     def quarantine_suspects(self, now: float) -> list[crashreports.Quarantine]:
         """Return new quarantine entries for the crashes recorded so far."""
@@ -388,14 +401,35 @@
         culprits = self.crashes.find_culprits(
             self.state.quarantine.entries, now
         )
-        for culprit in culprits:
-            self.pending_quarantines[culprit.fingerprint] = None
+        commands = [
+            crashreports.Quarantine(
+                fingerprint=culprit.fingerprint,
+                reason=REASON_CRASHED,
+                crashes=len(culprit.endpoints),
+                endpoints=tuple(key.endpoint for key in culprit.endpoints),
+            )
+            for culprit in culprits
+        ]
+        if self.shared_features.is_search_due(now):
+            commands += self.quarantine_features(now)
+        for command in commands:
+            self.pending_quarantines[command.fingerprint] = None
         while len(self.pending_quarantines) > MAX_PENDING_QUARANTINES:
             del self.pending_quarantines[next(iter(self.pending_quarantines))]
+        return commands
+
+    def quarantine_features(self, now: float) -> list[crashreports.Quarantine]:
+        """Return new entries for features that requests share."""
+        culprits = self.shared_features.find_culprits(
+            self.state.quarantine.entries, now
+        )
         return [
             crashreports.Quarantine(
                 fingerprint=culprit.fingerprint,
-                reason=REASON_CRASHED,
+                reason=(
+                    f"part {culprit.label!r} {REASON_CRASHED}, in"
+                    f" {culprit.contents} different requests"
+                ),
                 crashes=len(culprit.endpoints),
                 endpoints=tuple(key.endpoint for key in culprit.endpoints),
             )
@@ -405,6 +439,7 @@
     def publish_suspects(self) -> None:
         """Update the published suspects, whose answers gateways report."""
         watched = self.crashes.watched(self.state.quarantine.entries)
+        watched += self.shared_features.watched_since
         published = set(self.fleet_state.suspected.values())
         for fingerprint in watched:
             if fingerprint not in published:
--- a/src/_coltsfootroad/control/crashreports.py
+++ b/src/_coltsfootroad/control/crashreports.py
@@ -14,6 +14,7 @@
     fingerprint: fingerprints.Fingerprint
     in_flight_s: float
     has_output: bool = False
+    parts: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -25,6 +26,14 @@
     suspects: tuple[AgedSuspect, ...]
 
 
+@attrs.frozen(kw_only=True)
+class AgedAnswer:
+    """An answer to a request with a watched part, and its age."""
+
+    fingerprint: fingerprints.Fingerprint
+    age_s: float
+
+
 @attrs.frozen(kw_only=True)
 class ReportCrashes:
     """Reports crashes, and suspects that were answered since, to the leader.
@@ -34,12 +43,14 @@
         crashes: Crashes that the gateway observed, each with its suspects.
         cleared: Suspects that an endpoint has answered completely.
         stopped: Attempts that the quarantine aborted, by endpoint.
+        answered: Newest answers to requests with watched parts.
     """
 
     gateway: str
     crashes: tuple[AgedCrash, ...] = ()
     cleared: tuple[fingerprints.Fingerprint, ...] = ()
     stopped: tuple[AgedCrash, ...] = ()
+    answered: tuple[AgedAnswer, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -97,6 +108,7 @@
                 fingerprint=suspect.fingerprint,
                 in_flight_s=crash.at - suspect.sent_at,
                 has_output=suspect.has_output,
+                parts=suspect.parts,
             )
             for suspect in crash.suspects
         ),
@@ -114,6 +126,7 @@
                 fingerprint=suspect.fingerprint,
                 sent_at=at - max(0.0, suspect.in_flight_s),
                 has_output=suspect.has_output,
+                parts=suspect.parts,
             )
             for suspect in aged.suspects
         ),
--- a/src/_coltsfootroad/core/crashes.py
+++ b/src/_coltsfootroad/core/crashes.py
@@ -21,11 +21,13 @@
         fingerprint: Fingerprint of its content.
         sent_at: Time of the send, in seconds of the observer's clock.
         has_output: Whether the endpoint had begun to answer it.
+        parts: Parts of its prompt that other requests share.
     """
 
     fingerprint: fingerprints.Fingerprint
     sent_at: float
     has_output: bool = False
+    parts: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/core/quarantine.py
+++ b/src/_coltsfootroad/core/quarantine.py
@@ -160,6 +160,13 @@
         """Return whether a request of this size may be refused."""
         return self.sizes[workspace, body_bytes] > 0 if self.sizes else False
 
+    def may_hold_parts(self, workspace: str) -> bool:
+        """Return whether a request may be refused for a part of its prompt."""
+        return any(
+            self.may_hold(scope, fingerprints.PART_BODY_BYTES)
+            for scope in (workspace, fingerprints.ANY_WORKSPACE)
+        )
+
     def learn(
         self,
         added: tuple[Entry, ...],
--- a/src/_coltsfootroad/gateway/contentguard.py
+++ b/src/_coltsfootroad/gateway/contentguard.py
@@ -10,6 +10,7 @@
 from _coltsfootroad.core import promptparts
 from _coltsfootroad.core import quarantine
 from _coltsfootroad.gateway import crashdetector
+from _coltsfootroad.gateway import responses
 from _coltsfootroad.shell import logs
 
 LOG = logs.logger("request")
@@ -22,17 +23,22 @@
     Attributes:
         exchange: The exchange; its request must be admitted before use.
         cached_fingerprint: The request's fingerprint, None before first use.
-        on_trial: Whether the leader granted a trial run despite an entry.
+        trials: Entries despite which the leader granted a trial run.
         stopped: Whether an entry stopped the current send.
         send_timeout: Ends the current send, None between sends.
     """
 
     exchange: object
     cached_fingerprint: fingerprints.Fingerprint | None = None
-    on_trial: bool = False
+    trials: set[fingerprints.Fingerprint] = attrs.Factory(set)
     stopped: bool = False
     send_timeout: asyncio.Timeout | None = None
 
+    @property
+    def on_trial(self) -> bool:
+        """Return whether the request runs as a trial."""
+        return bool(self.trials)
+
     @property
     def size(self) -> tuple[str, int]:
         """Return workspace and body length, a cheap check before the digest."""
@@ -52,42 +58,53 @@
             )
         return self.cached_fingerprint
 
+    def header(self) -> str:
+        """Return the parts of the prompt as the caller states them."""
+        name = self.exchange.names.prompt_parts
+        return self.exchange.request.headers.get(name, "")
+
     def parts(self) -> tuple[str, ...]:
         """Return the parts of the prompt that other requests share."""
-        names = self.exchange.names
-        return promptparts.shared_parts(
-            self.exchange.request.headers.get(names.prompt_parts, "")
-        )
+        return promptparts.shared_parts(self.header())
 
-    def entry(self) -> quarantine.Entry | None:
-        """Return the entry that blocks the request, None if it may run."""
+    def entries(self) -> list[quarantine.Entry]:
+        """Return the entries that block the request, none if it may run."""
         view = self.exchange.gateway.quarantine.view
-        if self.on_trial or not view.may_hold(*self.size):
-            return None
-        return view.entries.get(self.fingerprint())
+        found = []
+        if view.may_hold(*self.size):
+            found.append(self.fingerprint())
+        if view.may_hold_parts(self.exchange.admitted.workspace):
+            found += fingerprints.of_parts(
+                self.parts(), self.exchange.admitted.workspace
+            )
+        return [
+            view.entries[fingerprint]
+            for fingerprint in found
+            if fingerprint in view.entries and fingerprint not in self.trials
+        ]
 
     async def refuse(self) -> bool:
         """Refuse a request in quarantine unless a trial is granted."""
-        entry = self.entry()
-        if entry is None:
+        entries = self.entries()
+        if not entries:
             return False
         exchange = self.exchange
         local_quarantine = exchange.gateway.quarantine
-        if not exchange.sends.count and await local_quarantine.start_trial(
-            entry
+        if not exchange.sends.count and await local_quarantine.start_trials(
+            entries
         ):
-            self.on_trial = True
+            self.trials.update(entry.fingerprint for entry in entries)
             return False
         if exchange.reply.streaming:
             exchange.reply.abort_stream("the request is in quarantine")
         else:
             has_run = exchange.sends.runs > 0
-            exchange.refuse(local_quarantine.refusal(entry, has_run))
+            exchange.refuse(local_quarantine.refusal(entries, has_run))
         return True
 
     def stop_if_quarantined(self) -> None:
         """Stop the current send if the request is now in quarantine."""
-        if self.send_timeout is None or self.entry() is None:
+        if self.send_timeout is None or not self.entries():
             return
         self.stopped = True
         self.send_timeout.reschedule(asyncio.get_running_loop().time())
@@ -101,11 +118,16 @@
         is_isolated = reporter.isolation.is_isolated(fingerprint)
         return fingerprint if is_isolated else None
 
-    def on_answered(self) -> None:
+    def on_answered(self, status: int) -> None:
         """Handle a response, which shows that the endpoint survived."""
         gateway = self.exchange.gateway
-        if self.on_trial:
-            gateway.spawn(gateway.quarantine.release(self.fingerprint()))
+        for fingerprint in self.trials:
+            gateway.spawn(gateway.quarantine.release(fingerprint))
+        if status < responses.REDIRECTION:
+            # An endpoint that fails a request may not have read its prompt.
+            gateway.crash_reporter.record_answer(
+                self.exchange.admitted.workspace, self.header()
+            )
         if gateway.crash_reporter.may_suspect(*self.size):
             gateway.crash_reporter.clear(self.fingerprint())
 
@@ -117,7 +139,9 @@
     ) -> None:
         """Report a stopped send, as it may still crash the endpoint."""
         suspect = crashes.Suspect(
-            fingerprint=self.fingerprint(), sent_at=sent_at
+            fingerprint=self.fingerprint(),
+            sent_at=sent_at,
+            parts=self.parts(),
         )
         self.exchange.gateway.crash_reporter.report_stopped(
             crashes.Crash(
@@ -138,6 +162,7 @@
             fingerprint=self.fingerprint(),
             sent_at=sent_at,
             has_output=has_output,
+            parts=self.parts(),
         )
         LOG.info(
             "connection lost",
@@ -146,7 +171,7 @@
             workspace=self.exchange.admitted.workspace,
             fingerprint=suspect.fingerprint.text,
             body_bytes=suspect.fingerprint.body_bytes,
-            parts=list(self.parts()),
+            parts=list(suspect.parts),
             has_output=has_output,
         )
         self.exchange.gateway.crash_detector.on_lost(endpoint, suspect)
--- a/src/_coltsfootroad/gateway/crashreporter.py
+++ b/src/_coltsfootroad/gateway/crashreporter.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.core import fingerprints
 from _coltsfootroad.core import isolation as isolation_lib
 from _coltsfootroad.core import quarantine
+from _coltsfootroad.gateway import answeredparts
 from _coltsfootroad.gateway import leaderclient
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import logs
@@ -37,6 +38,7 @@
         cleared: Suspects that got a response, not acknowledged yet.
         stopped: Sends that the quarantine stopped, not acknowledged yet.
         watched: Suspects whose responses are to be reported to the leader.
+        answers: Answers to watched parts of prompts, and recent ones.
         sizes: Counts suspects and watched requests by workspace and length.
         sending: The task that sends while reports are unsent.
     """
@@ -49,6 +51,9 @@
     cleared: dict[fingerprints.Fingerprint, None] = attrs.Factory(dict)
     stopped: list[crashes.Crash] = attrs.Factory(list)
     watched: dict[fingerprints.Fingerprint, None] = attrs.Factory(dict)
+    answers: answeredparts.AnsweredParts = attrs.Factory(
+        answeredparts.AnsweredParts
+    )
     sizes: collections.Counter = attrs.Factory(collections.Counter)
     sending: asyncio.Task | None = None
 
@@ -84,6 +89,7 @@
         }
         self.count_sizes()
         self.unsent = dict.fromkeys(self.recent)
+        self.answers.watch(self.answers.watched)
         self.start_sending()
 
     def watch(self, changes: watching.Changes) -> None:
@@ -92,14 +98,20 @@
             return
         if changes.whole:
             self.watched.clear()
-        self.watched.update(dict.fromkeys(changes.suspected))
+            self.answers.unwatch(tuple(self.answers.watched))
+        contents = [f for f in changes.suspected if not f.is_part]
+        self.watched.update(dict.fromkeys(contents))
         for fingerprint in changes.unsuspected:
             self.watched.pop(fingerprint, None)
         self.isolation.update(self.watched)
         self.count_sizes()
+        self.answers.unwatch(changes.unsuspected)
+        self.answers.watch(f for f in changes.suspected if f.is_part)
+        self.start_sending()
         LOG.info(
             "suspects watched",
             suspects=[fingerprint.text for fingerprint in self.watched],
+            parts=[fingerprint.text for fingerprint in self.answers.watched],
             isolated=len(self.watched) >= isolation_lib.MIN_SUSPECTS,
         )
 
@@ -117,6 +129,11 @@
             self.cleared[fingerprint] = None
             self.start_sending()
 
+    def record_answer(self, workspace: str, header: str) -> None:
+        """Record an answer, which clears the parts of its prompt."""
+        if self.answers.on_answer(workspace, header, clocks.boot_time()):
+            self.start_sending()
+
     def forget(self, fingerprint: fingerprints.Fingerprint) -> bool:
         """Remove a suspect from recent crashes; return whether it was found."""
         found = False
@@ -152,7 +169,12 @@
     @property
     def has_unsent(self) -> bool:
         """Return whether there are unsent reports."""
-        return bool(self.unsent or self.cleared or self.stopped)
+        return bool(
+            self.unsent
+            or self.cleared
+            or self.stopped
+            or self.answers.unreported
+        )
 
     async def send(self) -> None:
         """Send until the leader has acknowledged all reports."""
@@ -166,6 +188,7 @@
         sent = {endpoint: self.recent[endpoint] for endpoint in self.unsent}
         cleared = tuple(self.cleared)
         stopped = tuple(self.stopped)
+        answered = dict(self.answers.unreported)
         answer = await self.link.call(
             crashreports.ReportCrashes(
                 gateway=self.gateway,
@@ -177,6 +200,10 @@
                 stopped=tuple(
                     crashreports.with_ages(stop, now) for stop in stopped
                 ),
+                answered=tuple(
+                    crashreports.AgedAnswer(fingerprint=feature, age_s=now - at)
+                    for feature, at in answered.items()
+                ),
             )
         )
         accepted = isinstance(answer, outcomes.Done)
@@ -186,10 +213,15 @@
             suspects=sum(len(crash.suspects) for crash in sent.values()),
             cleared=len(cleared),
             stopped=len(stopped),
+            answered={
+                feature.text: round(now - at, 3)
+                for feature, at in answered.items()
+            },
             took_s=round(clocks.boot_time() - now, 3),
         )
         if accepted:
             self.discard_reported(sent, cleared)
+            self.answers.on_reported(answered, now)
             self.stopped = [s for s in self.stopped if s not in stopped]
         return accepted
 
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -401,7 +401,7 @@
         try:
             if choice.shares and not await self.reserve(choice):
                 return sends_lib.Outcome.NO_MEMORY
-            if self.guard.entry() is not None:
+            if self.guard.entries():
                 return sends_lib.Outcome.NOT_RUN
             self.sends.count += 1
             end = await self.call_with_silence_timeout(
@@ -436,7 +436,7 @@
         )
         if outcome is sends_lib.Outcome.ANSWERED:
             self.reply.complete(sink)
-            self.guard.on_answered()
+            self.guard.on_answered(sink.status)
         elif end is upstream.CallEnd.LOST:
             has_output = bool(sink.parts) or self.reply.last_event_at > now
             self.guard.on_lost(endpoint, now, has_output)
--- a/src/_coltsfootroad/gateway/names.py
+++ b/src/_coltsfootroad/gateway/names.py
@@ -27,8 +27,8 @@
         key: API key of a workspace; never forwarded.
         workspace: Workspace of the API key, set for endpoints.
         tokens: Prompt tokens and maximum output tokens, comma-separated.
-        prompt_parts: Parts of the prompt as comma-separated `ID:TOKENS`; the last
-            is the request's own.
+        prompt_parts: Parts of the prompt as comma-separated `ID:TOKENS`; the
+            last is the request's own.
         signature: Present if the endpoint itself produced the response.
         not_run: States that the endpoint did not run the request.
         expected_endpoint: The only endpoint that may run the request.
--- a/src/_coltsfootroad/gateway/quarantine.py
+++ b/src/_coltsfootroad/gateway/quarantine.py
@@ -37,6 +37,8 @@
         view: Copy of the leader's quarantine entries.
         requested_trials: Fingerprints with a trial request in flight.
         refusals: Number of refused requests by workspace.
+        refusals_by_kind: The same by what is in quarantine: a content or a
+            part of prompts.
     """
 
     gateway: str
@@ -48,6 +50,7 @@
     )
     requested_trials: set[fingerprints.Fingerprint] = attrs.Factory(set)
     refusals: collections.Counter = attrs.Factory(collections.Counter)
+    refusals_by_kind: collections.Counter = attrs.Factory(collections.Counter)
 
     def learn(self, changes: watching.Changes) -> None:
         """Apply changes, and stop requests that are now in quarantine."""
@@ -72,6 +75,19 @@
             for exchange in list(self.running()):
                 exchange.guard.stop_if_quarantined()
 
+    async def start_trials(self, entries: list[quarantine_lib.Entry]) -> bool:
+        """Request a trial run despite some entries; return if it was granted.
+
+        Nothing is requested unless trials of all entries are due.
+        """
+        now = clocks.unix_time()
+        if not all(entry.allows_trial(now) for entry in entries):
+            return False
+        for entry in entries:
+            if not await self.start_trial(entry):
+                return False
+        return True
+
     async def start_trial(self, entry: quarantine_lib.Entry) -> bool:
         """Request a trial run for an entry; return whether it was granted.
 
@@ -117,10 +133,15 @@
         )
 
     def refusal(
-        self, entry: quarantine_lib.Entry, has_run: bool
+        self, entries: list[quarantine_lib.Entry], has_run: bool
     ) -> errors.Failure:
         """Return the failure for a caller, and count the refusal."""
+        now = clocks.unix_time()
+        entry = max(entries, key=lambda entry: retry_after_s(entry, now))
         self.refusals[entry.fingerprint.workspace] += 1
+        self.refusals_by_kind[
+            "part" if entry.fingerprint.is_part else "content"
+        ] += 1
         reason = (
             f"request {entry.fingerprint.text} is in quarantine:"
             f" {entry.reason}, {entry.crashes} of them"
@@ -133,7 +154,7 @@
             errors.ErrorCode.QUARANTINED,
             reason,
             errors.Ran.NO,
-            retry_after_s(entry, clocks.unix_time()),
+            retry_after_s(entry, now),
         )
 
 
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -447,6 +447,12 @@
             "workspace",
             lambda: dict(self.quarantine.refusals),
         )
+        self.metrics.labelled_counter(
+            "colts_gateway_quarantine_refusals_by_kind",
+            "Requests refused for their content or a part of their prompt",
+            "kind",
+            lambda: dict(self.quarantine.refusals_by_kind),
+        )
         self.add_budget_metrics()
         counter("colts_log_dropped", "Log lines dropped", logs.dropped)
         traffic.PROCESS.add_metrics(self.metrics)
