gateway: do not take a crash for the end of a response without a length

What callers saw: an answer cut off by its engine's crash was delivered as whole, and the request that had caused the crash was cleared by it. Cause: where neither a length nor chunks mark the end of a body, the end of the connection does, and a crash looks the same. A stream that ended inside an event was broken off, but its engine was not looked at. Ruled out: treating each such answer as broken off; they are ordinary. Change: after such a success the endpoint is probed once; a closed listener or a restart means that the response was lost. A partial event is a lost connection.

--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -48,6 +48,13 @@
       | unsafe | unframed | answer | 200    | complete     | 1     |
       | unsafe | twice    | answer | 200    | complete     | 1     |
 
+    # Guards against a body that looks whole as its end is the connection's,
+    # though the endpoint crashed in the middle of it.
+    Examples: an endpoint that crashes in a response without a length
+      | kind   | first             | second | status | completeness | sends |
+      | safe   | crash in unframed | answer | 200    | complete     | 2     |
+      | unsafe | crash in unframed | answer | 502    | complete     | 1     |
+
   Scenario Outline: A stream whose endpoint will <first>, then <second>
     When a stream request meets endpoints that <first> and then <second>
     Then the caller gets 200 and the response is <completeness>
@@ -62,6 +69,15 @@
       | stall        | stream | complete     | 1 2 3 4 |
       | stall        | hang   | truncated    | 1 2     |
 
+    # Guards against streams that look complete as their end is the connection's,
+    # though the endpoint crashed between two events.
+    Examples: responses without a length
+      | first                | second          | completeness | events  |
+      | unframed stream      | stream          | complete     | 1 2 3 4 |
+      | cut unframed event   | stream          | complete     | 1 2 3 4 |
+      | crash between events | stream          | complete     | 1 2 3 4 |
+      | crash between events | unframed stream | complete     | 1 2 3 4 |
+
   Scenario Outline: A <kind> request with <fault> is refused at once
     When a <kind> request comes with <fault>
     Then the caller gets <status> at once and nothing is sent
--- a/features/support/gatewaybed.py
+++ b/features/support/gatewaybed.py
@@ -176,6 +176,33 @@
         writer.write(self.head(headers, "Connection: close") + b"done")
         return False
 
+    async def do_unframed_stream(self, headers, _, writer) -> bool:
+        """Send all events, and end the response with the connection."""
+        first = int(headers.get("last-event-id", 0)) + 1
+        writer.write(self.head(headers, "Connection: close"))
+        for number in range(first, EVENTS + 1):
+            writer.write(self.event(headers, number))
+        return False
+
+    async def do_cut_unframed_event(self, headers, _, writer) -> bool:
+        """Close the connection in an event of a response without a length."""
+        writer.write(self.head(headers, "Connection: close"))
+        writer.write(self.event(headers, 1) + self.event(headers, 2)[:7])
+        return False
+
+    async def do_crash_in_unframed(self, headers, _, writer) -> bool:
+        """Crash in the middle of a body without a length."""
+        writer.write(self.head(headers, "Connection: close") + b"do")
+        self.server.close()
+        return False
+
+    async def do_crash_between_events(self, headers, _, writer) -> bool:
+        """Crash after two events of a response without a length."""
+        writer.write(self.head(headers, "Connection: close"))
+        writer.write(self.event(headers, 1) + self.event(headers, 2))
+        self.server.close()
+        return False
+
     async def do_hang(self, _headers, reader, _writer) -> bool:
         """Send nothing until the peer closes the connection."""
         if not await reader.read(1):
--- a/src/_coltsfootroad/gateway/crashdetector.py
+++ b/src/_coltsfootroad/gateway/crashdetector.py
@@ -68,6 +68,16 @@
             self.suspects[key] = [suspect]
             self.spawn(self.probe_endpoint(key, endpoint, clocks.boot_time()))
 
+    async def has_ended(self, endpoint: endpointset.KnownEndpoint) -> bool:
+        """Return whether an endpoint has crashed that just closed a connection.
+
+        One that does not respond closed the connection itself, as a lost VM or
+        network closes none.
+        """
+        await asyncio.sleep(PROBE_DELAY_S)
+        listener = await endpointprobe.probe(endpoint.announcement.address)
+        return self.has_crashed(endpoint, listener)
+
     async def probe_endpoint(
         self,
         key: crashes.EndpointKey,
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -5,6 +5,7 @@
 import attrs
 from tornado import http1connection
 
+from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import sends as sends_lib
@@ -407,6 +408,10 @@
             end = await self.call_with_silence_timeout(
                 choice, pool, sink, connect
             )
+            if end is upstream.CallEnd.COMPLETE and await self.is_cut_off(
+                endpoint, sink
+            ):
+                end = upstream.CallEnd.LOST
         finally:
             self.work.end()
             self.release_reservation()
@@ -427,7 +432,7 @@
             end=end.value,
             connect=connect.outcome(),
             status=sink.status,
-            framing=sink.framing(),
+            framing=sink.framing().value,
             took_s=round(clocks.boot_time() - now, 3),
             first_event_s=self.reply.first_event_s,
             longest_pause_s=round(self.reply.longest_pause_s, 3),
@@ -444,6 +449,19 @@
             self.guard.on_stopped(endpoint, now, clocks.boot_time())
         return outcome
 
+    async def is_cut_off(
+        self,
+        endpoint: endpointset.KnownEndpoint,
+        sink: responses.BufferedResponse,
+    ) -> bool:
+        """Return whether a response ends early despite complete framing."""
+        if sink.genuine and not sink.is_body_complete():
+            return True
+        return (
+            sink.ends_with_connection()
+            and await self.gateway.crash_detector.has_ended(endpoint)
+        )
+
     def make_sink(self) -> responses.BufferedResponse:
         """Return the sink for an endpoint's response."""
         if self.route.kind is routes.RequestKind.STREAM:
--- a/src/_coltsfootroad/gateway/responses.py
+++ b/src/_coltsfootroad/gateway/responses.py
@@ -1,5 +1,7 @@
 """Receives and checks endpoints' responses, buffered or event by event."""
 
+import enum
+
 import attrs
 from tornado import httputil
 
@@ -13,6 +15,15 @@
 REDIRECTION = 300
 
 
+class Framing(enum.Enum):
+    """What marks the end of a body."""
+
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CLOSE = "close"
+
+
 @attrs.define
 class BufferedResponse(upstream.ResponseSink):
     """A response that is buffered until it is complete.
@@ -61,13 +72,23 @@
         """Return whether the response proves that the request did not run."""
         return self.status == MISDIRECTED or self.names.not_run in self.headers
 
-    def framing(self) -> str:
-        """Return what marks the end of the body: length, chunks or close."""
+    def framing(self) -> Framing:
+        """Return what marks the end of the body."""
+        if not self.status:
+            return Framing.NONE
         if "Transfer-Encoding" in self.headers:
-            return "chunks"
+            return Framing.CHUNKS
         if "Content-Length" in self.headers:
-            return "length"
-        return "close" if self.status else "none"
+            return Framing.LENGTH
+        return Framing.CLOSE
+
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends a success.
+
+        A crash in the middle of the body looks the same.
+        """
+        is_success = self.genuine and self.status < REDIRECTION
+        return is_success and self.framing() is Framing.CLOSE
 
     def is_stream(self) -> bool:
         """Return whether the body is forwarded event by event."""
