soak: parts of prompts that crash each endpoint

Cause: the soak's poison requests were whole contents, sent again as they are. Proper callers state parts too and share the first one. Audit: at most three runs more than 7 s after the fifth crash; nobody else in quarantine.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -43,6 +43,15 @@
       | 2       | 11   | 100    |
       | 3       | 24   | 100    |
 
+  # Guards against a quarantine that knows whole contents only.
+  Scenario Outline: <parts> parts of prompts crash each endpoint, seed <seed>
+    When a soak of seed <seed> sends requests with <parts> poison parts
+    Then no guarantee is violated and at least <served> requests are served
+
+    Examples:
+      | parts | seed | served |
+      | 1     | 5    | 100    |
+
   # Guards against retries beyond the fleet's budget: a restarted gateway does not
   # know how many retries its previous process has sent.
   Scenario Outline: All endpoints shed while gateways restart in series, seed <seed>
@@ -152,6 +161,7 @@
       | an acknowledged version is lost        | was acknowledged          |
       | other content is read back             | reads as                  |
       | a poison request is not quarantined    | more endpoints of         |
+      | a poison part is not quarantined       | poison1 crashed 12 more   |
       | another request is quarantined         | is in quarantine          |
       | retries exceed the budget              | retries in 10 s           |
       | retries use up the budget              | nothing                   |
--- a/features/soak/audit.py
+++ b/features/soak/audit.py
@@ -22,6 +22,9 @@
 MAX_QUARANTINE_DELAY_S = 7.0
 # Later runs that the retries of one request may still cause.
 MAX_LATE_POISON_RUNS = 3
+# Endpoints that a poison request, or a part of prompts, may crash before that.
+POISON_RUNS_BEFORE = 3
+PART_RUNS_BEFORE = 5
 QUARANTINED_CODE = b'"quarantined"'
 # Retry budget of all gateways together in any window.
 RETRY_RATIO = 0.2
@@ -115,6 +118,10 @@
     final_versions: dict[int, int] = attrs.Factory(dict)
     # Delays of the soak's own process.
     lateness: lateness_lib.DelayLog = attrs.Factory(lateness_lib.DelayLog)
+    # Times at which requests with a poison part began to run, by part.
+    part_runs: dict[str, list[float]] = attrs.Factory(
+        lambda: collections.defaultdict(list)
+    )
     # Times at which poison requests began to run, by body.
     poison_runs: dict[bytes, list[float]] = attrs.Factory(
         lambda: collections.defaultdict(list)
@@ -248,17 +255,26 @@
 
 def check_quarantine(observed: Observations) -> list[str]:
     """Check that poison requests, and no others, are quarantined."""
+    violations = [
+        *late_runs(observed.poison_runs, POISON_RUNS_BEFORE),
+        *late_runs(observed.part_runs, PART_RUNS_BEFORE),
+    ]
+    for outcome in observed.outcomes:
+        if QUARANTINED_CODE in outcome.body:
+            violations.append(f"{outcome.request} is in quarantine")
+    return violations
+
+
+def late_runs(runs: dict, before: int) -> list[str]:
+    """Return the poisons that ran too often after `before` crashes."""
     violations = []
-    for body, times in sorted(observed.poison_runs.items()):
-        third = times[2] if len(times) > 2 else times[-1]
-        late = sum(at > third + MAX_QUARANTINE_DELAY_S for at in times)
+    for poison, times in sorted(runs.items()):
+        known_at = times[min(before, len(times)) - 1] + MAX_QUARANTINE_DELAY_S
+        late = sum(at > known_at for at in times)
         if late > MAX_LATE_POISON_RUNS:
             violations.append(
-                f"{body} crashed {late} more endpoints of {len(times)}"
+                f"{poison} crashed {late} more endpoints of {len(times)}"
             )
-    for outcome in observed.outcomes:
-        if QUARANTINED_CODE in outcome.body:
-            violations.append(f"{outcome.request} is in quarantine")
     return violations
 
 
--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -19,6 +19,8 @@
 READ_GRACE_S = 1.5
 # Requests on one connection before a caller looks up the addresses again.
 REQUESTS_PER_CONNECTION = 12
+# Sessions of proper callers, each with a part of prompts of its own.
+SESSIONS = 3
 REQUEST_INTERVAL_S = (0.0, 0.12)
 LOOKUP_TIMEOUT_S = 1.0
 
@@ -110,7 +112,7 @@
             self.close_connection()
 
     def exchange(
-        self, request, kind, key, content=b"body"
+        self, request, kind, key, content=b"body", part=""
     ) -> tuple[int, bool, bytes]:
         """Return status, whether the response is complete, and its body."""
         headers = {
@@ -118,6 +120,7 @@
             "X-Request-Id": request,
             "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
             "X-Api-Key": key,
+            plan.PARTS_HEADER: self.parts(request, part),
         }
         self.observed.sent.append(time.monotonic())
         try:
@@ -130,6 +133,11 @@
         except (http.client.HTTPException, OSError):
             return 0, False, b""
 
+    def parts(self, request: str, part: str) -> str:
+        """Return the parts of a prompt: all share the first one."""
+        shared = part or f"session{self.number % SESSIONS}"
+        return f"{plan.FIRST_PART}:800,{shared}:400,{request}:250"
+
     def close_connection(self) -> None:
         """Close the connection, if there is one."""
         if self.connection is not None:
@@ -148,6 +156,23 @@
         self.close_connection()
 
 
+class PartPoisonCaller(Caller):
+    """Sends requests that share one poison part and nothing else."""
+
+    def send_request(self) -> None:
+        """Send a request with the poison part and ignore the response."""
+        self.count += 1
+        request = f"part{self.number}-{self.count}"
+        self.exchange(
+            request,
+            self.rng.choice(("safe", "stream")),
+            self.keys[0],
+            request.encode(),
+            f"{plan.POISON_PART}{self.number}",
+        )
+        self.close_connection()
+
+
 @attrs.define(eq=False)
 class VersionMonitor:
     """Records the versions that gateways use, per start of the process."""
--- a/features/soak/endpoints.py
+++ b/features/soak/endpoints.py
@@ -9,8 +9,10 @@
 
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
+from _coltsfootroad.core import promptparts
 from _coltsfootroad.core import registry
 from features.soak import audit
+from features.soak import plan
 from features.soak import proxy as proxy_lib
 from features.support import gatewaybed
 
@@ -26,6 +28,8 @@
 POISON = b"poison"
 POISON_RUN_S = 0.03
 POISON_DOWNTIME_S = 1.0
+# Time for the end of a connection to pass the proxy.
+CLOSE_TRANSIT_S = 0.002
 MODES_NOT_RUN = ("reject",)
 STREAM_MODES = ("fail", "reject", "reset", "stall", "die_in_event")
 PLAIN_MODES = (
@@ -92,6 +96,12 @@
             self.on_poison()
             return False
         streams = "/stream/" in seen.line
+        parts = promptparts.shared_parts(
+            seen.headers.get(plan.PARTS_HEADER.lower(), "")
+        )
+        poison = [p for p in parts if p.startswith(plan.POISON_PART)]
+        if poison:
+            return await self.crash_in_answer(seen, writer, poison[0])
         mode = self.draw_mode(STREAM_MODES if streams else PLAIN_MODES)
         if mode not in MODES_NOT_RUN:
             self.record_run(seen, undisturbed=not mode)
@@ -101,6 +111,28 @@
         )
         return await respond(seen.headers, reader, writer)
 
+    async def crash_in_answer(
+        self, seen: gatewaybed.Seen, writer, part: str
+    ) -> bool:
+        """Begin an answer in one of three ways, then crash."""
+        self.observed.part_runs[part].append(time.monotonic())
+        await asyncio.sleep(POISON_RUN_S)
+        framing = self.rng.choice(("", "Transfer-Encoding: chunked", "close"))
+        event = self.event(seen.headers, 1)
+        if framing == "close":
+            writer.write(self.head(seen.headers, "Connection: close") + event)
+        elif framing:
+            writer.write(self.head(seen.headers, framing))
+            gatewaybed.write_chunk(writer, event[:-1])
+        await writer.drain()
+        if framing == "close":
+            # The connection ends as if the response were whole.
+            self.writers.discard(writer)
+            writer.close()
+            await asyncio.sleep(CLOSE_TRANSIT_S)
+        self.on_poison()
+        return False
+
     def draw_mode(self, possible: tuple[str, ...]) -> str:
         """Return how to misbehave for one request; empty for not at all."""
         if self.rng.random() < self.shed_fraction:
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from _coltsfootroad.gateway import names
+
 # Faults start after WARM_UP_S, when the fleet serves, and end RECOVERY_S before
 # the callers stop, so that recovery is checked too.
 WARM_UP_S = 4.0
@@ -15,6 +17,10 @@
 # be lost at a time, and it counts as lost until it has caught up.
 WIPE_ISOLATION_S = 8.0
 KEY_COUNT = 6
+PARTS_HEADER = names.HeaderNames().prompt_parts
+# Part of all prompts, and start of the parts that crash endpoints.
+FIRST_PART = "first"
+POISON_PART = "poison"
 # Longer than the time that a gateway has to find another way.
 CUT_DURATION_S = (5.0, 8.0)
 # A replacement replica has started and votes within this time.
@@ -131,6 +137,8 @@
         mbits: Rate of the link to each replica in Mbit/s, 0 for no limit.
         routes: Additional routes of each version that receive no requests.
         poisons: Poison requests, which crash each endpoint that runs them.
+        poison_parts: Parts of prompts that crash each endpoint that begins to
+            answer them.
         shedding: Whether all endpoints shed while gateways restart in series.
         cutting: Whether gateways are cut off from all endpoints in series.
     """
@@ -144,6 +152,7 @@
     mbits: float = 0.0
     routes: int = 0
     poisons: int = 0
+    poison_parts: int = 0
     shedding: bool = False
     cutting: bool = False
 
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -40,6 +40,9 @@
 POISONS = flags.DEFINE_integer(
     "poisons", 0, "Poison requests, which crash the endpoints."
 )
+POISON_PARTS = flags.DEFINE_integer(
+    "poison_parts", 0, "Parts of prompts that crash the endpoints."
+)
 SHEDDING = flags.DEFINE_bool(
     "shedding", False, "All endpoints shed while gateways restart in series."
 )
@@ -109,7 +112,7 @@
 
 def draw_faults_for(seed: int, options: plan.SoakOptions) -> list[plan.Fault]:
     """Return the faults of a soak."""
-    if options.poisons:
+    if options.poisons or options.poison_parts:
         return plan.draw_with_poison(seed, options)
     if options.shedding:
         return plan.draw_with_shedding(seed, options)
@@ -140,10 +143,12 @@
         observed, fleet.ready, fleet.gateways, stopping
     )
     targets = [monitor.run]
-    for number in range(options.callers + options.poisons):
-        kind = callers.Caller
-        if number >= options.callers:
-            kind = callers.PoisonCaller
+    kinds = (
+        [callers.Caller] * options.callers
+        + [callers.PoisonCaller] * options.poisons
+        + [callers.PartPoisonCaller] * options.poison_parts
+    )
+    for number, kind in enumerate(kinds):
         caller = kind(
             number,
             observed,
@@ -279,6 +284,7 @@
         mbits=MBITS.value,
         routes=ROUTES.value,
         poisons=POISONS.value,
+        poison_parts=POISON_PARTS.value,
         shedding=SHEDDING.value,
         cutting=CUTTING.value,
     )
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -71,6 +71,12 @@
     run_in_scenario(context, seed, options)
 
 
+@when("a soak of seed {seed:d} sends requests with {count:d} poison parts")
+def soak_poison_parts(context, count, seed):
+    options = plan.SoakOptions(poison_parts=count, seconds=SECONDS)
+    run_in_scenario(context, seed, options)
+
+
 @when("gateways are cut off from all endpoints in a soak of seed {seed:d}")
 def soak_cutting(context, seed):
     options = plan.SoakOptions(cutting=True, seconds=SECONDS)
@@ -373,6 +379,9 @@
         "a poison request is not quarantined": {
             "poison_runs": {b"poison 1": [float(n) for n in range(20)]}
         },
+        "a poison part is not quarantined": {
+            "part_runs": {"poison1": [float(n) for n in range(24)]}
+        },
         "another request is quarantined": {
             "outcomes": [
                 unsafe,
