quarantine: drop the evidence against a part that leaves the quarantine

What operators saw: a part removed from quarantine was quarantined again at the next crash, whatever its cause. Cause: the crashes before its removal still counted, as they do not for contents. Change: the end of an entry counts as an answer to the part.

--- a/features/gateway/sharedparts.feature
+++ b/features/gateway/sharedparts.feature
@@ -91,6 +91,18 @@
     Then 3 trials of the part were started
     And each such part reaches engines at most 3 times later than 3 s after its fifth crash
 
+  Scenario: A part that no longer crashes engines is served after one trial
+    Given 3 gateways in front of 6 engines that stream, seed 1
+    When a part that crashes engines is fixed 5 s after it is quarantined
+    Then requests with it are refused until 60 s after that, and then served
+
+  # Guards against convicting a part again for crashes before its removal.
+  Scenario: A part that an operator removes from quarantine stays out of it
+    Given 3 gateways in front of 6 engines that stream, seed 1
+    When a part that crashes engines is fixed, and removed by an operator
+    And an engine crashes for another reason
+    Then no part is in quarantine
+
   Scenario: A request with two entries runs only if trials of both are due
     Given 3 gateways in front of 6 engines that stream, seed 1
     When two parts are quarantined 30 s apart, and requests have both
--- a/features/steps/sharedparts_steps.py
+++ b/features/steps/sharedparts_steps.py
@@ -132,6 +132,88 @@
     assert entry.trial_at is None
 
 
+@when(
+    "a part that crashes engines is fixed {seconds:g} s after it is quarantined"
+)
+def is_fixed(context, seconds):
+    world = context.world
+    caller = parthistories.poison_caller(0.3, parthistories.POISON_PART)
+    world.poison_parts.add(parthistories.POISON_PART)
+    part = parthistories.part(parthistories.POISON_PART)
+
+    async def story():
+        world.spawn(world.repeat(caller))
+        while part not in world.state.quarantine.entries:
+            await world.run(0.05)
+        context.began_at = world.now
+        await world.run(seconds)
+        world.fixed = True
+        await world.run(quarantine.FIRST_TRIAL_DELAY_S + 5.0)
+        # Another cause than the part, while requests with it are in flight.
+        for engine in list(world.engines.values())[:2]:
+            world.crash(engine)
+        await world.run(quarantine.FIRST_TRIAL_DELAY_S)
+
+    context.go(story())
+
+
+@then(
+    "requests with it are refused until {seconds:g} s after that, and then"
+    " served"
+)
+def refused_then_served(context, seconds):
+    assert seconds == quarantine.FIRST_TRIAL_DELAY_S
+    ((_, tries),) = context.world.first_tries.items()
+    passed_at = context.began_at + seconds
+    early = [ok for at, ok in tries if context.began_at + 0.5 < at < passed_at]
+    late = [ok for at, ok in tries if at > passed_at + 2.0]
+    assert early and not any(early), early
+    assert len(late) > 10 and sum(late) > 0.9 * len(late), late
+    part = parthistories.part(parthistories.POISON_PART)
+    assert part not in context.world.state.quarantine.entries
+
+
+@when("a part that crashes engines is fixed, and removed by an operator")
+def removed_by_operator(context):
+    world = context.world
+    caller = parthistories.poison_caller(0.3, parthistories.POISON_PART)
+    world.poison_parts.add(parthistories.POISON_PART)
+    part = parthistories.part(parthistories.POISON_PART)
+
+    async def story():
+        sending = asyncio.ensure_future(world.repeat(caller))
+        while part not in world.state.quarantine.entries:
+            await world.run(0.05)
+        sending.cancel()
+        world.fixed = True
+        await world.run(5.0)
+        world.apply(crashreports.EndQuarantine(fingerprint=part, reason="test"))
+
+    context.go(story())
+
+
+@when("an engine crashes for another reason")
+def unrelated_crash(context):
+    world = context.world
+    caller = partworld.Caller(workspace="acme", parts=("f1",))
+
+    async def story():
+        world.spawn(world.send(caller))
+        await world.run(0.1)
+        for engine in list(world.engines.values()):
+            if engine.calls:
+                world.crash(engine)
+        await world.run(3.0)
+
+    context.go(story())
+
+
+@then("no part is in quarantine")
+def no_part(context):
+    entries = context.world.state.quarantine.entries
+    assert not any(fingerprint.is_part for fingerprint in entries), entries
+
+
 @when("two parts are quarantined 30 s apart, and requests have both")
 def two_entries(context):
     world = context.world
--- a/src/_coltsfootroad/control/coordinator.py
+++ b/src/_coltsfootroad/control/coordinator.py
@@ -466,7 +466,10 @@
                 self.fleet_state.put_quarantine(entry)
         for fingerprint in published.keys() - table.entries.keys():
             self.fleet_state.drop_quarantine(fingerprint)
-            self.crashes.clear(fingerprint, now)
+            if fingerprint.is_part:
+                self.shared_features.on_answer(fingerprint, now)
+            else:
+                self.crashes.clear(fingerprint, now)
 
     def expire(self, now: float) -> None:
         """Drop relays, members and endpoints whose lease has ended."""
