quarantine: operators name parts; injected defects of the quarantine of parts

Cause: colts-ctl took whole contents only; nothing showed that the checks of the quarantine of parts can fail. Change: quarantine add-part and remove-part, 'part of prompts' in the list; invalid ids are refused with the reason.

--- a/features/gateway/sharedparts.feature
+++ b/features/gateway/sharedparts.feature
@@ -39,6 +39,7 @@
       | one part beside others that change              | 1    |
       | one part behind several first parts             | 1    |
       | a part that comes only with a template          | 1    |
+      | a part that comes only with a rare template     | 1    |
       | a part in two workspaces                        | 1    |
       | a part in four workspaces                       | 1    |
       | requests that state a part of others            | 1    |
@@ -120,6 +121,17 @@
     When 100 requests with parts are served
     Then no header of parts was read
 
+  Scenario Outline: An operator names <part> in workspace <workspace>
+    Then an operator's entry for part <part> of workspace <workspace> is <result>
+
+    Examples:
+      | part      | workspace | result                               |
+      | bad1      | acme      | refused to requests of acme          |
+      | BAD1      | acme      | refused to requests of acme          |
+      | bad1      | *         | refused to requests of all workspaces |
+      | bad1:800  | acme      | invalid                              |
+      | bad1,bad2 | acme      | invalid                              |
+
   # Guards against mixed builds that stop at fields or entries of later ones.
   Scenario: Earlier builds read reports, and hold entries of parts
     Then a report with parts and answers is read without them
--- a/features/steps/sharedparts_steps.py
+++ b/features/steps/sharedparts_steps.py
@@ -1,6 +1,7 @@
 """Steps for requests that crash engines by a part that they share."""
 
 import asyncio
+import contextlib
 from unittest import mock
 
 import attrs
@@ -9,6 +10,7 @@
 from behave import when
 import msgspec
 
+from _coltsfootroad.commands import quarantinectl
 from _coltsfootroad.control import crashreports
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.core import crashes
@@ -16,7 +18,9 @@
 from _coltsfootroad.core import promptparts
 from _coltsfootroad.core import quarantine
 from _coltsfootroad.gateway import quarantine as local_quarantine
+from _coltsfootroad.shell import quarantineapi
 from features.support import crashworld
+from features.support import partdefects
 from features.support import parthistories
 from features.support import partworld
 
@@ -318,6 +322,32 @@
     assert context.read.call_count == 0, context.read.call_count
 
 
+# --- operators -----------------------------------------------------------------
+
+
+@then(
+    "an operator's entry for part {part} of workspace {workspace} is {result}"
+)
+def operators_entry(context, part, workspace, result):
+    del context
+    new_entry = quarantineapi.NewEntry(
+        workspace=workspace, part=part, reason="test"
+    )
+    if result == "invalid":
+        assert quarantineapi.validation_error(new_entry)
+        return
+    assert not quarantineapi.validation_error(new_entry)
+    entry = quarantine.Entry(
+        fingerprint=new_entry.identity(), reason="test", since=0, trial_at=None
+    )
+    shared = fingerprints.of_parts(("bad1",), "acme")
+    assert entry.fingerprint in shared, entry
+    text = quarantinectl.format_entry(quarantineapi.to_document(entry), 1.0)
+    assert f"{workspace!r}, part of prompts: test" in text, text
+    both = attrs.evolve(new_entry, fingerprint="0" * 32)
+    assert quarantineapi.validation_error(both)
+
+
 # --- mixed builds --------------------------------------------------------------
 
 
@@ -405,6 +435,32 @@
     assert loaded.quarantine.entries == state.quarantine.entries
 
 
+# --- defects -------------------------------------------------------------------
+
+
+@when('the defect "{label}" is in the quarantine of parts')
+def inject_defect(context, label):
+    patch, context.play, *others = partdefects.DEFECTS[label]
+    context.patches = [patch, *others]
+
+
+@then("a history of shared parts fails")
+def history_fails(context):
+    with contextlib.ExitStack() as stack:
+        for patch in context.patches:
+            stack.enter_context(mock.patch.object(*patch))
+        try:
+            context.play()
+        except AssertionError:
+            return
+    raise AssertionError("the injected defect was not detected")
+
+
+@then("the same history holds without the defect")
+def history_holds(context):
+    context.play()
+
+
 # --- headers -------------------------------------------------------------------
 
 
--- a/features/support/parthistories.py
+++ b/features/support/parthistories.py
@@ -107,6 +107,12 @@
     return fingerprints.of_part(name, workspace)
 
 
+async def never_ended(self, endpoint) -> bool:
+    """Take every endpoint for running, as a defect."""
+    del self, endpoint
+    return False
+
+
 def put_in_quarantine(world, name: str) -> None:
     """Put a part into quarantine like an operator."""
     world.apply(crashreports.Quarantine(fingerprint=part(name), reason="test"))
@@ -136,6 +142,10 @@
         poison=(poison_caller(0.2, "f1", "t1", POISON_PART),),
         proper=(*PROPER, TEMPLATE),
     ),
+    "a part that comes only with a rare template": History(
+        poison=(poison_caller(0.1, "t1", POISON_PART),),
+        proper=(*PROPER, attrs.evolve(TEMPLATE, parts=("t1",), every_s=1.5)),
+    ),
     "two parts": History(
         poison=(
             poison_caller(0.3),
--- a/src/_coltsfootroad/commands/ctl.py
+++ b/src/_coltsfootroad/commands/ctl.py
@@ -48,6 +48,11 @@
                              the logs show; "" is the empty workspace
   quarantine remove FINGERPRINT
                              remove a request from the quarantine
+  quarantine add-part WORKSPACE PART REASON
+                             quarantine all requests with a part in their
+                             prompt; "*" means all workspaces
+  quarantine remove-part PART
+                             remove a part from the quarantine
   snapshot FILE              write a backup of the durable state
   drain ADMIN_ADDRESS        shut an entry down gracefully
   dump ADMIN_ADDRESS         show the state of a process"""
@@ -352,6 +357,10 @@
             return quarantinectl.add(
                 client, workspace, body_bytes, fingerprint, reason
             )
+        case ["add-part", workspace, part, reason]:
+            return quarantinectl.add_part(client, workspace, part, reason)
+        case ["remove-part", part]:
+            return quarantinectl.remove_part(client, part)
         case ["remove", fingerprint]:
             return quarantinectl.remove(client, fingerprint)
     common.print_error(f"unknown quarantine command\n{USAGE}")
--- a/src/_coltsfootroad/commands/quarantinectl.py
+++ b/src/_coltsfootroad/commands/quarantinectl.py
@@ -5,6 +5,7 @@
 
 from _coltsfootroad.commands import common
 from _coltsfootroad.commands import ctlclient
+from _coltsfootroad.core import fingerprints
 
 PATH = "/v1/quarantine"
 
@@ -26,9 +27,12 @@
     if entry["trial_at"] is not None:
         remaining_s = max(0, round(entry["trial_at"] - unix_s))
         trial = f"trial in {remaining_s} s"
+    size = f"{entry['body_bytes']} bytes"
+    if entry.get("kind") == "part":
+        size = "part of prompts"
     return (
         f"{entry['fingerprint']} of workspace {entry['workspace']!r},"
-        f" {entry['body_bytes']} bytes: {entry['reason']},"
+        f" {size}: {entry['reason']},"
         f" {entry['crashes']} crashes, since"
         f" {round(unix_s - entry['since'])} s,"
         f" {entry['trials']} trials, {trial}"
@@ -61,6 +65,25 @@
     return common.EXIT_OK
 
 
+def add_part(
+    client: ctlclient.Client, workspace: str, part: str, reason: str
+) -> int:
+    """Add a part of prompts to the quarantine."""
+    document = {"workspace": workspace, "part": part, "reason": reason}
+    response = client.call_leader(
+        PATH, method="POST", body=json.dumps(document)
+    )
+    if response.code != 200:
+        return ctlclient.report_failure(response)
+    ctlclient.print_result(document, f"part {part} is in quarantine")
+    return common.EXIT_OK
+
+
+def remove_part(client: ctlclient.Client, part: str) -> int:
+    """Remove a part of prompts from the quarantine, in all workspaces."""
+    return remove(client, fingerprints.of_part(part.lower()).text)
+
+
 def remove(client: ctlclient.Client, fingerprint: str) -> int:
     """Remove a request from the quarantine."""
     response = client.call_leader(f"{PATH}/{fingerprint}", method="DELETE")
--- a/src/_coltsfootroad/shell/quarantineapi.py
+++ b/src/_coltsfootroad/shell/quarantineapi.py
@@ -8,6 +8,7 @@
 from _coltsfootroad.core import documents
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import fingerprints
+from _coltsfootroad.core import promptparts
 from _coltsfootroad.core import quarantine
 from _coltsfootroad.shell import operatorapi
 
@@ -21,15 +22,28 @@
 
     Attributes:
         workspace: The workspace whose requests are refused.
+        reason: Why they are refused.
         body_bytes: Size of the request's body.
-        fingerprint: Hex digest, as log lines show it.
-        reason: Why the request is refused.
+        fingerprint: Hex digest, as log lines show it; empty for a part.
+        part: A part of prompts instead of a content; the workspace may be
+            `fingerprints.ANY_WORKSPACE`.
     """
 
     workspace: str
-    body_bytes: int
-    fingerprint: str
     reason: str
+    body_bytes: int = 0
+    fingerprint: str = ""
+    part: str = ""
+
+    def identity(self) -> fingerprints.Fingerprint:
+        """Return the fingerprint of what is refused."""
+        if self.part:
+            return fingerprints.of_part(self.part.lower(), self.workspace)
+        return fingerprints.Fingerprint(
+            workspace=self.workspace,
+            body_bytes=self.body_bytes,
+            digest=bytes.fromhex(self.fingerprint),
+        )
 
 
 class QuarantineHandler(operatorapi.OperatorHandler):
@@ -56,12 +70,7 @@
             self.send_bad_request(error_text)
             return
         command = crashreports.Quarantine(
-            fingerprint=fingerprints.Fingerprint(
-                workspace=new_entry.workspace,
-                body_bytes=new_entry.body_bytes,
-                digest=bytes.fromhex(new_entry.fingerprint),
-            ),
-            reason=new_entry.reason,
+            fingerprint=new_entry.identity(), reason=new_entry.reason
         )
         if await self.call_leader(command) is not None:
             self.send_value({"done": True})
@@ -72,10 +81,10 @@
 
 
 class QuarantineEntryHandler(operatorapi.OperatorHandler):
-    """Removes a quarantine entry."""
+    """Removes quarantine entries."""
 
     async def delete(self, digest):
-        """Remove an entry: gateways accept the request again."""
+        """Remove the entries of a digest, those of a part in all workspaces."""
         answer = await self.call_leader(crashreports.ReadQuarantine())
         if answer is None:
             return
@@ -84,15 +93,21 @@
             text = f"no request {digest!r} is in quarantine"
             self.fail(errors.Failure(errors.ErrorCode.NOT_FOUND, text))
             return
-        command = crashreports.EndQuarantine(
-            fingerprint=matches[0].fingerprint, reason="removed by an operator"
-        )
-        if await self.call_leader(command) is not None:
-            self.send_value({"done": True})
+        for entry in matches:
+            command = crashreports.EndQuarantine(
+                fingerprint=entry.fingerprint, reason="removed by an operator"
+            )
+            if await self.call_leader(command) is None:
+                return
+        self.send_value({"done": True})
 
 
 def validation_error(new_entry: NewEntry) -> str:
     """Return why an entry is invalid, empty if it is valid."""
+    if not 0 < len(new_entry.reason) <= MAX_REASON_CHARS:
+        return f"reason must hold 1 to {MAX_REASON_CHARS} characters"
+    if new_entry.part:
+        return part_error(new_entry)
     if not DIGEST_PATTERN.fullmatch(new_entry.fingerprint):
         return (
             f"fingerprint must hold {2 * fingerprints.DIGEST_BYTES} lower-case"
@@ -100,8 +115,19 @@
         )
     if new_entry.body_bytes < 0:
         return f"body_bytes must not be negative, as {new_entry.body_bytes} is"
-    if not 0 < len(new_entry.reason) <= MAX_REASON_CHARS:
-        return f"reason must hold 1 to {MAX_REASON_CHARS} characters"
+    return ""
+
+
+def part_error(new_entry: NewEntry) -> str:
+    """Return why the part of an entry is invalid, empty if it is valid."""
+    if new_entry.fingerprint:
+        return "an entry has a fingerprint or a part, not both"
+    stated = promptparts.shared_parts(f"{new_entry.part},")
+    if stated != (new_entry.part.lower(),):
+        return (
+            f"part must be an id of 1 to {promptparts.MAX_ID_CHARS} characters"
+            f" without commas and colons, not {new_entry.part!r}"
+        )
     return ""
 
 
@@ -109,6 +135,7 @@
     """Return an entry as JSON values."""
     return {
         "workspace": entry.fingerprint.workspace,
+        "kind": "part" if entry.fingerprint.is_part else "content",
         "body_bytes": entry.fingerprint.body_bytes,
         "fingerprint": entry.fingerprint.text,
         "reason": entry.reason,
