quarantine: bound the time of a search for shared features

Cause: each search grouped the requests at 64 crashes by feature anew. Change: the grouping is kept with each crash; a search finds four culprits at most and is repeated after 0.1 s.

--- a/src/_coltsfootroad/core/crashrecord.py
+++ b/src/_coltsfootroad/core/crashrecord.py
@@ -25,6 +25,19 @@
 UNKNOWN_INCARNATION_WINDOW_S = 5.0
 
 
+@attrs.define
+class FeatureSuspects:
+    """The requests with one feature that were in flight at a crash.
+
+    Attributes:
+        label: The feature as callers state it.
+        suspects: The requests.
+    """
+
+    label: str
+    suspects: list[crashes.Suspect] = attrs.Factory(list)
+
+
 @attrs.define
 class KnownCrash:
     """A crash as merged from the reports of all observers.
@@ -34,6 +47,7 @@
         reported_at: Time of the first report.
         suspects: Requests that were in flight, by fingerprint.
         was_shared: Whether a request that was in flight has been cleared.
+        by_feature: Cached result of `group_by_feature`, None if outdated.
     """
 
     at: float
@@ -42,6 +56,34 @@
         dict
     )
     was_shared: bool = False
+    by_feature: dict[fingerprints.Fingerprint, FeatureSuspects] | None = None
+
+    def put(self, suspect: crashes.Suspect) -> None:
+        """Add or replace a request that was in flight."""
+        self.suspects[suspect.fingerprint] = suspect
+        self.by_feature = None
+
+    def drop(self, fingerprint: fingerprints.Fingerprint) -> None:
+        """Remove a request that has been cleared."""
+        del self.suspects[fingerprint]
+        self.by_feature = None
+        self.was_shared = True
+
+    def group_by_feature(
+        self,
+    ) -> dict[fingerprints.Fingerprint, FeatureSuspects]:
+        """Return the requests that were in flight by each of their features."""
+        if self.by_feature is None:
+            self.by_feature = {}
+            for suspect in self.suspects.values():
+                features = fingerprints.of_parts(
+                    suspect.parts, suspect.fingerprint.workspace
+                )
+                for feature, label in features.items():
+                    self.by_feature.setdefault(
+                        feature, FeatureSuspects(label)
+                    ).suspects.append(suspect)
+        return self.by_feature
 
     def is_complete(self, now: float) -> bool:
         """Return whether all observers have had time to report it."""
@@ -157,15 +199,13 @@
         known = crash.suspects.get(fingerprint)
         if known is None and len(crash.suspects) >= MAX_SUSPECTS:
             return
-        crash.suspects[fingerprint] = merge_suspects(known, suspect)
+        crash.put(merge_suspects(known, suspect))
         self.suspected.setdefault(fingerprint, set()).add(endpoint)
 
     def clear(self, fingerprint: fingerprints.Fingerprint, now: float) -> None:
         """Drop all evidence against a request that was answered completely."""
         for endpoint in self.suspected.pop(fingerprint, ()):
-            crash = self.known[endpoint]
-            del crash.suspects[fingerprint]
-            crash.was_shared = True
+            self.known[endpoint].drop(fingerprint)
         self.cleared.pop(fingerprint, None)
         self.cleared[fingerprint] = now
         while len(self.cleared) > MAX_CLEARED:
--- a/src/_coltsfootroad/core/sharedfeatures.py
+++ b/src/_coltsfootroad/core/sharedfeatures.py
@@ -7,7 +7,6 @@
 
 import collections
 from collections.abc import Collection
-from collections.abc import Iterable
 
 import attrs
 
@@ -46,7 +45,9 @@
 MAX_WATCHED = 64
 # Newest crashes that are searched, which bounds the time of a search.
 MAX_SEARCHED_CRASHES = 64
-SEARCH_INTERVAL_S = 0.05
+SEARCH_INTERVAL_S = 0.1
+# Culprits that one search finds; the next ones are found by the next search.
+MAX_FOUND = 4
 # Time after a crash in which the age of answers and rivals may change what is
 # found.
 MAX_DECISION_S = RECENT_ANSWER_CONCLUSIVE_S + RIVAL_DELAY_S + 0.5
@@ -89,10 +90,12 @@
         if newest_sent < self.last_at - crashrecord.CLOCK_SLACK_S:
             return
         self.last_at = crash_at
-        content = min(
-            (suspect.fingerprint for suspect in suspects),
-            key=lambda fingerprint: self.contents.get(fingerprint, 0),
-        )
+        content = suspects[0].fingerprint
+        if len(suspects) > 1:
+            content = min(
+                (suspect.fingerprint for suspect in suspects),
+                key=lambda fingerprint: self.contents.get(fingerprint, 0),
+            )
         count = self.contents.get(content, 0)
         if count >= MAX_CRASHES_PER_CONTENT:
             return
@@ -206,19 +209,21 @@
         culprits: Collection[fingerprints.Fingerprint],
     ) -> None:
         """Add a crash to the evidence against the features in flight at it."""
-        carriers, labels = group_by_feature(crash.suspects.values())
-        guilty = [feature for feature in carriers if feature in culprits]
+        by_feature = crash.group_by_feature()
+        guilty = [feature for feature in by_feature if feature in culprits]
         guilty_contents = [
             fingerprint
             for fingerprint in crash.suspects
             if fingerprint in culprits
         ]
-        for feature, suspects in carriers.items():
+        for feature, group in by_feature.items():
             answered_at = self.answered.get(feature, NEVER)
-            suspects = [s for s in suspects if s.sent_at > answered_at]
+            suspects = [s for s in group.suspects if s.sent_at > answered_at]
             if not suspects:
                 continue
-            evidence = found.setdefault(feature, Evidence(labels[feature]))
+            evidence = found.get(feature)
+            if evidence is None:
+                evidence = found[feature] = Evidence(group.label)
             evidence.total += 1
             if is_explained(feature, guilty):
                 continue
@@ -263,14 +268,15 @@
         self.searched_at = now
         known = set(known_culprits)
         found: list[FeatureCulprit] = []
-        while True:
+        while len(found) < MAX_FOUND:
             candidates = self.candidates(known, now)
             self.watch(candidates, now)
             culprits = self.next_culprits(candidates, now)
             if not culprits:
-                return found
+                break
             known.update(culprit.fingerprint for culprit in culprits)
             found += culprits
+        return found
 
     def next_culprits(
         self, candidates: EvidenceByFeature, now: float
@@ -357,25 +363,6 @@
         )
 
 
-def group_by_feature(
-    suspects: Iterable[crashes.Suspect],
-) -> tuple[
-    dict[fingerprints.Fingerprint, list[crashes.Suspect]],
-    dict[fingerprints.Fingerprint, str],
-]:
-    """Return suspects by each of their features, and the features' labels."""
-    carriers: dict[fingerprints.Fingerprint, list[crashes.Suspect]] = {}
-    labels: dict[fingerprints.Fingerprint, str] = {}
-    for suspect in suspects:
-        features = fingerprints.of_parts(
-            suspect.parts, suspect.fingerprint.workspace
-        )
-        for feature, label in features.items():
-            carriers.setdefault(feature, []).append(suspect)
-            labels[feature] = label
-    return carriers, labels
-
-
 def is_explained(
     feature: fingerprints.Fingerprint,
     guilty: Collection[fingerprints.Fingerprint],
