quarantine: watch a part again only 5 s after its last answer

Cause: a popular part was watched, answered and watched again with every second crash; each time all gateways report. Worked out for 520 gateways and ten crashes a second: over 1,000 reports a second at the leader. Change: a part that was answered within 5 s is not watched; it is no culprit for 30 s anyway.

--- a/src/_coltsfootroad/core/sharedfeatures.py
+++ b/src/_coltsfootroad/core/sharedfeatures.py
@@ -252,8 +252,18 @@
         }
 
     def watch(self, candidates: EvidenceByFeature, now: float) -> None:
-        """Update the features whose answers all gateways should report."""
-        found = sorted(candidates, key=lambda f: -candidates[f].blame)
+        """Update the features whose answers all gateways should report.
+
+        Those that were just answered are left out, as each watch costs a report
+        of every gateway.
+        """
+        silent = [
+            feature
+            for feature in candidates
+            if now
+            >= self.answered.get(feature, NEVER) + RECENT_ANSWER_CONCLUSIVE_S
+        ]
+        found = sorted(silent, key=lambda f: -candidates[f].blame)
         self.watched_since = {
             feature: self.watched_since.get(feature, now)
             for feature in found[:MAX_WATCHED]
