--- a/features/gateway/cutoff.feature
+++ b/features/gateway/cutoff.feature
@@ -92,8 +92,21 @@
   # Guards against older routes that are applied to a forwarded request.
   Scenario: Another gateway does not know the routes yet
     Given 3 gateways and 2 endpoints
-    When g1 has newer routes than g2 and forwards 6 requests
+    When g1 has newer routes than g2 and forwards 12 requests
     Then all of them are answered, none of them by g2
+    And g2 was asked at most once within 1 s
+
+  # Guards against retries beyond the budget by way of other gateways.
+  Scenario Outline: A request is forwarded <when>
+    Given 2 gateways and 2 endpoints
+    When gateway g1 forwards a request <when>
+    Then the caller gets 200
+    And <charged> retries were charged to the retry budget
+
+    Examples:
+      | when                                    | charged |
+      | that no endpoint has got                | 0       |
+      | after a send that an endpoint has got   | 1       |
 
   # Guards against suspects of crashes that never happened: a cut resets connections
   # and refuses new ones, as the end of a process does.
--- a/features/steps/cutoff_steps.py
+++ b/features/steps/cutoff_steps.py
@@ -9,6 +9,7 @@
 from behave import when
 from tornado import iostream
 
+from _coltsfootroad.core import peerchoice
 from _coltsfootroad.core import reachability
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import workload
@@ -17,6 +18,7 @@
 from features.support import gatewaybed
 from features.support import gatewayfleet
 
+SERVICE = "shop"
 # Requests count from this long after a cut, and are sent for this long then.
 SETTLED_S = 3.0
 COUNTED_S = 1.5
@@ -403,6 +405,48 @@
         }, headers
 
 
+@then("g2 was asked at most once within {seconds:g} s")
+def asked_once(context, seconds):
+    assert seconds == peerchoice.BACKOFF_S
+    assert context.asked_g2 <= 1 + context.took_s // seconds
+
+
+@when("gateway g1 forwards a request that no endpoint has got")
+def forwards_first_send(context):
+    async def story(fleet):
+        await cut_and_learn(fleet, {"g1"}, "reset")
+        forget_seen(fleet, "")
+        budget = fleet.gateways["g1"].budget(SERVICE)
+        before = budget.sent
+        context.answer = (await fleet.ask("g1", "safe")).answer
+        context.charged = budget.sent - before
+
+    run_with_fleet(context, story)
+
+
+@when("gateway g1 forwards a request after a send that an endpoint has got")
+def forwards_retry(context):
+    async def story(fleet):
+        await fleet.load(BEFORE_CUT_S)
+        forget_seen(fleet, "hang")
+        budget = fleet.gateways["g1"].budget(SERVICE)
+        before = budget.sent
+        asking = asyncio.ensure_future(fleet.ask("g1", "safe"))
+        await until_running(fleet)
+        for endpoint in fleet.endpoints.values():
+            endpoint.act = ""
+        fleet.cut({"g1"}, "reset")
+        context.answer = (await asking).answer
+        context.charged = budget.sent - before
+
+    run_with_fleet(context, story)
+
+
+@then("{count:d} retries were charged to the retry budget")
+def retries_charged(context, count):
+    assert context.charged == count, context.charged
+
+
 @when("g1 has newer routes than g2 and forwards {count:d} requests")
 def newer_routes(context, count):
     async def story(fleet):
@@ -412,8 +456,12 @@
             fleet.gateways[name].adopt(gatewaybed.config(2))
         for gateway in fleet.gateways.values():
             gateway.pools.clear()
-        context.last = [await fleet.ask("g1", "unsafe") for _ in range(count)]
         g2 = fleet.gateways["g2"]
+        started_at = asyncio.get_running_loop().time()
+        context.last = [await fleet.ask("g1", "unsafe") for _ in range(count)]
+        context.took_s = asyncio.get_running_loop().time() - started_at
+        # Each forward of an unsafe request opens a connection.
+        context.asked_g2 = fleet.gateways["g1"].pool(g2.settings.listen).opened
         context.opened_by_g2 = sum(pool.opened for pool in g2.pools.values())
 
     run_with_fleet(context, story)
