quarantine: crashes under a guilty part are no evidence against contents

Cause: a crash counted as explained only if a convicted content was in flight; convicted parts were not looked at. Ruled out: the thresholds for contents; one crash that no report explained sufficed, as the others still counted in all. Change: crashes with a guilty part in flight count for no content, nor do those with a part that may be guilty until that is decided; parts are searched first. Conclusion: credit for a crash goes to one cause, whatever its kind.

--- a/features/gateway/sharedpartdefects.feature
+++ b/features/gateway/sharedpartdefects.feature
@@ -11,7 +11,7 @@
       | parts are never convicted                                         |
       | the last part counts                                              |
       | counts of tokens are part of the identity                         |
-      | each feature is blamed for a whole crash, and answers are ignored |
+      | each feature is blamed for a whole crash                          |
       | answers are not reported                                          |
       | a crash passes for the end of a response                          |
       | an entry of one workspace holds in all                            |
--- a/features/gateway/sharedparts.feature
+++ b/features/gateway/sharedparts.feature
@@ -51,6 +51,8 @@
       | three parts                    | 1    |
       | three parts                    | 7    |
       | two parts in the same requests | 1    |
+      | one part beside a popular content | 1 |
+      | three parts beside a popular content | 1 |
       | a part and a whole content     | 1    |
 
     Examples: beside faults
@@ -104,6 +106,17 @@
     And an engine crashes for another reason
     Then no part is in quarantine
 
+  # Guards against convicting a popular content for crashes that a part explains.
+  Scenario Outline: A popular content at <count> crashes of a part in quarantine
+    When <count> requests with a quarantined part crash engines beside a popular content
+    Then the popular content is not a culprit
+
+    Examples:
+      | count |
+      | 4     |
+      | 7     |
+      | 20    |
+
   Scenario: A request with two entries runs only if trials of both are due
     Given 3 gateways in front of 6 engines that stream, seed 1
     When two parts are quarantined 30 s apart, and requests have both
--- a/features/steps/sharedparts_steps.py
+++ b/features/steps/sharedparts_steps.py
@@ -20,6 +20,7 @@
 from _coltsfootroad.gateway import quarantine as local_quarantine
 from _coltsfootroad.shell import quarantineapi
 from features.support import crashworld
+from features.support import ledgerpatterns
 from features.support import partdefects
 from features.support import parthistories
 from features.support import partworld
@@ -245,6 +246,38 @@
     assert seconds <= first - context.second_at <= seconds + 3.0, first
 
 
+@when(
+    "{count:d} requests with a quarantined part crash engines beside a popular"
+    " content"
+)
+def crashes_of_a_part(context, count):
+    context.popular = ledgerpatterns.fingerprint_of("popular")
+    context.ledger = ledgerpatterns.ledger_of(
+        [
+            attrs.evolve(
+                report,
+                suspects=tuple(
+                    attrs.evolve(suspect, parts=("f1", "p1"))
+                    if suspect.fingerprint != context.popular
+                    else suspect
+                    for suspect in report.suspects
+                ),
+            )
+            for number in range(count)
+            for report in ledgerpatterns.in_a_row(
+                1, f"poison{number}", "popular", first=number
+            )
+        ]
+    )
+
+
+@then("the popular content is not a culprit")
+def popular_is_no_culprit(context):
+    known = {parthistories.part("p1")}
+    culprits = context.ledger.find_culprits(known, ledgerpatterns.END_S)
+    assert context.popular not in {c.fingerprint for c in culprits}, culprits
+
+
 # --- refusals ----------------------------------------------------------------
 
 
--- a/features/support/partdefects.py
+++ b/features/support/partdefects.py
@@ -2,6 +2,8 @@
 
 import functools
 
+import attrs
+
 from _coltsfootroad.control import coordinator
 from _coltsfootroad.core import fingerprints
 from _coltsfootroad.core import promptparts
@@ -12,6 +14,7 @@
 from _coltsfootroad.gateway import crashdetector
 from _coltsfootroad.gateway import crashreporter
 from features.support import crashhistories
+from features.support import ledgerpatterns
 from features.support import parthistories
 from features.support import partworld
 
@@ -58,6 +61,31 @@
         parthistories.check(world, history)
 
 
+def first_part_is_no_culprit() -> None:
+    """Crash endpoints under one part, beside others with the same first part."""
+    reports = [
+        attrs.evolve(
+            report,
+            suspects=tuple(
+                attrs.evolve(suspect, parts=("f1", "p1") if not n else ("f1",))
+                for n, suspect in enumerate(report.suspects)
+            ),
+        )
+        for number in range(6)
+        for report in ledgerpatterns.in_a_row(
+            1, f"poison{number}", f"proper{number}", first=number
+        )
+    ]
+    ledger = ledgerpatterns.ledger_of(reports)
+    features = sharedfeatures.SharedFeatures(ledger)
+    found = []
+    for delay_s in (0.0, 1.0, 2.0):
+        now = reports[-1].at + sharedfeatures.RIVAL_DELAY_S + delay_s
+        found += features.find_culprits([c.fingerprint for c in found], now)
+    names = [culprit.label for culprit in found]
+    assert names == ["p1"], names
+
+
 def own_parts_are_ignored() -> None:
     """Check that a report names no part that only one request has."""
     assert promptparts.shared_parts("f1:8,own:2") == ("f1",)
@@ -133,10 +161,9 @@
         (promptparts, "shared_parts", with_tokens),
         functools.partial(play, "one part, each request sent once"),
     ),
-    "each feature is blamed for a whole crash, and answers are ignored": (
+    "each feature is blamed for a whole crash": (
         (sharedfeatures.Evidence, "add", without_division),
-        functools.partial(play, "one part", 2),
-        (sharedfeatures.SharedFeatures, "on_answer", lambda self, f, at: None),
+        first_part_is_no_culprit,
     ),
     "answers are not reported": (
         (
--- a/features/support/parthistories.py
+++ b/features/support/parthistories.py
@@ -8,6 +8,7 @@
 from _coltsfootroad.control import crashreports
 from _coltsfootroad.core import fingerprints
 from features.support import crashhistories
+from features.support import crashworld
 from features.support import partworld
 
 Caller = partworld.Caller
@@ -16,6 +17,14 @@
 PROPER = (SAME_KEY, OTHER_KEY)
 # Proper requests with a template that requests with the poison part have too.
 TEMPLATE = Caller(workspace="acme", parts=("f1", "t1"), every_s=0.3)
+# Proper requests that all have the same content.
+POPULAR = Caller(
+    workspace="acme",
+    parts=("f1", "a2"),
+    kind="safe",
+    every_s=0.04,
+    body=b"popular",
+)
 POISON_PART = "bad1"
 POISON_BODY = b"poison content"
 QUIET_S = 4.0
@@ -100,6 +109,9 @@
                 tuple(caller.all_parts()), caller.workspace
             )
             assert entry.fingerprint not in shared, entry
+            if caller.body is not None:
+                content = crashworld.fingerprint(caller.body, caller.kind)
+                assert entry.fingerprint != content, entry
 
 
 def part(name: str, workspace: str = "acme") -> fingerprints.Fingerprint:
@@ -146,6 +158,17 @@
         poison=(poison_caller(0.1, "t1", POISON_PART),),
         proper=(*PROPER, attrs.evolve(TEMPLATE, parts=("t1",), every_s=1.5)),
     ),
+    "one part beside a popular content": History(
+        poison=(poison_caller(0.1),),
+        proper=(*PROPER, POPULAR),
+    ),
+    "three parts beside a popular content": History(
+        poison=tuple(
+            poison_caller(0.3, "f1", name) for name in ("bad1", "bad2", "bad3")
+        ),
+        proper=(*PROPER, POPULAR),
+        seconds=20.0,
+    ),
     "two parts": History(
         poison=(
             poison_caller(0.3),
--- a/src/_coltsfootroad/control/coordinator.py
+++ b/src/_coltsfootroad/control/coordinator.py
@@ -398,20 +398,25 @@
     def quarantine_suspects(self, now: float) -> list[crashreports.Quarantine]:
         """Return new quarantine entries for the crashes recorded so far."""
         self.evaluated_at = now
-        culprits = self.crashes.find_culprits(
-            self.state.quarantine.entries, now
-        )
-        commands = [
+        commands = []
+        if self.shared_features.is_search_due(now):
+            commands += self.quarantine_features(now)
+        # Crashes under a feature that may be a culprit are no evidence against
+        # other contents that were in flight.
+        known = {
+            *self.state.quarantine.entries,
+            *self.shared_features.qualified_since,
+            *(command.fingerprint for command in commands),
+        }
+        commands += [
             crashreports.Quarantine(
                 fingerprint=culprit.fingerprint,
                 reason=REASON_CRASHED,
                 crashes=len(culprit.endpoints),
                 endpoints=tuple(key.endpoint for key in culprit.endpoints),
             )
-            for culprit in culprits
+            for culprit in self.crashes.find_culprits(known, now)
         ]
-        if self.shared_features.is_search_due(now):
-            commands += self.quarantine_features(now)
         for command in commands:
             self.pending_quarantines[command.fingerprint] = None
         while len(self.pending_quarantines) > MAX_PENDING_QUARANTINES:
--- a/src/_coltsfootroad/core/crashledger.py
+++ b/src/_coltsfootroad/core/crashledger.py
@@ -118,7 +118,11 @@
         now: float,
     ) -> bool:
         """Return whether the evidence against a suspect suffices."""
-        crashed = self.suspected[fingerprint]
+        crashed = {
+            endpoint
+            for endpoint in self.suspected[fingerprint]
+            if not self.known[endpoint].has_feature(culprits)
+        }
         unexplained = self.unexplained(crashed, culprits, now)
         if not unexplained:
             return False
--- a/src/_coltsfootroad/core/crashrecord.py
+++ b/src/_coltsfootroad/core/crashrecord.py
@@ -85,6 +85,10 @@
                     ).suspects.append(suspect)
         return self.by_feature
 
+    def has_feature(self, features: set[fingerprints.Fingerprint]) -> bool:
+        """Return whether a request with one of some features was in flight."""
+        return not features.isdisjoint(self.group_by_feature())
+
     def is_complete(self, now: float) -> bool:
         """Return whether all observers have had time to report it."""
         return now >= self.reported_at + REPORT_DELAY_S
