--- a/src/_coltsfootroad/control/coordinator.py
+++ b/src/_coltsfootroad/control/coordinator.py
@@ -431,10 +431,7 @@
         return [
             crashreports.Quarantine(
                 fingerprint=culprit.fingerprint,
-                reason=(
-                    f"part {culprit.label!r} {REASON_CRASHED}, in"
-                    f" {culprit.contents} different requests"
-                ),
+                reason=feature_reason(culprit),
                 crashes=len(culprit.endpoints),
                 endpoints=tuple(key.endpoint for key in culprit.endpoints),
             )
@@ -488,6 +485,17 @@
             self.remove_endpoint(name)
 
 
+def feature_reason(culprit: sharedfeatures.FeatureCulprit) -> str:
+    """Return the reason of an entry for a feature, with its evidence."""
+    answered = "no answer known"
+    if culprit.answered_ago_s is not None:
+        answered = f"last answered {culprit.answered_ago_s:.0f} s before"
+    return (
+        f"part {culprit.label!r} {REASON_CRASHED}, in {culprit.contents}"
+        f" different requests, {answered}"
+    )
+
+
 def end_quarantine(
     fingerprint: fingerprints.Fingerprint,
 ) -> crashreports.EndQuarantine:
--- a/src/_coltsfootroad/gateway/quarantine.py
+++ b/src/_coltsfootroad/gateway/quarantine.py
@@ -159,7 +159,8 @@
             errors.ErrorCode.QUARANTINED,
             reason,
             errors.Ran.NO,
-            retry_after_s(entry, now),
+            retry_after_s(entry, now)
+            + (JOINT_TRIAL_DELAY_S if len(entries) > 1 else 0.0),
         )
 
 
