quarantine: crashes under a suspected part are no evidence against contents

Cause: with five endpoints that all crash, reports of the last ones wait for a path, and parts are proved later than a content that is at each crash. Only parts with enough crashes kept them from counting. Change: crashes with a part in flight that is suspected (several contents, not answered lately) count for no content that lacks it. A content's own parts do not protect it.

--- a/features/gateway/sharedparts.feature
+++ b/features/gateway/sharedparts.feature
@@ -117,6 +117,23 @@
       | 7     |
       | 20    |
 
+  # Guards against convicting a popular content before the part is proved guilty.
+  Scenario Outline: A popular content at <count> crashes of <parts> parts, none proved yet
+    When a leader learns of <count> crashes of <parts> parts beside a popular content
+    Then it convicts <convicted> parts within 2 s and never the popular content
+
+    Examples:
+      | count | parts | convicted |
+      | 7     | 1     | 1         |
+      | 7     | 3     | 0         |
+      | 9     | 2     | 2         |
+      | 12    | 2     | 2         |
+
+  # Guards against parts that keep a whole content from being convicted.
+  Scenario: A content with parts that crashes endpoints alone is convicted
+    When a leader learns of 3 crashes of one content with parts
+    Then it convicts the content and no part
+
   Scenario: A request with two entries runs only if trials of both are due
     Given 3 gateways in front of 6 engines that stream, seed 1
     When two parts are quarantined 30 s apart, and requests have both
--- a/features/steps/sharedparts_steps.py
+++ b/features/steps/sharedparts_steps.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from _coltsfootroad.commands import quarantinectl
+from _coltsfootroad.control import coordinator
 from _coltsfootroad.control import crashreports
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.core import crashes
@@ -278,6 +279,84 @@
     assert context.popular not in {c.fingerprint for c in culprits}, culprits
 
 
+def leader_with(reports):
+    """Return a leader, and the fingerprints that it convicts in 2 s."""
+    leader = coordinator.Coordinator(
+        epoch="e", state=state_lib.ControlState(), started_at=0.0
+    )
+    leader.shared_features.on_answer(parthistories.part("f1"), -1.0)
+    found = []
+    for report in reports:
+        leader.crashes.record(report, report.at)
+        found += leader.quarantine_suspects(report.at)
+    for step in range(1, 41):
+        now = reports[-1].at + step * crashworld.relayworld.STEP_S
+        found += leader.quarantine_delayed(now)
+        for command in found:
+            leader.state.apply(command, now)
+    return {command.fingerprint for command in found}
+
+
+def with_parts(report, parts_by_name):
+    """Return a report whose requests have parts, by their names."""
+    parts = {
+        ledgerpatterns.fingerprint_of(name): found
+        for name, found in parts_by_name.items()
+    }
+    return attrs.evolve(
+        report,
+        suspects=tuple(
+            attrs.evolve(suspect, parts=parts.get(suspect.fingerprint, ()))
+            for suspect in report.suspects
+        ),
+    )
+
+
+@when(
+    "a leader learns of {count:d} crashes of {parts:d} parts beside a popular"
+    " content"
+)
+def crashes_of_parts(context, count, parts):
+    context.parts = [f"p{number}" for number in range(parts)]
+    reports = [
+        with_parts(
+            report,
+            {
+                f"poison{number}": ("f1", f"p{number % parts}"),
+                "popular": ("f1",),
+            },
+        )
+        for number in range(count)
+        for report in ledgerpatterns.in_a_row(
+            1, f"poison{number}", "popular", first=number
+        )
+    ]
+    context.found = leader_with(reports)
+
+
+@then("it convicts {count:d} parts within 2 s and never the popular content")
+def convicts_parts(context, count):
+    wanted = {parthistories.part(name) for name in context.parts}
+    assert context.found <= wanted, context.found
+    assert len(context.found) == count, context.found
+
+
+@when("a leader learns of {count:d} crashes of one content with parts")
+def crashes_of_content(context, count):
+    context.found = leader_with(
+        [
+            with_parts(report, {"poison": ("f1", "p1")})
+            for report in ledgerpatterns.in_a_row(count, "poison")
+        ]
+    )
+
+
+@then("it convicts the content and no part")
+def convicts_content(context):
+    wanted = {ledgerpatterns.fingerprint_of("poison")}
+    assert context.found == wanted, context.found
+
+
 # --- refusals ----------------------------------------------------------------
 
 
--- a/src/_coltsfootroad/control/coordinator.py
+++ b/src/_coltsfootroad/control/coordinator.py
@@ -405,7 +405,7 @@
         # other contents that were in flight.
         known = {
             *self.state.quarantine.entries,
-            *self.shared_features.qualified_since,
+            *self.shared_features.suspects,
             *(command.fingerprint for command in commands),
         }
         commands += [
--- a/src/_coltsfootroad/core/crashledger.py
+++ b/src/_coltsfootroad/core/crashledger.py
@@ -121,7 +121,7 @@
         crashed = {
             endpoint
             for endpoint in self.suspected[fingerprint]
-            if not self.known[endpoint].has_feature(culprits)
+            if not self.known[endpoint].has_feature(culprits, fingerprint)
         }
         unexplained = self.unexplained(crashed, culprits, now)
         if not unexplained:
--- a/src/_coltsfootroad/core/crashrecord.py
+++ b/src/_coltsfootroad/core/crashrecord.py
@@ -85,9 +85,22 @@
                     ).suspects.append(suspect)
         return self.by_feature
 
-    def has_feature(self, features: set[fingerprints.Fingerprint]) -> bool:
-        """Return whether a request with one of some features was in flight."""
-        return not features.isdisjoint(self.group_by_feature())
+    def has_feature(
+        self,
+        features: set[fingerprints.Fingerprint],
+        suspect: fingerprints.Fingerprint,
+    ) -> bool:
+        """Return whether one of some features was in flight.
+
+        Features that a suspect has itself do not count.
+        """
+        own = fingerprints.of_parts(
+            self.suspects[suspect].parts, suspect.workspace
+        )
+        return any(
+            feature in features and feature not in own
+            for feature in self.group_by_feature()
+        )
 
     def is_complete(self, now: float) -> bool:
         """Return whether all observers have had time to report it."""
--- a/src/_coltsfootroad/core/sharedfeatures.py
+++ b/src/_coltsfootroad/core/sharedfeatures.py
@@ -43,6 +43,9 @@
 # Crashes after which all gateways report answers.
 CRASHES_TO_WATCH = 2
 MAX_WATCHED = 64
+# Contents with a feature from which on its crashes are no evidence against
+# other contents.
+MIN_SUSPECT_CONTENTS = 2
 # Newest crashes that are searched, which bounds the time of a search.
 MAX_SEARCHED_CRASHES = 64
 SEARCH_INTERVAL_S = 0.1
@@ -156,6 +159,7 @@
         record: Crashes with the requests that were in flight.
         answered: Time of the newest answer by feature.
         watched_since: Features whose answers all gateways report.
+        suspects: Features of several contents that may be culprits.
         qualified_since: Features that have crashed enough endpoints.
         searched_at: Time of the last search.
     """
@@ -163,6 +167,7 @@
     record: crashrecord.CrashRecord
     answered: dict[fingerprints.Fingerprint, float] = attrs.Factory(dict)
     watched_since: dict[fingerprints.Fingerprint, float] = attrs.Factory(dict)
+    suspects: frozenset[fingerprints.Fingerprint] = frozenset()
     qualified_since: dict[fingerprints.Fingerprint, float] = attrs.Factory(dict)
     searched_at: float = NEVER
 
@@ -297,6 +302,11 @@
             for feature, evidence in candidates.items()
             if not self.is_recently_answered(feature, evidence, now)
         }
+        self.suspects = frozenset(
+            feature
+            for feature, evidence in candidates.items()
+            if len(evidence.contents) >= MIN_SUSPECT_CONTENTS
+        )
         self.qualified_since = {
             feature: self.qualified_since.get(feature, now)
             for feature, evidence in candidates.items()
