--- a/features/soak.feature
+++ b/features/soak.feature
@@ -51,6 +51,7 @@
     Examples:
       | parts | seed | served |
       | 1     | 5    | 100    |
+      | 2     | 130  | 100    |
 
   # Guards against retries beyond the fleet's budget: a restarted gateway does not
   # know how many retries its previous process has sent.
