colts-ctl: send quarantine entries in one place

Cause: adding a part repeated the call that adds a content. Change: one function; behaviour unchanged. Figures: both commands called with a stand-in, the same documents as before.

--- a/src/_coltsfootroad/commands/quarantinectl.py
+++ b/src/_coltsfootroad/commands/quarantinectl.py
@@ -56,13 +56,7 @@
         "fingerprint": fingerprint,
         "reason": reason,
     }
-    response = client.call_leader(
-        PATH, method="POST", body=json.dumps(document)
-    )
-    if response.code != 200:
-        return ctlclient.report_failure(response)
-    ctlclient.print_result(document, f"{fingerprint} is in quarantine")
-    return common.EXIT_OK
+    return post(client, document, f"{fingerprint} is in quarantine")
 
 
 def add_part(
@@ -70,12 +64,17 @@
 ) -> int:
     """Add a part of prompts to the quarantine."""
     document = {"workspace": workspace, "part": part, "reason": reason}
+    return post(client, document, f"part {part} is in quarantine")
+
+
+def post(client: ctlclient.Client, document: dict, text: str) -> int:
+    """Send a new entry to the leader."""
     response = client.call_leader(
         PATH, method="POST", body=json.dumps(document)
     )
     if response.code != 200:
         return ctlclient.report_failure(response)
-    ctlclient.print_result(document, f"part {part} is in quarantine")
+    ctlclient.print_result(document, text)
     return common.EXIT_OK
 
 
