--- a/src/_coltsfootroad/core/sharedfeatures.py
+++ b/src/_coltsfootroad/core/sharedfeatures.py
@@ -35,8 +35,9 @@
 # Time for gateways to report answers to a suspect that they did not watch.
 WATCH_DELAY_S = 0.3
 # With a rival for most of the same crashes, a feature is a culprit only some
-# time after it has crashed enough endpoints: further crashes and answers tell
-# them apart. A rival has this share of its blame, at this share of its crashes.
+# time after it has crashed enough endpoints: further crashes and answers
+# distinguish them. A rival has this share of its blame, at this share of its
+# crashes.
 RIVAL_SHARE = 0.75
 RIVAL_OVERLAP = 0.5
 RIVAL_DELAY_S = 1.0
@@ -87,7 +88,7 @@
         crash_at: float,
         suspects: list[crashes.Suspect],
     ) -> None:
-        """Count an unexplained crash unless it says nothing new."""
+        """Count an unexplained crash unless it adds no evidence."""
         self.workspaces.append({s.fingerprint.workspace for s in suspects})
         newest_sent = max(suspect.sent_at for suspect in suspects)
         if newest_sent < self.last_at - crashrecord.CLOCK_SLACK_S:
@@ -183,7 +184,7 @@
         return now >= self.searched_at + SEARCH_INTERVAL_S
 
     def is_undecided(self, now: float) -> bool:
-        """Return whether time may decide on the crashes recorded so far."""
+        """Return whether a later search may find more without new reports."""
         newest = next(reversed(self.record.known.values()), None)
         return (
             newest is not None
@@ -296,7 +297,7 @@
     def next_culprits(
         self, candidates: EvidenceByFeature, now: float
     ) -> list[FeatureCulprit]:
-        """Return the next culprit, or several that nothing tells apart."""
+        """Return the next culprit, or several with equal evidence."""
         candidates = {
             feature: evidence
             for feature, evidence in candidates.items()
@@ -356,8 +357,8 @@
     ) -> tuple[fingerprints.Fingerprint, ...]:
         """Return the feature with the most blame, and all that equal it.
 
-        Of features that share all crashes, those that nobody ever answered are
-        returned.
+        Among features with equal evidence, those without a known answer are
+        preferred.
         """
         top = max(candidates, key=lambda feature: candidates[feature].blame)
         equal = [
--- a/src/_coltsfootroad/gateway/contentguard.py
+++ b/src/_coltsfootroad/gateway/contentguard.py
@@ -1,4 +1,4 @@
-"""Stops one request from running while its content is in quarantine."""
+"""Stops one request from running while it or a part of it is quarantined."""
 
 import asyncio
 
--- a/src/_coltsfootroad/gateway/quarantine.py
+++ b/src/_coltsfootroad/gateway/quarantine.py
@@ -80,8 +80,8 @@
     async def start_trials(self, entries: list[quarantine_lib.Entry]) -> bool:
         """Request a trial run despite some entries; return if it was granted.
 
-        Nothing is requested unless trials of all entries are due. A trial of
-        one entry alone tells more, so requests with others wait longer.
+        Nothing is requested unless trials of all entries are due. Requests with
+        several entries wait longer, as a trial of a single one is conclusive.
         """
         due_at = clocks.unix_time()
         if len(entries) > 1:
