--- a/benchmarks/mixes.py
+++ b/benchmarks/mixes.py
@@ -115,6 +115,9 @@
 GROWN = prompt_classes(
     (38.3, 3.51, 1.04), (300_000, 4.0), (1.4, 2.6, 30.0), (0.34, 0.66, 7.5)
 )
+SHIFTED = prompt_classes(
+    (28.7, 4.56, 0.779), (300_000, 4.0), (1.4, 2.6, 30.0), (0.34, 0.66, 7.5)
+)
 LARGE = tuple(
     attrs.evolve(prompt_class, events=events, gap_s=gap_s)
     for prompt_class, events, gap_s in zip(
@@ -209,6 +212,27 @@
         prompt_classes=GROWN,
         phases=scale_phases(LONG_FIRST_PHASES, 1.25),
     ),
+    Load(
+        name="shifted",
+        engines=45,
+        spec=spec(6, 382_500, 52),
+        prompt_classes=SHIFTED,
+        phases=SHORT_FIRST_PHASES,
+    ),
+    Load(
+        name="shifted-back",
+        engines=45,
+        spec=spec(6, 382_500, 52),
+        prompt_classes=SHIFTED,
+        phases=LONG_FIRST_PHASES,
+    ),
+    Load(
+        name="shifted-busy",
+        engines=39,
+        spec=spec(6, 382_500, 52),
+        prompt_classes=SHIFTED,
+        phases=scale_phases(LONG_FIRST_PHASES, 1.5),
+    ),
     Load(
         name="large",
         engines=112,
