gateway: refuse a prompt that no engine can answer before its deadline

Cause: anything with 0.02 s left was sent. Ruled out: the predicted time as the bound; it errs with the queue, and a late answer is still service. Change: the least time of a first event comes from the engine's stated speeds; with less time left the request is refused at once as not run. Plain calls keep 0.02 s.

--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -95,6 +95,20 @@
       | stream | no endpoint alive             | 503    | yes  |
       | stream | the gateway stopping for long | 503    | yes  |
 
+  # Pattern: callers that come back late in a rush of long prompts. A send that
+  # no engine can answer in time takes prefill from requests that can be served.
+  Scenario Outline: A prompt of <tokens> tokens with <left> ms left is <outcome>
+    When a prompt of <tokens> tokens comes with <left> ms left
+    Then it is <outcome>
+
+    Examples:
+      | tokens | left  | outcome         |
+      | 5000   | 80    | refused at once |
+      | 5000   | 400   | sent            |
+      | 300000 | 300   | refused at once |
+      | 300000 | 1500  | sent            |
+      | 900000 | 1500  | refused at once |
+
   Scenario: Callers cannot set headers that are reserved for the gateway
     When a caller sends headers that only the gateway may set
     Then the endpoint gets the gateway's values and the rest unchanged
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 import random
 
 import attrs
@@ -161,6 +162,37 @@
     assert is_stated == (yes == "yes"), context.answer
 
 
+@when("a prompt of {tokens:d} tokens comes with {left:d} ms left")
+def prompt_comes_with_time_left(context, tokens, left):
+    async def story(bed):
+        service = routes.ServiceSpec(name="shop", engine=ENGINE)
+        bed.gateway.adopt(gatewaybed.config(version=2, services=(service,)))
+        for number in range(17):
+            await bed.add(f"e{number}", "stream")
+        context.answer = await bed.ask(
+            "/stream/x", deadline_ms=left, extra={"X-Tokens": f"{tokens},400"}
+        )
+        context.seen = [s for e in bed.endpoints for s in e.seen]
+
+    run_with_bed(context, story)
+
+
+@then("it is sent")
+def prompt_is_sent(context):
+    assert context.answer.status == 200, context.answer
+    assert context.seen
+
+
+@then("it is refused at once")
+def prompt_is_refused(context):
+    assert context.answer.status == 503, context.answer
+    failure = json.loads(context.answer.body)["error"]
+    assert failure["ran"] == "no", failure
+    # The reason of a refusal at the deadline is another one.
+    assert "a response takes" in failure["message"], failure
+    assert context.seen == [], context.seen
+
+
 @when("a caller sends headers that only the gateway may set")
 def sends_reserved_headers(context):
     async def story(bed):
--- a/src/_coltsfootroad/core/engineplacement.py
+++ b/src/_coltsfootroad/core/engineplacement.py
@@ -115,6 +115,13 @@
     return prompt.prompt_tokens >= MIN_SPLIT_TOKENS
 
 
+def least_first_event_s(prompt: Prompt, spec: routes.EngineSpec) -> float:
+    """Return the seconds to the first event on idle engines, at the least."""
+    parts = MAX_HELPERS + 1 if may_split(prompt) else 1
+    prefill_s = enginemodel.prefill_s(spec, prompt.prompt_tokens, parts)
+    return prefill_s + enginemodel.pass_s(spec, 1, prompt.prompt_tokens)
+
+
 def place(
     prompt: Prompt,
     states: list[enginestate.EngineState],
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -6,6 +6,7 @@
 from tornado import http1connection
 
 from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import engineplacement
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import sends as sends_lib
@@ -278,10 +279,25 @@
         view = self.gateway.view
         if not view.is_current(now):
             return f"routes were proved current {view.age_s(now):.1f} s ago"
-        if self.deadline - now < MIN_REMAINING_TO_SEND_S:
-            return f"{self.deadline - now:.3f} s are left, too few to send"
+        left_s, least_s = self.deadline - now, self.least_response_s()
+        if left_s < least_s:
+            return f"{left_s:.3f} s are left, a response takes {least_s:.3f} s"
         return ""
 
+    def least_response_s(self) -> float:
+        """Return the seconds that a response takes at the least.
+
+        A send with less time left serves nobody: it only takes the endpoint's
+        time from requests that can still be served.
+        """
+        engine, prompt = self.service.engine, self.admitted.prompt
+        if engine is None or prompt is None:
+            return MIN_REMAINING_TO_SEND_S
+        return max(
+            MIN_REMAINING_TO_SEND_S,
+            engineplacement.least_first_event_s(prompt, engine),
+        )
+
     async def call_with_silence_timeout(
         self,
         choice: engines.Choice,
