gateway: count a stream's allowed silence from the end of its engine's prefill

Cause: the watchdog allowed max(1.0 s, three times the prefill that is left). What is left goes to zero while the silence grows, so all streams of an engine were failed over just when a part of over a second was done, to engines as busy. Ruled out: dead engines (their events came right after); a factor on the first event only (34 of 46 late streams are late by a pause). Change: SilenceLimit keeps the latest predicted end of the known prefill; 1 s (half of what the caller waits) counts from there. The pauses themselves remain: parts of 1.3 s to 2.6 s go to engines that decode short streams when the longest prompts come together.

--- a/src/_coltsfootroad/core/failoverdelay.py
+++ b/src/_coltsfootroad/core/failoverdelay.py
@@ -6,6 +6,8 @@
 left for a second one, which has to prefill the prompt again.
 """
 
+import attrs
+
 from _coltsfootroad.core import routes
 
 # Callers of a stream disconnect after the longest of these pauses: seconds,
@@ -19,6 +21,7 @@
 # overload every endpoint is slow, and failing over then adds the same work to
 # an engine that is as busy.
 PREDICTION_ERROR_FACTOR = 3.0
+NEVER = float("-inf")
 
 
 def caller_timeout_s(route: routes.Route) -> float:
@@ -39,3 +42,36 @@
         return FIRST_ENDPOINT_SHARE * route.timeout_s
     first_s = FIRST_ENDPOINT_SHARE * caller_timeout_s(route)
     return max(first_s, PREDICTION_ERROR_FACTOR * expected_s)
+
+
+@attrs.define
+class SilenceLimit:
+    """Limits the silence of one send by the prefill known at its endpoint.
+
+    An engine emits no event while it prefills a long part, and its work items
+    end with the prefill. The latest predicted end is kept, since a stream that
+    waited for a part must not be failed over in the moment in which it ends.
+
+    Attributes:
+        route: Route of the request.
+        prefill_done_at: Latest predicted end of the endpoint's prefill.
+    """
+
+    route: routes.Route
+    prefill_done_at: float = NEVER
+
+    def observe_prefill(self, left_s: float, now: float) -> None:
+        """Record the predicted remaining prefill of the endpoint."""
+        if left_s > 0:
+            self.prefill_done_at = max(self.prefill_done_at, now + left_s)
+
+    def allowed_s(self, last_activity_at: float, expected_s: float) -> float:
+        """Return the seconds of silence after which to try another endpoint.
+
+        `last_activity_at` is the time of the last event, or of the send.
+        """
+        prefill_s = max(0.0, self.prefill_done_at - last_activity_at)
+        return max(
+            failover_after_s(self.route, expected_s),
+            prefill_s + failover_after_s(self.route, 0.0),
+        )
--- a/src/_coltsfootroad/gateway/watchdog.py
+++ b/src/_coltsfootroad/gateway/watchdog.py
@@ -29,6 +29,7 @@
     exchange: object
     choice: engines.Choice
     started_at: float = attrs.field(init=False)
+    limit: failoverdelay.SilenceLimit = attrs.field(init=False)
     timeout: asyncio.Timeout | None = None
     timer: asyncio.TimerHandle | None = None
 
@@ -36,6 +37,10 @@
     def _now(self):
         return clocks.boot_time()
 
+    @limit.default
+    def _route_limit(self):
+        return failoverdelay.SilenceLimit(self.exchange.route)
+
     def start(self, timeout: asyncio.Timeout) -> None:
         """Start the checks."""
         self.timeout = timeout
@@ -79,8 +84,9 @@
             prefill_left_s = chooser.prefill_left_s(
                 self.choice.endpoint, engine, now
             )
+            self.limit.observe_prefill(prefill_left_s, now)
             expected_s = max(expected_s, prefill_left_s)
-        return failoverdelay.failover_after_s(self.exchange.route, expected_s)
+        return self.limit.allowed_s(last_activity_at, expected_s)
 
     def restart_seen_at(self) -> float:
         """Return when a restart of the endpoint became known, or `NEVER`."""
