control: reconnect to a replica as soon as it opens its own link

Cause: after a loss of everything an early election needs the reply of every voter. A link to a replica that did not listen yet waits 0.3 s, and gRPC's backoff on top, unless a message of that replica arrives, which it sends with its first vote request only. Ruled out: shorter delays (they cost refused connections as long as a replica is down); the first vote's random pause (it keeps votes from being split). Change: a replica opens its links to the known voters when it starts, and an opened stream counts as a contact, which reconnects at once. At least 0.02 s lie between two attempts.

--- a/features/shell/links.feature
+++ b/features/shell/links.feature
@@ -58,3 +58,10 @@
     Given a peer stream that works
     When messages are sent to the peer, 0.1 s apart, and more of them 3 s later
     Then all arrive on the first stream
+
+  # Pattern: after a loss of power at all VMs, an early election needs the reply
+  # of every voter, so it waits for the links to the voter that starts last.
+  Scenario: A link to a replica that starts late opens once that replica connects
+    Given a replica whose peer starts 1.5 s later
+    When the peer opens its own link, 5 times
+    Then a message reaches the peer within 0.25 s each time
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -12,6 +12,7 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
+from _coltsfootroad.fakes import ports
 from _coltsfootroad.shell import channels
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import wireformats
@@ -360,3 +361,48 @@
 @then("all arrive on the first stream")
 def first_stream_only(context):
     assert {stream for stream, _ in context.peer.arrived} == {1}
+
+
+@given("a replica whose peer starts {seconds:g} s later")
+def peer_starts_later(context, seconds):
+    context.peer_starts_after_s = seconds
+
+
+@when("the peer opens its own link, {count:d} times")
+def peer_opens_link(context, count):
+    context.delays_s = [
+        asyncio.run(open_late_link(context.peer_starts_after_s))
+        for _ in range(count)
+    ]
+
+
+async def open_late_link(start_after_s: float) -> float:
+    """Return the seconds from a late peer's link to the first message to it."""
+    address, peer_address = (f"127.0.0.1:{ports.free_port()}" for _ in range(2))
+    link = links.PeerLink(peer_address, "r1", address)
+    server = links.make_server(
+        None, lambda *_: None, lambda *_: link.record_contact()
+    )
+    links.listen(server, address)
+    await server.start()
+    await send_for(link, MESSAGE, start_after_s)
+    arrived = asyncio.Event()
+    peer_server = links.make_server(None, lambda *_: arrived.set())
+    links.listen(peer_server, peer_address)
+    await peer_server.start()
+    started_at = time.monotonic()
+    peer_link = links.PeerLink(address, "r2", peer_address)
+    while not arrived.is_set():
+        link.send(MESSAGE)
+        await asyncio.sleep(0.005)
+    delay_s = time.monotonic() - started_at
+    for opened in (link, peer_link):
+        await opened.close()
+    for listening in (server, peer_server):
+        await listening.stop(grace=0)
+    return delay_s
+
+
+@then("a message reaches the peer within {seconds:g} s each time")
+def message_reaches_peer(context, seconds):
+    assert max(context.delays_s) <= seconds, context.delays_s
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -112,9 +112,12 @@
         """Open the listeners and start timers and background tasks."""
         if listen_admin:
             self.listen_admin()
-        self.grpc_server = links.make_server(self.on_call, self.on_peer)
+        self.grpc_server = links.make_server(
+            self.on_call, self.on_peer, self.on_stream
+        )
         links.listen(self.grpc_server, self.settings.listen)
         await self.grpc_server.start()
+        self.open_peer_links()
         self.run_tick()
         self.watch_server.leader_poller.start()
         if self.settings.peers():
@@ -325,16 +328,31 @@
         replica = self.node.raft.replica_set.by_identity().get(identity)
         reported = self.reported_addresses.get(identity, "")
         address = replica.address if replica else reported
-        if not address:
-            return
+        if address:
+            self.peer_link(address).send(message)
+
+    def peer_link(self, address: str) -> links.PeerLink:
+        """Return the link to another replica, opened if there is none."""
         if address not in self.peer_links:
             self.peer_links[address] = links.PeerLink(
                 address, self.node.replica.identity, self.settings.address
             )
-        self.peer_links[address].send(message)
+        return self.peer_links[address]
 
-    def on_peer(self, sender: str, address: str, data: bytes) -> None:
-        """Process a Raft message of another replica."""
+    def open_peer_links(self) -> None:
+        """Open the links to all known voters.
+
+        Replicas that start together need every voter's reply for an early
+        election. The links tell the other replicas that this one runs, and
+        save the first vote request the time to connect.
+        """
+        raft = self.node.raft
+        replicas = raft.replica_set.by_identity()
+        for identity in raft.peer_identities():
+            self.peer_link(replicas[identity].address)
+
+    def on_stream(self, sender: str, address: str) -> None:
+        """Record that another replica runs and reconnect to it at once."""
         if self.reported_addresses.get(sender) != address:
             self.reported_addresses[sender] = address
             # With an empty disk and no reachable seed, a replica finds the
@@ -342,6 +360,10 @@
             self.control_client.add_addresses((address,) if address else ())
         if address in self.peer_links:
             self.peer_links[address].record_contact()
+
+    def on_peer(self, sender: str, address: str, data: bytes) -> None:
+        """Process a Raft message of another replica."""
+        self.on_stream(sender, address)
         decoded = wireformats.PEERS.decode(data)
         if decoded.is_error():
             LOG.warning("peer message dropped: {}", decoded.error.message)
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -29,9 +29,11 @@
 MAX_QUEUED_MESSAGES = 512
 # Many peers may connect and disconnect at once.
 LINK_LOG_LIMIT = logs.LogRateLimit(40, 10.0)
-# Delay before a stream that ended is reopened; a message from the peer ends
-# the delay.
+# Delay before a stream that ended is reopened; a contact of the peer ends it.
 RECONNECT_DELAY_S = 0.3
+# Minimum delay, so that two peers whose streams end at once do not make each
+# other reconnect in a busy loop.
+MIN_RECONNECT_DELAY_S = 0.02
 # Minimum interval between acknowledgements of a stream, to save bandwidth.
 ACK_INTERVAL_S = 0.25
 ACK = b""
@@ -170,7 +172,7 @@
         self.task = asyncio.ensure_future(self.run())
 
     def record_contact(self) -> None:
-        """Record that the other process runs: a message of it has arrived."""
+        """Record that the other process runs: it has opened a stream."""
         self.peer_contact.set()
 
     def send(self, message: object) -> None:
@@ -201,7 +203,8 @@
                 self.renew_channel()
 
     async def pause(self) -> None:
-        """Wait before the next stream; a message from the peer ends it."""
+        """Wait before the next stream; a contact of the peer ends it."""
+        await asyncio.sleep(MIN_RECONNECT_DELAY_S)
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.peer_contact.wait(), RECONNECT_DELAY_S)
 
@@ -294,11 +297,18 @@
     return type(error).__name__
 
 
-async def acknowledge_messages(requests, on_peer, context):
+def ignore_stream(_sender: str, _address: str) -> None:
+    """Ignore that a peer has opened a stream."""
+
+
+async def acknowledge_messages(
+    requests, on_peer, context, on_stream=ignore_stream
+):
     """Forward the messages of a stream and yield acknowledgements."""
     metadata = dict(context.invocation_metadata() or ())
     sender = metadata.get(SENDER_KEY, "")
     address = metadata.get(SENDER_ADDRESS_KEY, "")
+    on_stream(sender, address)
     acked_at = NEVER
     async for request in requests:
         on_peer(sender, address, request)
@@ -308,20 +318,24 @@
             yield ACK
 
 
-def make_server(on_call, on_peer) -> grpc.aio.Server:
+def make_server(on_call, on_peer, on_stream=ignore_stream) -> grpc.aio.Server:
     """Return a server of the methods `Call` and `Peer`.
 
     Args:
         on_call: Coroutine function; takes and returns encoded messages.
         on_peer: Takes the sender's identity and address, and the bytes of one
             message.
+        on_stream: Takes the identity and address of a peer that has opened a
+            stream, before its first message.
     """
 
     async def call(request: bytes, _) -> bytes:
         return await on_call(request)
 
     async def peer(requests, context):
-        async for ack in acknowledge_messages(requests, on_peer, context):
+        async for ack in acknowledge_messages(
+            requests, on_peer, context, on_stream
+        ):
             yield ack
 
     server = grpc.aio.server(options=channels_lib.OPTIONS)
