gateway: log why a send fails over from a silent endpoint

Cause: the log said that a send ended as silent, not which silence was allowed and whether prefill was known at the engine, so the decision could not be followed. Conclusion: no change of behaviour.

--- a/src/_coltsfootroad/gateway/watchdog.py
+++ b/src/_coltsfootroad/gateway/watchdog.py
@@ -7,7 +7,9 @@
 from _coltsfootroad.core import failoverdelay
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.shell import clocks
+from _coltsfootroad.shell import logs
 
+LOG = logs.logger("request")
 # Interval of the check whether another endpoint is available or the endpoint
 # has restarted; callers of short prompts wait for 2 s in all.
 RECHECK_INTERVAL_S = 0.2
@@ -51,12 +53,14 @@
         now = clocks.boot_time()
         loop = asyncio.get_running_loop()
         silent_s = now - max(self.started_at, self.exchange.reply.last_event_at)
-        left_s = self.allowed_silence_s(now) - silent_s
+        allowed_s = self.allowed_silence_s(now)
+        left_s = allowed_s - silent_s
         if left_s > 0:
             self.timer = loop.call_later(
                 min(left_s, RECHECK_INTERVAL_S), self.check
             )
         elif self.exchange.reserve_failover():
+            self.log_failover(silent_s, allowed_s, now)
             self.timeout.reschedule(loop.time())
         else:
             self.timer = loop.call_later(RECHECK_INTERVAL_S, self.check)
@@ -95,6 +99,25 @@
             return NEVER
         return endpoints.known[self.choice.endpoint.name].restarted_at
 
+    def log_failover(
+        self, silent_s: float, allowed_s: float, now: float
+    ) -> None:
+        """Log that the send is ended, with the inputs of that decision."""
+        prefill_done_at = self.limit.prefill_done_at
+        LOG.info(
+            "send fails over",
+            request=self.exchange.request_id,
+            endpoint=self.choice.endpoint.name,
+            silent_s=round(silent_s, 3),
+            allowed_s=round(allowed_s, 3),
+            since_prefill_s=(
+                None
+                if prefill_done_at == failoverdelay.NEVER
+                else round(now - prefill_done_at, 3)
+            ),
+            restarted=self.restart_seen_at() != NEVER,
+        )
+
     def stop(self) -> None:
         """Stop the checks."""
         if self.timer is not None:
