--- a/src/_coltsfootroad/core/engineplacement.py
+++ b/src/_coltsfootroad/core/engineplacement.py
@@ -116,7 +116,10 @@
 
 
 def least_first_event_s(prompt: Prompt, spec: routes.EngineSpec) -> float:
-    """Return the seconds to the first event on idle engines, at the least."""
+    """Return the least seconds to the first event, on idle engines.
+
+    Assumes that no engine has a part of the prompt in its cache.
+    """
     parts = MAX_HELPERS + 1 if may_split(prompt) else 1
     prefill_s = enginemodel.prefill_s(spec, prompt.prompt_tokens, parts)
     return prefill_s + enginemodel.pass_s(spec, 1, prompt.prompt_tokens)
