watchdog: use the one constant for a time that never was

Ruled out: keeping both; the module imports the other one anyway. Change: failoverdelay.NEVER only. Conclusion: no change of behaviour.

--- a/src/_coltsfootroad/gateway/watchdog.py
+++ b/src/_coltsfootroad/gateway/watchdog.py
@@ -17,7 +17,6 @@
 # event came since. The send may have reached either incarnation, so the later
 # one gets this time to respond.
 SILENCE_AFTER_RESTART_S = 0.2
-NEVER = float("-inf")
 
 
 @attrs.define(eq=False)
@@ -93,10 +92,10 @@
         return self.limit.allowed_s(last_activity_at, expected_s)
 
     def restart_seen_at(self) -> float:
-        """Return when a restart of the endpoint became known, or `NEVER`."""
+        """Return when a restart became known, negative infinity if none did."""
         endpoints = self.exchange.gateway.endpoints
         if not endpoints.has_restarted(self.choice.endpoint):
-            return NEVER
+            return failoverdelay.NEVER
         return endpoints.known[self.choice.endpoint.name].restarted_at
 
     def log_failover(
@@ -115,7 +114,7 @@
                 if prefill_done_at == failoverdelay.NEVER
                 else round(now - prefill_done_at, 3)
             ),
-            restarted=self.restart_seen_at() != NEVER,
+            restarted=self.restart_seen_at() != failoverdelay.NEVER,
         )
 
     def stop(self) -> None:
