--- a/.ci/verdict.py
+++ b/.ci/verdict.py
@@ -13,6 +13,14 @@
 FAILURE_TAGS = ("failure", "error")
 # Fits a violated guarantee and the last lines of the programs' logs.
 REASON_LENGTH = 3_000
+# Folder of the files of failed scenarios, beside the reports; the names in it
+# end with the time of the failure in nanoseconds.
+KEPT_FOLDER = "failed"
+LOG_PATTERN = "*.log"
+# Bounds on what is printed of these files, as the clone of a CI run is deleted.
+MAX_LOGS = 12
+MAX_LOG_LINES = 8
+MAX_LINE_LENGTH = 300
 
 
 def read_report(folder: pathlib.Path) -> tuple[int, dict[str, str]]:
@@ -58,9 +66,32 @@
     return {name: "; ".join(causes) for name, causes in causes_by_name.items()}
 
 
+def kept_at_ns(kept: pathlib.Path) -> int:
+    """Return when files were kept, by the folder's name; 0 if it has none."""
+    time_text = kept.name.rpartition("-")[2]
+    return int(time_text) if time_text.isdigit() else 0
+
+
+def print_log_tails(folder: pathlib.Path, started_ns: int) -> None:
+    """Print the last lines of logs that were kept since a time."""
+    logs = [
+        path
+        for kept in sorted(folder.glob("*"))
+        if kept_at_ns(kept) >= started_ns
+        for path in sorted(kept.rglob(LOG_PATTERN))
+    ]
+    for path in logs[:MAX_LOGS]:
+        lines = path.read_text(errors="replace").splitlines()
+        for line in lines[-MAX_LOG_LINES:]:
+            print(f"{path.relative_to(folder)}: {line[:MAX_LINE_LENGTH]}")
+    if len(logs) > MAX_LOGS:
+        print(f"{len(logs) - MAX_LOGS} more logs are kept in {folder}")
+
+
 def main() -> int:
     """Print the failures and the summary line; return the exit code."""
     folder, test_status, lint_status = sys.argv[1:4]
+    started_ns = int(sys.argv[4]) if len(sys.argv) > 4 else 0
     passed, failed = read_report(pathlib.Path(folder))
     known_failures = read_known_failures(pathlib.Path(KNOWN_RED))
     allowed = [name for name in failed if name.strip() in known_failures]
@@ -68,6 +99,7 @@
         print(f"known to fail: {name.strip()}: {known_failures[name.strip()]}")
     for name, reason in failed.items():
         print(f"failed: {name.strip()}: {reason}")
+    print_log_tails(pathlib.Path(folder).parent / KEPT_FOLDER, started_ns)
     failed_count = len(failed) - len(allowed)
     if lint_status != "0":
         print("formatter or linter reported problems")
--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -8,6 +8,9 @@
 from behave import when
 
 VERDICT = pathlib.Path(__file__).parents[2] / ".ci" / "verdict.py"
+STARTED_NS = 1_800_000_000_000_000_000
+# Times at which logs were kept, relative to the start of the run.
+LOG_AGES_NS = {"before": -1, "after": 1}
 CHILDREN = {
     "pass": "",
     "fail": '<failure message="the guarantee that was violated"/>',
@@ -51,10 +54,36 @@
         (folder / "TESTS-x.xml").write_text(f"<testsuite>{cases}</testsuite>")
 
 
-def give_verdict(folder, tests: str, lint: str) -> subprocess.CompletedProcess:
+@when(
+    "the verdict is given on a failure whose log was kept {when} the run began"
+)
+def verdict_with_log(context, when):
+    write_reports(context, "pass fail")
+    kept = (
+        context.folder / "failed" / f"a-test-{STARTED_NS + LOG_AGES_NS[when]}"
+    )
+    kept.mkdir(parents=True)
+    (kept / "gateway-0.log").write_text(
+        "".join(f"line {number}\n" for number in range(100))
+    )
+    context.outcome = give_verdict(context.folder, "2", "0", str(STARTED_NS))
+
+
+@then('its last lines are {printed} and end with "{line}"')
+def prints_log(context, printed, line):
+    output = context.outcome.stdout
+    assert ("gateway-0.log: line 99" in output) == (printed == "printed")
+    assert "gateway-0.log: line 50" not in output, output
+    assert output.splitlines()[-1] == line, output
+
+
+def give_verdict(
+    folder, tests: str, lint: str, *started: str
+) -> subprocess.CompletedProcess:
     """Run the verdict script on the reports below a folder."""
+    junit = str(folder / "junit")
     return subprocess.run(
-        [sys.executable, str(VERDICT), str(folder / "junit"), tests, lint],
+        [sys.executable, str(VERDICT), junit, tests, lint, *started],
         cwd=folder,
         capture_output=True,
         text=True,
--- a/features/verdict.feature
+++ b/features/verdict.feature
@@ -29,3 +29,13 @@
   Scenario: A test that is listed for two faults is printed with both
     When the verdict is given on scenarios pass fail with known fail, listed for "one fault" and "another fault"
     Then it prints "known to fail: fail: one fault; another fault"
+
+  # Guards against a failure in CI whose logs are deleted with its clone.
+  Scenario Outline: A log that was kept <when> the run began is <printed>
+    When the verdict is given on a failure whose log was kept <when> the run began
+    Then its last lines are <printed> and end with "1 passed, 1 failed"
+
+    Examples:
+      | when   | printed     |
+      | before | not printed |
+      | after  | printed     |
