gateway: probe an endpoint again once its service is reached

`CrashDetector.probe_endpoint` probes the listener first and looks for a path to another endpoint next. If the path comes back between the two, the old refusal is combined with the new path, and every endpoint that was lost counts as crashed, its requests as suspects.

Change: if the service was not reached between the loss and the probe, a refusal is confirmed by a second probe once another endpoint was reached.

Conclusion: a real fault of the gateway, not of the test; a path that flaps for a few milliseconds could put innocent requests under suspicion.

--- a/features/gateway/cutoff.feature
+++ b/features/gateway/cutoff.feature
@@ -125,6 +125,17 @@
       | all links heal                      | 0       |
       | all links but that to e1 heal       | 1       |
 
+  # Guards against suspects of endpoints that were probed before their path came back.
+  Scenario Outline: Links are reset while endpoints run 4 requests, <then> while others are tried
+    Given 2 gateways and 4 endpoints
+    When gateway g1 is cut off with 4 requests in flight, and <then> after each was probed
+    Then g1 counts <crashes> crashes
+
+    Examples:
+      | then                          | crashes |
+      | all links heal                | 0       |
+      | all links but that to e1 heal | 1       |
+
   Scenario: A rack of endpoints ends while another endpoint is reached
     Given 1 gateways and 4 endpoints
     When endpoints e1, e2 and e3 end while they run a request each
--- a/features/steps/cutoff_steps.py
+++ b/features/steps/cutoff_steps.py
@@ -14,6 +14,7 @@
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import workload
 from _coltsfootroad.gateway import endpointprobe
+from _coltsfootroad.gateway import reachmonitor
 from _coltsfootroad.gateway import upstream
 from features.support import gatewaybed
 from features.support import gatewayfleet
@@ -530,6 +531,32 @@
     run_with_fleet(context, story)
 
 
+@when(
+    "gateway g1 is cut off with {count:d} requests in flight, and {fate}"
+    " after each was probed"
+)
+def heal_after_probes(context, count, fate):
+    still_cut = "e1" if "but" in fate else ""
+
+    async def story(fleet):
+        search = reachmonitor.ReachMonitor.search
+
+        async def heal_and_search(monitor, service):
+            await fleet.heal({"g1"}, still_cut)
+            await search(monitor, service)
+
+        asking = await fill(fleet, count)
+        with mock.patch.object(
+            reachmonitor.ReachMonitor, "search", heal_and_search
+        ):
+            fleet.cut({"g1"}, "reset")
+            await asyncio.gather(*asking)
+            await asyncio.sleep(EVIDENCE_S)
+        context.crashed = fleet.gateways["g1"].crash_detector.crashed
+
+    run_with_fleet(context, story)
+
+
 @when("endpoints e1, e2 and e3 end while they run a request each")
 def rack_ends(context):
     async def story(fleet):
--- a/src/_coltsfootroad/gateway/crashdetector.py
+++ b/src/_coltsfootroad/gateway/crashdetector.py
@@ -86,12 +86,17 @@
     ) -> None:
         """Probe an endpoint and report a crash if its process has ended."""
         await asyncio.sleep(PROBE_DELAY_S)
+        path_worked = self.paths.has_reached_since(endpoint, lost_at)
         listener = await endpointprobe.probe(endpoint.announcement.address)
         has_crashed = self.has_crashed(endpoint, listener)
         # A lost path resets connections and refuses new ones as well.
         path_works = not has_crashed or await self.paths.reaches_another(
             endpoint, lost_at
         )
+        if has_crashed and path_works and not path_worked:
+            # The path may have come back after the endpoint was probed.
+            listener = await endpointprobe.probe(endpoint.announcement.address)
+            has_crashed = self.has_crashed(endpoint, listener)
         if not path_works:
             LOG.info(
                 "endpoint not reached",
