tests: check honest service over plays of a gateway and in the soak

Cause: the soak checked "not run" for calls that may not be repeated only, and nothing checked that a ready response is delivered, that a send leaves time for a response, that what cannot be served is refused early, or that nothing is refused while endpoints are free.

Change: features/soak/honesty.py, from what callers and endpoints saw: "not run" is true for all kinds; a response that was ready is delivered, also late; each send has 10 ms left at least, by the deadline that the gateway states to the endpoint; a request that was never sent is refused within half of its time (how long a starting gateway may hold it); none is refused while an endpoint is free (plays only). The soak runs all but the last; honesty.feature plays a load on one gateway over loopback, with scripts drawn by request.

--- /dev/null
+++ b/features/gateway/honesty.feature
@@ -0,0 +1,26 @@
+Feature: A gateway counts as service only what serves its callers
+
+  A play: six callers of all kinds of routes with long and with hopeless deadlines,
+  endpoints that respond, also late, fail, reject, reset and hang, and leave at last.
+
+  Scenario Outline: What callers are told is true, seed <seed>
+    When a load of seed <seed> is played on one gateway
+    Then service was honest
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  Scenario Outline: An injected defect of honest service is detected: <defect>
+    When a load of seed 1 is played on one gateway with the defect "<defect>"
+    Then service was not honest: <found>
+
+    Examples:
+      | defect                                                | found                      |
+      | a lost send counts as not run                         | not run, and has run       |
+      | a late response is dropped                            | its response was ready     |
+      | a send is made with no time left                      | was sent with              |
+      | a request without endpoints waits for its deadline    | was refused after          |
+      | a request in five is refused while endpoints are free | while endpoints were free  |
--- a/features/soak/audit.py
+++ b/features/soak/audit.py
@@ -50,6 +50,22 @@
     undisturbed: bool
 
 
+@attrs.frozen(kw_only=True)
+class Offer:
+    """A request that an endpoint got, with the seconds until its deadline."""
+
+    request: str
+    left_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Response:
+    """A complete response that an endpoint has written."""
+
+    request: str
+    at: float
+
+
 @attrs.frozen(kw_only=True)
 class Outcome:
     """A request as its caller saw it; status 0 is a failed connection."""
@@ -129,6 +145,10 @@
     # Times at which callers sent requests and at which endpoints got them.
     sent: list[float] = attrs.Factory(list)
     arrivals: list[tuple[str, float]] = attrs.Factory(list)
+    offers: list[Offer] = attrs.Factory(list)
+    responses: list[Response] = attrs.Factory(list)
+    # Times in which an endpoint is known to have been free.
+    free: list[tuple[float, float]] = attrs.Factory(list)
 
 
 def check(observed: Observations) -> list[str]:
--- a/features/soak/endpoints.py
+++ b/features/soak/endpoints.py
@@ -80,6 +80,11 @@
         request = seen.headers.get("x-request-id", "")
         if request:
             self.observed.arrivals.append((request, time.monotonic()))
+        if "x-deadline-ms" in seen.headers:
+            left_s = int(seen.headers["x-deadline-ms"]) / MS_PER_S
+            self.observed.offers.append(
+                audit.Offer(request=request, left_s=left_s)
+            )
         if seen.headers.get("x-expected-endpoint", self.name) != self.name:
             writer.write(
                 self.head(
@@ -109,7 +114,12 @@
         respond = getattr(
             self, "do_" + (mode or ("stream" if streams else "answer"))
         )
-        return await respond(seen.headers, reader, writer)
+        kept_open = await respond(seen.headers, reader, writer)
+        if not mode:
+            self.observed.responses.append(
+                audit.Response(request=request, at=time.monotonic())
+            )
+        return kept_open
 
     async def crash_in_answer(
         self, seen: gatewaybed.Seen, writer, part: str
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -18,6 +18,7 @@
 from features.soak import driver as driver_lib
 from features.soak import endpoints as endpoints_lib
 from features.soak import fleet as fleet_lib
+from features.soak import honesty
 from features.soak import plan
 from features.soak import timeline
 from features.support import machineload
@@ -250,7 +251,7 @@
 
 def find_violations(observed: audit.Observations) -> tuple[list[str], int]:
     """Return the violations and how many requests were served."""
-    violations = audit.check(observed)
+    violations = [*audit.check(observed), *honesty.check(observed)]
     served = sum(
         200 <= o.status < 300 and o.complete for o in observed.outcomes
     )
