entry: respond to a claimed call once its outcome is stored

Cause: KNOWN-RED "A non-idempotent call through two entries runs once": the core emits the report of the outcome and the end of the response together, and the shell sends the response at once. A second call with the key, through another entry, can reach the control plane before the report, and gets "in progress" although the first caller has its response.

Change: the end of a response waits until the control plane has acknowledged the report, for 0.3 s at most and half of the time until the deadline; then the caller goes first, as before, and a warning says so. Streams send their output meanwhile.

Before: settling.feature, 5 of 7 rows fail (response after 0 s, 0.05 to 0.3 s expected). After: 7 of 7; whole_path 15 of 15, fleet, proof, cutoff and imports features 53 of 53. Cost: one more write of the control plane before a response to a claimed call; with no leader 0.3 s.

--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -31,6 +31,11 @@
 HEARTBEAT_TIMEOUT_S = 2.0
 CONTROL_CALL_TIMEOUT_S = 3.0
 SETTLE_RETRY_DELAY_S = 0.5
+# How long a response may wait until the control plane has stored the outcome.
+# Without a response from it, the caller's response goes first.
+MAX_SETTLE_WAIT_S = 0.3
+# Part of the time until its deadline for which a response may wait.
+MAX_SETTLE_WAIT_SHARE = 0.5
 MIN_TIMER_DELAY_S = 0.001
 MAX_BODY_BYTES = 32 * 1024 * 1024
 
@@ -52,6 +57,19 @@
     first_token_at: float | None = None
 
 
+@attrs.frozen(eq=False)
+class Settling:
+    """A report of a claim's outcome that has not been acknowledged.
+
+    Attributes:
+        done: Completes once the control plane has stored the outcome.
+        wait_until: Loop time until which the response may wait for it.
+    """
+
+    done: asyncio.Future
+    wait_until: float
+
+
 class EntryServer:
     """An entry with its sockets, timers and connections."""
 
@@ -74,6 +92,8 @@
         self.channels: dict[str, ResponseChannel] = {}
         self.tasks: set[asyncio.Task] = set()
         self.unsettled_claims = 0
+        # Reports of outcomes whose requests have not been responded to.
+        self.settling: dict[str, Settling] = {}
         self.heartbeat_requested = asyncio.Event()
         self.timer: asyncio.TimerHandle | None = None
         self.notes = dispatchnotes.DispatchNoteExchange(
@@ -205,14 +225,13 @@
             case actions.DispatchNote():
                 self.notes.send_soon(action)
             case actions.Emit() | actions.Finish() | actions.Fail():
-                self.send_to_caller(action)
+                self.respond(action)
             case actions.Cancel():
                 self.spawn(self.cancel(action))
             case actions.TakeClaim():
                 self.spawn(self.acquire_claim(action))
             case actions.SettleClaim():
-                self.unsettled_claims += 1
-                self.spawn(self.settle_claim(action))
+                self.begin_settling(action)
             case actions.Reprioritise():
                 self.spawn(self.reprioritise(action))
             case actions.ReserveGroup():
@@ -422,20 +441,71 @@
                 self.loop.time(),
             )
 
-    async def settle_claim(self, action: actions.SettleClaim) -> None:
+    def respond(
+        self, action: actions.Emit | actions.Finish | actions.Fail
+    ) -> None:
+        """Send to the caller; the end waits for the report of the outcome."""
+        settling = None
+        if not isinstance(action, actions.Emit):
+            settling = self.settling.pop(action.request_id, None)
+        if settling is None:
+            self.send_to_caller(action)
+        else:
+            self.spawn(self.send_once_settled(action, settling))
+
+    def begin_settling(self, action: actions.SettleClaim) -> None:
+        """Report how a claim ended before its request is responded to."""
+        self.unsettled_claims += 1
+        now = self.loop.time()
+        left_s = max(0.0, action.request.deadline_at - now)
+        settling = Settling(
+            self.loop.create_future(),
+            now + min(MAX_SETTLE_WAIT_S, MAX_SETTLE_WAIT_SHARE * left_s),
+        )
+        self.settling[action.request.request_id] = settling
+        self.spawn(self.settle_claim(action, settling.done))
+
+    async def settle_claim(
+        self, action: actions.SettleClaim, done: asyncio.Future
+    ) -> None:
         """Report how a claim ended; repeat until it is acknowledged."""
         message = calls.settle_call(action)
+        started_at = self.loop.time()
         try:
             while True:
                 answer = await self.control.call(
                     message, CONTROL_CALL_TIMEOUT_S
                 )
                 if answer.is_ok() and isinstance(answer.ok, outcomes.Done):
+                    done.set_result(None)
+                    LOG.info(
+                        "claim of {} settled after {:.3f} s, ran: {}",
+                        action.request.request_id,
+                        self.loop.time() - started_at,
+                        action.ran.value,
+                    )
                     return
                 await asyncio.sleep(SETTLE_RETRY_DELAY_S)
         finally:
             self.unsettled_claims -= 1
 
+    async def send_once_settled(
+        self, action: actions.Finish | actions.Fail, settling: Settling
+    ) -> None:
+        """Respond once a resend through any entry would get the outcome.
+
+        A resend that comes before gets "in progress" although the caller of the
+        first one has its response.
+        """
+        wait_s = settling.wait_until - self.loop.time()
+        await asyncio.wait([settling.done], timeout=max(0.0, wait_s))
+        if not settling.done.done():
+            LOG.warning(
+                "response to {} sent before its outcome was stored",
+                action.request_id,
+            )
+        self.send_to_caller(action)
+
     async def reserve_group(self, action: actions.ReserveGroup) -> None:
         """Reserve a group of engines; the core repeats this by a timer."""
         message = calls.reserve_call(action)
