control: name how many replicas have joined and how many are needed

These deployments state that two machines may be lost at once, so five replicas are needed; deploy/system.toml gives 0.07 of a zone's machines the control role, rounded up: one of ten, three in all. Nothing is ever accepted, gateways have no routes, and the refusal said only "not all joined yet".

No behaviour changes.

--- a/features/steps/watch_steps.py
+++ b/features/steps/watch_steps.py
@@ -322,4 +322,6 @@
     command = messages.PutRoutes(config=gatewaybed.config(), source=b"x")
     node.call(command, START + 0.1, answers.append)
     assert isinstance(answers[0], outcomes.Refused), answers
+    message = answers[0].failure.message
+    assert message == f"1 of {needed} needed replicas have joined", message
     assert node.state.routes.version == -1
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -435,7 +435,11 @@
     def propose(self, command: object, now: float, reply: Reply) -> None:
         """Propose a command; reply once it is applied."""
         if not self.membership.is_complete(self.raft.replica_set):
-            reply(unavailable("the replicas have not all joined yet"))
+            joined = len(self.raft.replica_set.voters)
+            needed = self.membership.required_voters
+            reply(
+                unavailable(f"{joined} of {needed} needed replicas have joined")
+            )
             return
         if self.is_blocked:
             reply(unavailable("the disk of the leader is full"))
--- a/src/_coltsfootroad/shell/quorumlogger.py
+++ b/src/_coltsfootroad/shell/quorumlogger.py
@@ -122,6 +122,7 @@
             before=self.logged_tolerance,
             reduced_for_s=round(now - self.reduced_since, 1),
             voters=identities(raft.replica_set.voters),
+            needed=self.node.membership.required_voters,
             silent=view.silent,
             lagging=view.lagging,
             term=raft.term,
