gateway: what ends a request unserved is a module of its own

Behaviour is unchanged. Ruled out: choice and silence as well; tests patch them by name in the exchange.

--- a/src/_coltsfootroad/gateway/contentguard.py
+++ b/src/_coltsfootroad/gateway/contentguard.py
@@ -99,7 +99,8 @@
             exchange.reply.abort_stream("the request is in quarantine")
         else:
             has_run = exchange.sends.runs > 0
-            exchange.refuse(local_quarantine.refusal(entries, has_run))
+            refusal = local_quarantine.refusal(entries, has_run)
+            exchange.final_failure.refuse(refusal)
         return True
 
     def stop_if_quarantined(self) -> None:
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -7,7 +7,6 @@
 
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import engineplacement
-from _coltsfootroad.core import errors
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import sends as sends_lib
 from _coltsfootroad.core import shedding
@@ -16,6 +15,7 @@
 from _coltsfootroad.gateway import admission
 from _coltsfootroad.gateway import contentguard
 from _coltsfootroad.gateway import engines
+from _coltsfootroad.gateway import finalfailure
 from _coltsfootroad.gateway import forwarding
 from _coltsfootroad.gateway import health
 from _coltsfootroad.gateway import memoryreservation
@@ -35,12 +35,6 @@
 # With less time left than this, no response can arrive before the deadline.
 MIN_REMAINING_TO_SEND_S = 0.02
 MIN_SERVER_ERROR_STATUS = 500
-# Stated when no endpoint is reachable: a restarted endpoint announces itself
-# within a second, and callers retry only once.
-NO_ENDPOINT_RETRY_AFTER_S = 0.2
-# Stated when this gateway reaches no endpoint and knows no gateway that does; a
-# lost path is probed this often.
-UNREACHABLE_RETRY_AFTER_S = 0.5
 # Range of the random pause before memory is requested again, so that two long
 # prompts that competed for the same engines do not collide a second time.
 MEMORY_RETRY_PAUSE_S = (0.05, 0.2)
@@ -63,6 +57,7 @@
         budget: Charges retries to the service's retry budget.
         work: Reports the current send as load.
         forwarding: Forwards the request through another gateway.
+        final_failure: Refuses or fails the request.
         reply: Writes to the caller's connection.
     """
 
@@ -78,6 +73,7 @@
     budget: sendbudget.SendBudget = attrs.field(init=False)
     work: ownwork.OwnWork = attrs.field(init=False)
     forwarding: peerforwarding.PeerForwarding = attrs.field(init=False)
+    final_failure: finalfailure.FinalFailure = attrs.field(init=False)
     reply: reply_lib.Reply = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -87,6 +83,7 @@
         self.budget = sendbudget.SendBudget(self)
         self.work = ownwork.OwnWork(self.gateway)
         self.forwarding = peerforwarding.PeerForwarding(self)
+        self.final_failure = finalfailure.FinalFailure(self)
         self.reply = reply_lib.Reply(
             self.gateway,
             self.connection,
@@ -159,7 +156,7 @@
             async with asyncio.timeout(max(0.0, left_s)):
                 await self.attempt_until_done()
         except TimeoutError:
-            self.on_deadline()
+            self.final_failure.on_deadline()
         finally:
             self.work.end()
             self.budget.release()
@@ -202,7 +199,7 @@
                 )
             reason = self.stop_reason(outcome)
             if reason:
-                self.send_final_failure(reason)
+                self.final_failure.send(reason)
                 return
 
     async def attempt_once(self) -> sends_lib.Outcome | None:
@@ -217,33 +214,20 @@
         now = clocks.boot_time()
         reason = self.cannot_send_reason(now)
         if not reason and self.forwarding.is_unreachable():
-            self.refuse_unreachable()
+            self.final_failure.send_unreachable()
             return None
         choice = None if reason else self.choose(now)
         if choice is None:
-            self.send_final_failure(
+            self.final_failure.send(
                 reason or "no endpoint serves the request now"
             )
             return None
         retry_after_s = self.shed_delay_s(choice)
         if retry_after_s is not None:
-            self.shed(choice, retry_after_s)
+            self.final_failure.shed(choice, retry_after_s)
             return None
         return await self.attempt(choice)
 
-    def refuse_unreachable(self) -> None:
-        """Refuse a request whose service no known gateway reaches."""
-        if self.reply.streaming or self.budget.arrivals:
-            self.send_final_failure("no endpoint of the service is reached")
-            return
-        self.refuse(
-            admission.refusal(
-                errors.ErrorCode.ENDPOINTS_UNREACHABLE,
-                f"no endpoint of {self.service.name!r} is reached",
-                UNREACHABLE_RETRY_AFTER_S,
-            )
-        )
-
     def rank(self, choice: engines.Choice, now: float) -> int:
         """Return the rank of a send in its engine's queue."""
         waited_s = now - self.request.arrived_at
@@ -505,73 +489,8 @@
             return sends_lib.Outcome.FAULT
         return sends_lib.Outcome.ANSWERED
 
-    def send_final_failure(self, reason: str) -> None:
-        """Send the final failure, as "not run" only if that is proven."""
-        if self.reply.streaming:
-            self.reply.abort_stream(reason)
-        elif self.error_response is not None:
-            LOG.info(
-                "endpoint's error response forwarded",
-                request=self.request_id,
-                status=self.error_response.status,
-                reason=reason,
-            )
-            self.reply.complete(self.error_response)
-        elif self.sends.runs:
-            self.refuse(
-                errors.Failure(
-                    errors.ErrorCode.ENDPOINT_FAILED,
-                    reason,
-                    errors.Ran.UNKNOWN,
-                )
-            )
-        else:
-            self.refuse(
-                admission.refusal(
-                    errors.ErrorCode.NO_ENDPOINT,
-                    reason,
-                    NO_ENDPOINT_RETRY_AFTER_S,
-                )
-            )
-
-    def shed(self, choice: engines.Choice, retry_after_s: float) -> None:
-        """Refuse a request that would only lengthen a queue."""
-        self.refuse(
-            admission.refusal(
-                errors.ErrorCode.QUEUE_FULL,
-                f"{choice.late_waiting} late requests wait at"
-                f" {choice.batch_slots} places, the first event is predicted"
-                f" after {choice.predicted_s:.2f} s",
-                retry_after_s,
-            )
-        )
-
-    def refuse(self, failure: errors.Failure) -> None:
-        """Respond with a failure that the gateway itself reports."""
-        self.reply.refuse(failure, self.route.name)
-
     def record_event(self) -> None:
         """Record an event: prefill is complete, or a pause has ended."""
         now = clocks.boot_time()
         if self.work.record_event(now - self.reply.last_event_at):
             self.gateway.record_first_event(now - self.request.arrived_at)
-
-    def on_deadline(self) -> None:
-        """Respond to a request whose deadline has passed."""
-        if self.reply.streaming:
-            self.reply.abort_stream("the time is over")
-            return
-        if not self.sends.count and not self.forwarding.tried:
-            self.refuse(
-                admission.refusal(
-                    errors.ErrorCode.UNAVAILABLE, "the time is over"
-                )
-            )
-            return
-        self.refuse(
-            errors.Failure(
-                errors.ErrorCode.DEADLINE_EXCEEDED,
-                "the time is over",
-                errors.Ran.UNKNOWN,
-            )
-        )
