--- a/features/support/honestplay.py
+++ b/features/support/honestplay.py
@@ -23,8 +23,6 @@
 LATE_S = 0.35
 # Delays of threads and of the loop they share on a loaded machine.
 TOLERANCE_S = 0.3
-
-
 # Sends of one request that are scripted; later ones repeat the last.
 MAX_SENDS = 4
 SAME_ACT_PROBABILITY = 0.3
