soak: no response counts as ready that is written to a closed connection

Traced from the kept logs: sent to e2 at 18.047, connection lost at 18.058 as a poison part crashes e2, which refuses connections next; the soak's endpoint went on after it had aborted its connections and recorded the response that it wrote to none. The gateway answers 502 with "ran: unknown", which is true.

Change: a response is recorded only while its connection is open; two rows, of which the crash failed before. The check itself is unchanged.

--- a/features/gateway/honesty.feature
+++ b/features/gateway/honesty.feature
@@ -37,3 +37,13 @@
       | 1 s before   | 5 s later | 1     |
       | never        | meanwhile | 1     |
       | 20 s before  | meanwhile | 1     |
+
+  # Guards against a response that is written to a connection of an ended endpoint.
+  Scenario Outline: A soak's endpoint <does> while it serves a request
+    When an endpoint of a soak <does> while it serves a request
+    Then it has recorded <count> responses
+
+    Examples:
+      | does    | count |
+      | stays   | 1     |
+      | crashes | 0     |
--- a/features/soak/endpoints.py
+++ b/features/soak/endpoints.py
@@ -115,7 +115,7 @@
             self, "do_" + (mode or ("stream" if streams else "answer"))
         )
         kept_open = await respond(seen.headers, reader, writer)
-        if not mode:
+        if not mode and not writer.is_closing():
             self.observed.responses.append(
                 audit.Response(request=request, at=time.monotonic())
             )
--- a/features/steps/honesty_steps.py
+++ b/features/steps/honesty_steps.py
@@ -1,11 +1,16 @@
 """Steps of plays in which service has to be honest."""
 
+import asyncio
+import random
+
 from behave import given
 from behave import then
 from behave import when
 
 from features.soak import audit
+from features.soak import endpoints
 from features.soak import honesty
+from features.support import gatewaybed
 from features.support import honestplay
 from features.support import honestydefects
 from features.support import mutants
@@ -91,3 +96,30 @@
 def violations_found(context, count):
     found = honesty.check(context.observed)
     assert len(found) == count, found
+
+
+@when("an endpoint of a soak {does} while it serves a request")
+def soak_endpoint_serves(context, does):
+    context.observed = audit.Observations()
+
+    async def run():
+        endpoint = endpoints.SoakEndpoint(
+            "e1", "e1-1", context.observed, random.Random(1)
+        )
+
+        async def pause(_headers, _seconds):
+            if does == "crashes":
+                endpoint.abort()
+
+        endpoint.pause = pause
+        await endpoint.start()
+        port = int(endpoint.address.rpartition(":")[2])
+        await asyncio.to_thread(gatewaybed.ask, port, "/safe/x")
+        endpoint.server.close()
+
+    asyncio.run(run())
+
+
+@then("it has recorded {count:d} responses")
+def responses_recorded(context, count):
+    assert len(context.observed.responses) == count, context.observed.responses
