--- a/.ci/verdict.py
+++ b/.ci/verdict.py
@@ -17,6 +17,8 @@
 # end with the time of the failure in nanoseconds.
 KEPT_FOLDER = "failed"
 LOG_PATTERN = "*.log"
+# Storage of a replica, which is not text.
+STORAGE_PREFIX = "wal-"
 # Bounds on what is printed of these files, as the clone of a CI run is deleted.
 MAX_LOGS = 12
 MAX_LOG_LINES = 8
@@ -79,6 +81,7 @@
         for kept in sorted(folder.glob("*"))
         if kept_at_ns(kept) >= started_ns
         for path in sorted(kept.rglob(LOG_PATTERN))
+        if not path.name.startswith(STORAGE_PREFIX)
     ]
     for path in logs[:MAX_LOGS]:
         lines = path.read_text(errors="replace").splitlines()
--- a/features/steps/verdict_steps.py
+++ b/features/steps/verdict_steps.py
@@ -66,6 +66,9 @@
     (kept / "gateway-0.log").write_text(
         "".join(f"line {number}\n" for number in range(100))
     )
+    # A replica's own storage, which is not text.
+    (kept / "data-0").mkdir()
+    (kept / "data-0" / "wal-00000001.log").write_bytes(b"CFRL\x00entries")
     context.outcome = give_verdict(context.folder, "2", "0", str(STARTED_NS))
 
 
@@ -74,6 +77,7 @@
     output = context.outcome.stdout
     assert ("gateway-0.log: line 99" in output) == (printed == "printed")
     assert "gateway-0.log: line 50" not in output, output
+    assert "wal-" not in output, output
     assert output.splitlines()[-1] == line, output
 
 
