core: gather the decisions on placement in one subpackage

Cause: the modules that choose engines, track the work in flight and shed requests were spread over core/, beside unrelated ones, so that parts built side by side would meet in them. Ruled out: splitting the modules further, as that would change behaviour. No logic changes. Conclusion: new parts of placement have a place of their own.

--- a/benchmarks/ablations.py
+++ b/benchmarks/ablations.py
@@ -47,7 +47,7 @@
         "splitting",
         "each prompt is prefilled by one engine",
         (
-            SOURCES + "core/engineplacement.py",
+            SOURCES + "core/placement/engineplacement.py",
             "MIN_SPLIT_TOKENS = 10_000",
             "MIN_SPLIT_TOKENS = 10**9",
         ),
@@ -56,7 +56,7 @@
         "harm",
         "placement ignores the value that other streams lose",
         (
-            SOURCES + "core/enginestate.py",
+            SOURCES + "core/placement/enginestate.py",
             "        lost = 0.0\n",
             "        return 0.0\n",
         ),
@@ -65,7 +65,7 @@
         "ranks",
         "engines serve prompts in the order of arrival",
         (
-            SOURCES + "core/urgency.py",
+            SOURCES + "core/placement/urgency.py",
             "    if waited_s + predicted_s > route",
             "    return RANKS[0][1]\n    if waited_s + predicted_s > route",
         ),
@@ -74,7 +74,7 @@
         "shedding",
         "no short prompt is shed because of the queue",
         (
-            SOURCES + "core/shedding.py",
+            SOURCES + "core/placement/shedding.py",
             "    if waiting <= share * slots:",
             "    if waiting >= 0:",
         ),
--- a/benchmarks/choice.py
+++ b/benchmarks/choice.py
@@ -12,11 +12,11 @@
 from absl import flags
 
 from _coltsfootroad.core import endpointset
-from _coltsfootroad.core import engineplacement
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
-from _coltsfootroad.core import work as work_lib
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import engineplacement
+from _coltsfootroad.core.placement import work as work_lib
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import engines as engines_lib
 from benchmarks import mixes
 
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -14,15 +14,15 @@
 import attrs
 import numpy
 
-from _coltsfootroad.core import candidates
 from _coltsfootroad.core import endpointset
-from _coltsfootroad.core import engineplacement
 from _coltsfootroad.core import failoverdelay
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
-from _coltsfootroad.core import shedding
-from _coltsfootroad.core import urgency
-from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core.placement import candidates
+from _coltsfootroad.core.placement import engineplacement
+from _coltsfootroad.core.placement import shedding
+from _coltsfootroad.core.placement import urgency
+from _coltsfootroad.core.placement import work as work_lib
 from _coltsfootroad.gateway import engines as engines_lib
 from _coltsfootroad.replay import batchengine
 from benchmarks import mixes
--- a/benchmarks/views.py
+++ b/benchmarks/views.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from _coltsfootroad.core import work as work_lib
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import work as work_lib
+from _coltsfootroad.core.placement import workload
 
 # Delay until other gateways know of a new work item: datagrams are batched for
 # 2 ms, sent, forwarded, and wait for the event loop of the receiver.
--- a/features/steps/batchengine_steps.py
+++ b/features/steps/batchengine_steps.py
@@ -7,10 +7,10 @@
 from behave import when
 import numpy
 
-from _coltsfootroad.core import engineplacement
-from _coltsfootroad.core import enginestate
-from _coltsfootroad.core import shedding
-from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core.placement import engineplacement
+from _coltsfootroad.core.placement import enginestate
+from _coltsfootroad.core.placement import shedding
+from _coltsfootroad.core.placement import work as work_lib
 from _coltsfootroad.replay import batchengine
 from benchmarks import mixes
 from benchmarks import placement
--- a/features/steps/cutoff_steps.py
+++ b/features/steps/cutoff_steps.py
@@ -12,7 +12,7 @@
 from _coltsfootroad.core import peerchoice
 from _coltsfootroad.core import reachability
 from _coltsfootroad.core import registry
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import endpointprobe
 from _coltsfootroad.gateway import reachmonitor
 from _coltsfootroad.gateway import upstream
--- a/features/steps/fanout_steps.py
+++ b/features/steps/fanout_steps.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from _coltsfootroad.core import addresses
-from _coltsfootroad.core import work as work_lib
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import work as work_lib
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import gossip as gossip_lib
 from features.support import gatewaybed
 
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -11,19 +11,19 @@
 from behave import when
 
 from _coltsfootroad.control import retrylending
-from _coltsfootroad.core import candidates
 from _coltsfootroad.core import endpointset
-from _coltsfootroad.core import enginemodel
-from _coltsfootroad.core import engineplacement
-from _coltsfootroad.core import enginestate
 from _coltsfootroad.core import eventstream
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import routeview
-from _coltsfootroad.core import urgency
 from _coltsfootroad.core import windowbudget
-from _coltsfootroad.core import work as work_lib
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import candidates
+from _coltsfootroad.core.placement import enginemodel
+from _coltsfootroad.core.placement import engineplacement
+from _coltsfootroad.core.placement import enginestate
+from _coltsfootroad.core.placement import urgency
+from _coltsfootroad.core.placement import work as work_lib
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import gossip
 from _coltsfootroad.shell import clocks
 from benchmarks import mixes
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -12,10 +12,10 @@
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
-from _coltsfootroad.core import engineplacement
-from _coltsfootroad.core import enginestate
 from _coltsfootroad.core import registry
-from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core.placement import engineplacement
+from _coltsfootroad.core.placement import enginestate
+from _coltsfootroad.core.placement import work as work_lib
 from _coltsfootroad.gateway import gossip
 from _coltsfootroad.gateway import upstream
 from benchmarks import mixes
--- a/features/steps/members_steps.py
+++ b/features/steps/members_steps.py
@@ -13,8 +13,8 @@
 from _coltsfootroad.core import members as members_lib
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import rotation as rotation_lib
-from _coltsfootroad.core import work as work_lib
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import work as work_lib
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.gateway import gossip as gossip_lib
 from _coltsfootroad.gateway import ownwork
--- a/features/steps/promises_steps.py
+++ b/features/steps/promises_steps.py
@@ -10,7 +10,7 @@
 
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import routes
-from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core.placement import work as work_lib
 from _coltsfootroad.gateway import sendbudget
 from _coltsfootroad.gateway import watch as watch_lib
 from _coltsfootroad.shell import clocks
--- a/features/steps/restarts_steps.py
+++ b/features/steps/restarts_steps.py
@@ -16,8 +16,8 @@
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import sends
-from _coltsfootroad.core import work as work_lib
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import work as work_lib
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.gateway import health
 from _coltsfootroad.gateway import memoryreservation
--- a/features/steps/startshare_steps.py
+++ b/features/steps/startshare_steps.py
@@ -8,9 +8,9 @@
 from behave import when
 
 from _coltsfootroad.core import endpointset
-from _coltsfootroad.core import startuplimit
-from _coltsfootroad.core import work as work_lib
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import startuplimit
+from _coltsfootroad.core.placement import work as work_lib
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import engines as engines_lib
 from features.steps import choice_steps
 
--- a/src/_coltsfootroad/core/candidates.py
+++ b/src/_coltsfootroad/core/placement/candidates.py
@@ -12,7 +12,7 @@
 import attrs
 
 from _coltsfootroad.core import endpointset
-from _coltsfootroad.core import loadindex
+from _coltsfootroad.core.placement import loadindex
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/core/engineplacement.py
+++ b/src/_coltsfootroad/core/placement/engineplacement.py
@@ -14,9 +14,9 @@
 
 import attrs
 
-from _coltsfootroad.core import enginemodel
-from _coltsfootroad.core import enginestate
 from _coltsfootroad.core import routes
+from _coltsfootroad.core.placement import enginemodel
+from _coltsfootroad.core.placement import enginestate
 
 # Helper engines of one prompt at most; a limit of the engines.
 MAX_HELPERS = 16
--- a/src/_coltsfootroad/core/enginestate.py
+++ b/src/_coltsfootroad/core/placement/enginestate.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from _coltsfootroad.core import enginemodel
 from _coltsfootroad.core import routes
-from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core.placement import enginemodel
+from _coltsfootroad.core.placement import work as work_lib
 
 # Share of a gap target that a predicted pass may take.
 GAP_MARGIN = 0.85
--- a/src/_coltsfootroad/core/enginestatecache.py
+++ b/src/_coltsfootroad/core/placement/enginestatecache.py
@@ -3,10 +3,10 @@
 import attrs
 
 from _coltsfootroad.core import endpointset
-from _coltsfootroad.core import enginestate
-from _coltsfootroad.core import loadindex
 from _coltsfootroad.core import routes
-from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core.placement import enginestate
+from _coltsfootroad.core.placement import loadindex
+from _coltsfootroad.core.placement import work as work_lib
 
 # The entire cache is cleared at this size, which drops engines that have ended.
 MAX_CACHED_STATES = 4_096
--- a/src/_coltsfootroad/core/loadindex.py
+++ b/src/_coltsfootroad/core/placement/loadindex.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core.placement import work as work_lib
 
 # Gateway, empty for this one, and the key that it assigned to the work.
 WorkKey = tuple[str, int]
--- a/src/_coltsfootroad/core/workload.py
+++ b/src/_coltsfootroad/core/placement/workload.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from _coltsfootroad.core import loadindex
-from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core.placement import loadindex
+from _coltsfootroad.core.placement import work as work_lib
 
 # A gateway without a summary for this long has crashed or is partitioned. Its
 # work has ended with it or cannot be tracked any longer.
--- a/src/_coltsfootroad/gateway/admission.py
+++ b/src/_coltsfootroad/gateway/admission.py
@@ -6,9 +6,9 @@
 from expression import Result
 from tornado import httputil
 
-from _coltsfootroad.core import engineplacement
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import routes
+from _coltsfootroad.core.placement import engineplacement
 from _coltsfootroad.gateway import names as names_lib
 
 MS = 1000
--- a/src/_coltsfootroad/gateway/engines.py
+++ b/src/_coltsfootroad/gateway/engines.py
@@ -4,15 +4,15 @@
 
 import attrs
 
-from _coltsfootroad.core import candidates
 from _coltsfootroad.core import endpointset
-from _coltsfootroad.core import engineplacement
-from _coltsfootroad.core import enginestate
-from _coltsfootroad.core import enginestatecache
 from _coltsfootroad.core import fingerprints
 from _coltsfootroad.core import isolation as isolation_lib
 from _coltsfootroad.core import routes
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import candidates
+from _coltsfootroad.core.placement import engineplacement
+from _coltsfootroad.core.placement import enginestate
+from _coltsfootroad.core.placement import enginestatecache
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import memoryreservation
 
 
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -6,12 +6,12 @@
 from tornado import http1connection
 
 from _coltsfootroad.core import endpointset
-from _coltsfootroad.core import engineplacement
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import sends as sends_lib
-from _coltsfootroad.core import shedding
-from _coltsfootroad.core import startuplimit
-from _coltsfootroad.core import urgency
+from _coltsfootroad.core.placement import engineplacement
+from _coltsfootroad.core.placement import shedding
+from _coltsfootroad.core.placement import startuplimit
+from _coltsfootroad.core.placement import urgency
 from _coltsfootroad.gateway import admission
 from _coltsfootroad.gateway import contentguard
 from _coltsfootroad.gateway import engines
--- a/src/_coltsfootroad/gateway/gossip.py
+++ b/src/_coltsfootroad/gateway/gossip.py
@@ -14,7 +14,7 @@
 
 from _coltsfootroad.core import addresses
 from _coltsfootroad.core import fanout
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
--- a/src/_coltsfootroad/gateway/ownwork.py
+++ b/src/_coltsfootroad/gateway/ownwork.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from _coltsfootroad.core import engineplacement
-from _coltsfootroad.core import work as work_lib
+from _coltsfootroad.core.placement import engineplacement
+from _coltsfootroad.core.placement import work as work_lib
 from _coltsfootroad.gateway import engines
 
 
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -15,7 +15,7 @@
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import routeview
 from _coltsfootroad.core import windowbudget
-from _coltsfootroad.core import workload
+from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import crashdetector
 from _coltsfootroad.gateway import crashreporter
 from _coltsfootroad.gateway import dialect as dialect_lib
