--- a/features/control/quorum.feature
+++ b/features/control/quorum.feature
@@ -44,3 +44,17 @@
       | log          |
       | term         |
       | heard_leader |
+
+  Scenario Outline: <running> replicas of <needed> needed ones <log> an error
+    Given <running> replicas that are to tolerate <losses> losses
+    When the replicas have run for 20 s
+    Then they <log> an error that names <running> of <needed> replicas
+
+    Examples:
+      | running | losses | needed | log       |
+      | 1       | 1      | 3      | log       |
+      | 3       | 2      | 5      | log       |
+      | 4       | 2      | 5      | log       |
+      | 3       | 1      | 3      | do not log |
+      | 5       | 2      | 5      | do not log |
+      | 6       | 2      | 5      | do not log |
--- a/features/steps/quorum_steps.py
+++ b/features/steps/quorum_steps.py
@@ -162,3 +162,37 @@
 def lines(context, what: str) -> list:
     """Return the log records of an event."""
     return [r for r in context.records if r.message == what]
+
+
+@given("{count:d} replicas that are to tolerate {losses:d} losses")
+def replicas_to_tolerate_losses(context, count, losses):
+    context.site = replacements.Site(
+        random.Random(4), losses=losses, required_voters=2 * losses + 1
+    )
+    first, *rest = replacements.NAMES[:count]
+    context.site.add(first, bootstrap=True)
+    for name in rest:
+        context.site.add(name)
+    context.site.at(context.site.now, context.site.ask)
+
+
+@when("the replicas have run for {seconds:d} s")
+def replicas_run(context, seconds):
+    logs = {}
+    with logbook.TestHandler() as handler:
+        for _ in range(50 * seconds):
+            step(context.site, logs)
+    context.records = handler.records
+
+
+@then("they log an error that names {running:d} of {needed:d} replicas")
+def shortage_logged(context, running, needed):
+    found = lines(context, "too few replicas")
+    assert found, [record.message for record in context.records]
+    named = {(r.kwargs["joined"], r.kwargs["needed"]) for r in found}
+    assert named == {(running, needed)}, named
+
+
+@then("they do not log an error that names {running:d} of {needed:d} replicas")
+def no_shortage_logged(context, running, needed):
+    assert not lines(context, "too few replicas"), (running, needed)
--- a/src/_coltsfootroad/commands/ctl.py
+++ b/src/_coltsfootroad/commands/ctl.py
@@ -152,8 +152,13 @@
 
 
 def replica_lines(document: dict) -> list[str]:
-    """Return one line per replica."""
-    return [
+    """Return one line per replica, after a line on missing ones if any are."""
+    joined, needed = document["replicas_joined"], document["replicas_needed"]
+    missing = [
+        f"{joined} of {needed} needed replicas have joined: no change is"
+        " accepted"
+    ]
+    return (missing if joined < needed else []) + [
         f"replica {r['identity']} at {r['address']}:"
         f" {'voter' if r['voter'] else 'learner'}, {r['state']},"
         f" {r['behind']} entries behind"
--- a/src/_coltsfootroad/control/reads.py
+++ b/src/_coltsfootroad/control/reads.py
@@ -129,6 +129,8 @@
         "version": node.state.configs.version,
         "commit": raft.commit,
         "claims": len(node.state.claims.claims),
+        "replicas_joined": len(raft.replica_set.voters),
+        "replicas_needed": node.membership.required_voters,
         "replicas": [
             replica_status(raft, identity, now)
             for identity in raft.replica_set.by_identity()
--- a/src/_coltsfootroad/shell/quorumlogger.py
+++ b/src/_coltsfootroad/shell/quorumlogger.py
@@ -11,6 +11,9 @@
 REPEAT_INTERVAL_S = 10.0
 # Interval between log lines of a candidate that gets too few votes.
 CAMPAIGN_REPEAT_INTERVAL_S = 2.0
+# Replicas that start together join within about a second each, one after the
+# other. After this time, those that are missing were probably not deployed.
+JOIN_GRACE_S = 6.0
 CANDIDATE_ROLES = (raft_lib.Role.PRE_CANDIDATE, raft_lib.Role.CANDIDATE)
 NEVER = float("-inf")
 
@@ -27,6 +30,10 @@
         self.reduced_since = NEVER
         self.tolerance_logged_at = NEVER
         self.campaign_logged_at = NEVER
+        # When this replica began to lead an incomplete set, None if it does
+        # not.
+        self.incomplete_since: float | None = None
+        self.incomplete_logged_at = NEVER
 
     def log_changes(self, now: float) -> None:
         """Log what has changed since the last call."""
@@ -40,6 +47,7 @@
             self.is_lost = view.is_lost
             self.log_quorum(view)
         self.log_tolerance(view, now)
+        self.log_incomplete_set(now)
         self.log_faults()
 
     def log_role_change(self, now: float) -> None:
@@ -131,6 +139,34 @@
         self.logged_tolerance = tolerated
         self.tolerance_logged_at = now
 
+    def log_incomplete_set(self, now: float) -> None:
+        """Log an error while fewer replicas vote than the settings require.
+
+        No command is accepted meanwhile. If too few replicas with a disk are
+        deployed, this lasts until more are added.
+        """
+        raft, membership = self.node.raft, self.node.membership
+        if not raft.is_leader or membership.is_complete(raft.replica_set):
+            self.incomplete_since = None
+            return
+        if self.incomplete_since is None:
+            self.incomplete_since = now
+        waited_s = now - self.incomplete_since
+        is_due = now >= self.incomplete_logged_at + REPEAT_INTERVAL_S
+        if waited_s < JOIN_GRACE_S or not is_due:
+            return
+        self.incomplete_logged_at = now
+        LOG.error(
+            "too few replicas",
+            joined=len(raft.replica_set.voters),
+            needed=membership.required_voters,
+            lost_at_once=membership.max_failures,
+            voters=identities(raft.replica_set.voters),
+            learners=identities(raft.replica_set.learners),
+            waited_s=round(waited_s, 1),
+            fix="deploy control on more VMs with a disk, or lower lost_at_once",
+        )
+
     def log_faults(self) -> None:
         """Log commands that were not applied, and calls without an answer."""
         while self.node.faults:
