gateway: forward no 'not run' of a peer after a send that may have run

Cause: a gateway lost an endpoint's connection in the middle of a call, forwarded the call to another gateway and passed that gateway's 503 on, although the first send had run. Change: such a refusal counts as a send that did not run; the request goes on or ends with 502. Conclusion: one path on which 'not run' was untrue is closed; the failure needs a lost send and a partition in the same moment.

--- a/features/gateway/cutoff.feature
+++ b/features/gateway/cutoff.feature
@@ -164,3 +164,22 @@
     Given 3 gateways and 4 endpoints
     When g1 is cut off, g2 does not listen and g1 gets 6 requests
     Then all of them are answered
+
+  # A gateway that refuses a forwarded request knows nothing of earlier sends.
+  Scenario Outline: The other gateway answers <status> <code> after <runs> sends that may have run
+    Given a forwarded request of which <runs> sends may have run
+    When the other gateway answers <status> with code <code>
+    Then the outcome of the forwarded send is <outcome>
+
+    Examples:
+      | runs | status | code                  | outcome  |
+      | 0    | 503    | no_endpoint           | answered |
+      | 0    | 503    | unavailable           | not_run  |
+      | 0    | 429    | queue_full            | answered |
+      | 1    | 503    | no_endpoint           | not_run  |
+      | 1    | 503    | unavailable           | not_run  |
+      | 1    | 503    | quarantined           | not_run  |
+      | 1    | 429    | queue_full            | not_run  |
+      | 1    | 408    | unavailable           | not_run  |
+      | 1    | 502    | endpoint_failed       | answered |
+      | 1    | 200    | -                     | answered |
--- a/features/steps/cutoff_steps.py
+++ b/features/steps/cutoff_steps.py
@@ -7,14 +7,19 @@
 from behave import given
 from behave import then
 from behave import when
+from tornado import httputil
 from tornado import iostream
 
 from _coltsfootroad.core import peerchoice
 from _coltsfootroad.core import reachability
 from _coltsfootroad.core import registry
+from _coltsfootroad.core import sends
 from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import endpointprobe
+from _coltsfootroad.gateway import names
+from _coltsfootroad.gateway import peerforwarding
 from _coltsfootroad.gateway import reachmonitor
+from _coltsfootroad.gateway import responses
 from _coltsfootroad.gateway import upstream
 from features.support import gatewaybed
 from features.support import gatewayfleet
@@ -641,3 +646,28 @@
 @then("all of them are answered")
 def all_answered(context):
     assert all(found.served for found in context.last), context.last
+
+
+@given("a forwarded request of which {runs:d} sends may have run")
+def forwarded_request_with_runs(context, runs):
+    exchange = mock.Mock()
+    exchange.sends = sends.SendHistory(attempts=2, idempotent=True, runs=runs)
+    context.forwarding = peerforwarding.PeerForwarding(exchange)
+
+
+@when("the other gateway answers {status:d} with code {code}")
+def other_gateway_answers(context, status, code):
+    sink = responses.BufferedResponse(names.HeaderNames(), "r1")
+    headers = {sink.names.request_id: "r1"}
+    if status < responses.REDIRECTION:
+        headers[sink.names.signature] = "s"
+    sink.on_head(status, "", httputil.HTTPHeaders(headers))
+    sink.on_data(b'{"error": {"code": "%s"}}' % code.encode())
+    context.outcome = context.forwarding.classify_outcome(
+        upstream.CallEnd.COMPLETE, sink
+    )
+
+
+@then("the outcome of the forwarded send is {outcome}")
+def outcome_of_forwarded_send(context, outcome):
+    assert context.outcome.value == outcome, context.outcome
--- a/src/_coltsfootroad/gateway/peerforwarding.py
+++ b/src/_coltsfootroad/gateway/peerforwarding.py
@@ -192,6 +192,10 @@
             if refused_unsent(sink):
                 self.exchange.budget.on_not_arrived()
                 return sends_lib.Outcome.NOT_RUN
+            if sends.runs and sink.status in responses.NOT_RUN_STATUSES:
+                # The other gateway knows nothing of the earlier sends, one of
+                # which may have run, so its refusal must not be forwarded.
+                return sends_lib.Outcome.NOT_RUN
             return sends_lib.Outcome.ANSWERED
         sends.runs = max(sends.runs + 1, sends.attempts)
         return sends_lib.Outcome.LOST
