control: replicate evacuated zones; gateway: send nothing there

Cause: an operator can only stop traffic to a zone by stopping its endpoints. Change: a change of a zone is a lease that never ends, named by zone and revision. The leader publishes evacuated zones first in every response. Gateways exclude their endpoints, and check the order and the proof again right before the first byte. Calls of the platform and of operators, colts-ctl, settings, metrics, log lines and dump.

--- a/src/_coltsfootroad/commands/control.py
+++ b/src/_coltsfootroad/commands/control.py
@@ -15,8 +15,10 @@
 from _coltsfootroad.shell import settings as settings_lib
 
 LOG = logs.logger("main")
-# Serves a platform's API at an address; its calls are forwarded to the leader.
-AddPlatformApi = Callable[[links.ControlClient, str], None]
+# Serves a platform's API; its calls are forwarded to the leader.
+AddPlatformApi = Callable[
+    [links.ControlClient, settings_lib.ControlSettings], None
+]
 BOOTSTRAP = flags.DEFINE_bool(
     "bootstrap",
     False,
@@ -36,7 +38,9 @@
     )
 
 
-def add_no_platform_api(_link: links.ControlClient, _address: str) -> None:
+def add_no_platform_api(
+    _link: links.ControlClient, _settings: settings_lib.ControlSettings
+) -> None:
     """Serve no platform API."""
 
 
@@ -69,9 +73,7 @@
             " use; start without the flag"
         )
         return common.EXIT_USAGE
-    add_platform_api(
-        controlserver.ForwardingControlClient(server), settings.api_listen
-    )
+    add_platform_api(controlserver.ForwardingControlClient(server), settings)
     await server.start()
     common.set_reload_action(lambda: reload(server))
     # The settings may have changed since they were first read.
@@ -90,7 +92,7 @@
     relay = controlrelay.ControlRelay(
         settings, controlserver.make_relay(settings)
     )
-    add_platform_api(relay.control_client, settings.api_listen)
+    add_platform_api(relay.control_client, settings)
     await relay.start()
     common.set_reload_action(lambda: reload(relay))
     stopped_normally = await common.wait_for_stop(
--- a/src/_coltsfootroad/commands/ctl.py
+++ b/src/_coltsfootroad/commands/ctl.py
@@ -14,6 +14,7 @@
 
 from _coltsfootroad.commands import common
 from _coltsfootroad.commands import ctlclient
+from _coltsfootroad.commands import evacuationctl
 from _coltsfootroad.commands import quarantinectl
 from _coltsfootroad.shell import settings as settings_lib
 
@@ -53,6 +54,10 @@
                              prompt; "*" means all workspaces
   quarantine remove-part PART
                              remove a part from the quarantine
+  evacuation list            list the zones that have or had an order
+  evacuation set ZONE        let gateways send nothing more to the
+                             endpoints of an availability zone
+  evacuation withdraw ZONE   withdraw the order
   snapshot FILE              write a backup of the durable state
   drain ADMIN_ADDRESS        shut an entry down gracefully
   dump ADMIN_ADDRESS         show the state of a process"""
@@ -303,18 +308,14 @@
 def run_command(client: ctlclient.Client, arguments: list[str]) -> int:
     """Run a command."""
     match arguments:
-        case ["config", *rest]:
-            return run_config_command(client, rest)
+        case [group, *rest] if group in COMMAND_GROUPS:
+            return COMMAND_GROUPS[group](client, rest)
         case ["status"]:
             return status(client)
         case ["endpoints"]:
             return show_status_list(client, "endpoints", endpoint_lines)
         case ["members"]:
             return show_status_list(client, "entries", member_lines)
-        case ["replica", *rest]:
-            return run_replica_command(client, rest)
-        case ["quarantine", *rest]:
-            return run_quarantine_command(client, rest)
         case ["snapshot", path]:
             return snapshot(client, path)
         case ["dump", address]:
@@ -372,6 +373,25 @@
     return common.EXIT_USAGE
 
 
+def run_evacuation_command(
+    client: ctlclient.Client, arguments: list[str]
+) -> int:
+    """Run an evacuation command."""
+    code = evacuationctl.run(client, arguments)
+    if code is None:
+        common.print_error(f"unknown evacuation command\n{USAGE}")
+        return common.EXIT_USAGE
+    return code
+
+
+COMMAND_GROUPS = {
+    "config": run_config_command,
+    "replica": run_replica_command,
+    "quarantine": run_quarantine_command,
+    "evacuation": run_evacuation_command,
+}
+
+
 def main(arguments: list[str]) -> int:
     """Run the program."""
     if not arguments[1:]:
--- a/src/_coltsfootroad/control/commandlog.py
+++ b/src/_coltsfootroad/control/commandlog.py
@@ -6,6 +6,7 @@
 
 from expression import Result
 
+from _coltsfootroad.control import evacuations
 from _coltsfootroad.control import packing
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.core import errors
@@ -17,10 +18,13 @@
 
 def pack(command: object) -> bytes:
     """Return the encoded command."""
+    if isinstance(command, evacuations.SetEvacuation):
+        command = evacuations.to_lease(command)
     data = state_lib.COMMANDS.encode(command)
     return packing.pack(data, MIN_COMPRESSED_BYTES)
 
 
 def unpack(data: bytes) -> Result[object, errors.Failure]:
     """Return the decoded command, or an error for invalid bytes."""
-    return packing.unpack(data).bind(state_lib.COMMANDS.decode)
+    plain = packing.unpack(data)
+    return plain.bind(state_lib.COMMANDS.decode).map(evacuations.from_log)
--- a/src/_coltsfootroad/control/coordinator.py
+++ b/src/_coltsfootroad/control/coordinator.py
@@ -115,6 +115,7 @@
         dict
     )
     quarantine_revision: int = -1
+    evacuation_revision: int = -1
 
     @registry_since.default
     def _since_started(self):
@@ -152,6 +153,7 @@
                 until = now + ANNOUNCEMENT_LEASE_S
                 self.registry.announce(announcement, until, now, False)
         self.publish_quarantine(now)
+        self.publish_evacuation()
 
     # --- heartbeats and watches --------------------------------------------
 
@@ -473,6 +475,19 @@
             else:
                 self.crashes.clear(fingerprint, now)
 
+    def publish_evacuation(self) -> None:
+        """Update the published evacuated zones from the replicated state."""
+        table = self.state.evacuation
+        if table.revision == self.evacuation_revision:
+            return
+        self.evacuation_revision = table.revision
+        published = set(self.fleet_state.evacuated.items)
+        evacuated = set(table.evacuated_zones())
+        for zone in sorted(evacuated - published):
+            self.fleet_state.put_evacuated(zone)
+        for zone in sorted(published - evacuated):
+            self.fleet_state.drop_evacuated(zone)
+
     def expire(self, now: float) -> None:
         """Drop relays, members and endpoints whose lease has ended."""
         for name, live in list(self.relays.items()):
--- a/src/_coltsfootroad/control/fleetstate.py
+++ b/src/_coltsfootroad/control/fleetstate.py
@@ -96,6 +96,7 @@
         relays: Relays by name.
         quarantined: Quarantined requests by fingerprint.
         suspected: Requests that may crash endpoints, by fingerprint.
+        evacuated: Evacuated zones by name.
     """
 
     epoch: str = ""
@@ -106,6 +107,7 @@
     relays: ChangeTable = attrs.Factory(ChangeTable)
     quarantined: ChangeTable = attrs.Factory(ChangeTable)
     suspected: ChangeTable = attrs.Factory(ChangeTable)
+    evacuated: ChangeTable = attrs.Factory(ChangeTable)
 
     def tables(self) -> tuple[ChangeTable, ...]:
         """Return all tables."""
@@ -115,6 +117,7 @@
             self.relays,
             self.quarantined,
             self.suspected,
+            self.evacuated,
         )
 
     def next_revision(self) -> int:
@@ -169,6 +172,14 @@
         name = fingerprint_key(fingerprint)
         self.suspected.drop(name, self.next_revision(), fingerprint)
 
+    def put_evacuated(self, zone: str) -> None:
+        """Add an evacuated zone."""
+        self.evacuated.put(zone, zone, self.next_revision())
+
+    def drop_evacuated(self, zone: str) -> None:
+        """Remove a zone whose evacuation was withdrawn."""
+        self.evacuated.drop(zone, self.next_revision())
+
     # --- epochs ------------------------------------------------------------
 
     def start_epoch(self, epoch: str) -> None:
@@ -222,7 +233,12 @@
         )
 
     def changes(self, after: int, last: int) -> watching.Changes:
-        """Return the changes after revision `after`, up to `last`."""
+        """Return the changes after revision `after`, up to `last`.
+
+        Evacuated zones are never left to a later page: each response proves
+        to its receiver that it knows all of them.
+        """
+        newest = self.last_revision
         removed = self.endpoints.removed_between(after, last)
         return watching.Changes(
             members=tuple(self.members.changed_between(after, last)),
@@ -242,6 +258,10 @@
             unsuspected=removed_fingerprints(
                 self.suspected.removed_between(after, last)
             ),
+            evacuated=tuple(self.evacuated.changed_between(after, newest)),
+            restored=removed_names(
+                self.evacuated.removed_between(after, newest)
+            ),
         )
 
     def last_revision_of_page(self, after: int) -> int:
@@ -263,6 +283,7 @@
         self.apply_members(response.changes, revision)
         self.apply_endpoints(response.changes, revision)
         self.apply_quarantine(response.changes, revision)
+        self.apply_evacuation(response.changes, revision)
 
     def apply_members(self, changes: watching.Changes, revision: int) -> None:
         """Copy changes of gateways and relays."""
@@ -305,6 +326,15 @@
                 fingerprint_key(fingerprint), revision, fingerprint
             )
 
+    def apply_evacuation(
+        self, changes: watching.Changes, revision: int
+    ) -> None:
+        """Copy changes of evacuated zones."""
+        for zone in changes.evacuated:
+            self.evacuated.put(zone, zone, revision)
+        for zone in changes.restored:
+            self.evacuated.drop(zone, revision)
+
 
 def fingerprint_key(fingerprint: fingerprints.Fingerprint) -> str:
     """Return a fingerprint's key in a table."""
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -14,6 +14,7 @@
 from _coltsfootroad.control import commandlog
 from _coltsfootroad.control import coordinator as coordinator_lib
 from _coltsfootroad.control import crashreports
+from _coltsfootroad.control import evacuations
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import membership as membership_lib
@@ -53,6 +54,7 @@
     crashreports.Quarantine,
     crashreports.StartTrial,
     crashreports.EndQuarantine,
+    evacuations.SetEvacuation,
 )
 
 
@@ -359,6 +361,7 @@
             self.coordinator = self.create_coordinator(now)
         elif ready:
             self.coordinator.publish_quarantine(now)
+            self.coordinator.publish_evacuation()
         elif not ready and self.coordinator is not None:
             self.watch_cache.step_down(self.coordinator.registry_since, now)
             self.coordinator = None
--- a/src/_coltsfootroad/control/reads.py
+++ b/src/_coltsfootroad/control/reads.py
@@ -8,6 +8,7 @@
 from _coltsfootroad.control import coordinator as coordinator_lib
 from _coltsfootroad.control import crashreports
 from _coltsfootroad.control import electiontimer
+from _coltsfootroad.control import evacuations
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import state as state_lib
@@ -104,6 +105,12 @@
     return crashreports.QuarantineCopy(entries=tuple(entries))
 
 
+def read_evacuations(node, _: evacuations.ReadEvacuations, __: float) -> object:
+    """Return the newest order of each zone."""
+    orders = node.state.evacuation.orders.values()
+    return evacuations.EvacuationsCopy(orders=tuple(orders))
+
+
 Answer = Callable[[object, object, float], object]
 ANSWERS: dict[type, Answer] = {
     messages.SyncRequest: on_sync,
@@ -117,6 +124,7 @@
     messages.ReadStatus: read_status,
     messages.TakeSnapshot: take_snapshot,
     crashreports.ReadQuarantine: read_quarantine,
+    evacuations.ReadEvacuations: read_evacuations,
 }
 
 
--- a/src/_coltsfootroad/control/state.py
+++ b/src/_coltsfootroad/control/state.py
@@ -9,11 +9,13 @@
 from _coltsfootroad.control import codec
 from _coltsfootroad.control import configstore
 from _coltsfootroad.control import crashreports
+from _coltsfootroad.control import evacuations
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import routestore
 from _coltsfootroad.core import errors
+from _coltsfootroad.core import evacuation as evacuation_lib
 from _coltsfootroad.core import quarantine as quarantine_lib
 from _coltsfootroad.core import routes as routes_lib
 
@@ -32,7 +34,7 @@
 
 @attrs.define
 class ControlState:
-    """Configuration, routes, claims, leases with fencing tokens and quarantine.
+    """Configuration, routes, claims, leases, quarantine and evacuated zones.
 
     `now` is the time of the newest applied log entry, in unix seconds of the
     leader that appended it, and never decreases.
@@ -46,6 +48,9 @@
     quarantine: quarantine_lib.QuarantineTable = attrs.Factory(
         quarantine_lib.QuarantineTable
     )
+    evacuation: evacuation_lib.EvacuationTable = attrs.Factory(
+        evacuation_lib.EvacuationTable
+    )
 
     def apply(self, command: object, now: float) -> object:
         """Apply a command and return its reply."""
@@ -66,6 +71,15 @@
             case fences.DropLease():
                 self.leases.drop(command)
                 return outcomes.Done()
+            case evacuations.SetEvacuation():
+                return evacuations.apply(
+                    self.evacuation, self.leases, command, self.now
+                )
+        return self.apply_to_quarantine(command)
+
+    def apply_to_quarantine(self, command: object) -> object:
+        """Apply a command on the quarantine and return its reply."""
+        match command:
             case crashreports.Quarantine():
                 return self.add_to_quarantine(command)
             case crashreports.StartTrial():
@@ -184,6 +198,7 @@
     for lease in saved.leases:
         state.leases.leases[lease.name] = lease
     state.leases.last_fence = saved.last_fence
+    evacuations.restore(state.evacuation, state.leases)
     return state
 
 
--- a/src/_coltsfootroad/control/watching.py
+++ b/src/_coltsfootroad/control/watching.py
@@ -122,6 +122,8 @@
         released: Requests that left the quarantine.
         suspected: Suspected requests, whose answers gateways report.
         unsuspected: Requests that are no longer suspected.
+        evacuated: Zones whose evacuation was ordered.
+        restored: Zones whose evacuation was withdrawn.
     """
 
     whole: bool = False
@@ -139,6 +141,8 @@
     released: tuple[fingerprints.Fingerprint, ...] = ()
     suspected: tuple[fingerprints.Fingerprint, ...] = ()
     unsuspected: tuple[fingerprints.Fingerprint, ...] = ()
+    evacuated: tuple[str, ...] = ()
+    restored: tuple[str, ...] = ()
 
 
 NO_CHANGES = Changes()
--- a/src/_coltsfootroad/core/endpointset.py
+++ b/src/_coltsfootroad/core/endpointset.py
@@ -75,12 +75,16 @@
     tombstones: dict[str, int] = attrs.Factory(dict)
     # Endpoints that take new work, by service; a cache.
     serving_by_service: dict[str, list[KnownEndpoint]] = attrs.Factory(dict)
+    # Zones whose endpoints get nothing, and the services that have endpoints
+    # there which would take new work, or None if not computed.
+    evacuated_zones: frozenset[str] = frozenset()
+    evacuated_services: set[str] | None = None
 
     def learn(
         self, announcement: registry.Announcement, now: float = 0.0
     ) -> AnnouncementResult:
         """Apply an announcement unless a newer one or the end is known."""
-        self.serving_by_service.clear()
+        self.clear_caches()
         name = announcement.endpoint
         incarnation = announcement.incarnation
         if incarnation <= self.tombstones.get(name, NO_TOMBSTONE):
@@ -111,7 +115,7 @@
 
     def add_tombstone(self, name: str, incarnation: int) -> None:
         """Record the end of an incarnation; remove it and earlier ones."""
-        self.serving_by_service.clear()
+        self.clear_caches()
         known = self.known.get(name)
         if known is not None and known.announcement.incarnation <= incarnation:
             del self.known[name]
@@ -148,7 +152,7 @@
 
     def expire(self, name: str) -> None:
         """Stop using an endpoint whose lease has ended."""
-        self.serving_by_service.clear()
+        self.clear_caches()
         if name in self.known:
             self.known[name].expired = True
 
@@ -159,7 +163,8 @@
             found = self.serving_by_service[service] = [
                 known
                 for known in self.known.values()
-                if known.announcement.service == service and known.accepts
+                if known.announcement.service == service
+                and self.is_usable(known)
             ]
         return found
 
@@ -168,16 +173,54 @@
         return {
             known.announcement.service
             for known in self.known.values()
-            if known.accepts
+            if self.is_usable(known)
         }
 
     def serves(self, name: str, service: str) -> bool:
         """Return whether an endpoint takes new work of a service."""
         known = self.known.get(name)
-        if known is None or not known.accepts:
+        if known is None or not self.is_usable(known):
             return False
         return known.announcement.service == service
 
+    def clear_caches(self) -> None:
+        """Discard what is computed from the endpoints and zones."""
+        self.serving_by_service.clear()
+        self.evacuated_services = None
+
+    def set_evacuated(self, zones: frozenset[str]) -> None:
+        """Set the zones whose endpoints get nothing."""
+        self.clear_caches()
+        self.evacuated_zones = zones
+
+    def is_evacuated(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether an endpoint lies in an evacuated zone."""
+        zone = endpoint.announcement.availability_zone
+        return zone in self.evacuated_zones
+
+    def is_usable(self, endpoint: KnownEndpoint) -> bool:
+        """Return whether an endpoint takes new work and may be sent some."""
+        return endpoint.accepts and not self.is_evacuated(endpoint)
+
+    def has_only_evacuated(self, service: str) -> bool:
+        """Return whether only evacuated zones have endpoints of a service."""
+        if not self.evacuated_zones or self.serving_endpoints(service):
+            return False
+        if self.evacuated_services is None:
+            self.evacuated_services = {
+                known.announcement.service
+                for known in self.known.values()
+                if known.accepts and self.is_evacuated(known)
+            }
+        return service in self.evacuated_services
+
+    def count_in_zone(self, zone: str) -> int:
+        """Return how many endpoints of a zone take new work."""
+        return sum(
+            known.accepts and known.announcement.availability_zone == zone
+            for known in self.known.values()
+        )
+
     def on_failure(self, name: str, now: float, unreachable: bool) -> float:
         """Record a failure; return the seconds of ejection, 0 for none.
 
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -217,6 +217,9 @@
             self.final_failure.send_unreachable()
             return None
         choice = None if reason else self.choose(now)
+        if choice is None and not reason and self.has_only_evacuated():
+            self.final_failure.send_evacuated()
+            return None
         if choice is None:
             self.final_failure.send(
                 reason or "no endpoint serves the request now"
@@ -228,6 +231,11 @@
             return None
         return await self.attempt(choice)
 
+    def has_only_evacuated(self) -> bool:
+        """Return whether only evacuated zones could serve the request."""
+        endpoints = self.gateway.endpoints
+        return endpoints.has_only_evacuated(self.service.name)
+
     def rank(self, choice: engines.Choice, now: float) -> int:
         """Return the rank of a send in its engine's queue."""
         waited_s = now - self.request.arrived_at
@@ -304,7 +312,7 @@
                     request,
                     sink,
                     self.route.idempotent,
-                    self.budget.charge,
+                    self.gateway.evacuation.send_check(self, choice),
                     observer,
                 )
         except TimeoutError:
--- a/src/_coltsfootroad/gateway/finalfailure.py
+++ b/src/_coltsfootroad/gateway/finalfailure.py
@@ -5,6 +5,7 @@
 from _coltsfootroad.core import errors
 from _coltsfootroad.gateway import admission
 from _coltsfootroad.gateway import engines
+from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import logs
 
 LOG = logs.logger("request")
@@ -75,6 +76,27 @@
             )
         )
 
+    def send_evacuated(self) -> None:
+        """Refuse a request that only evacuated zones could serve."""
+        exchange = self.exchange
+        service = exchange.service.name
+        reason = (
+            f"all endpoints of {service!r} lie in evacuated zones:"
+            f" {sorted(exchange.gateway.endpoints.evacuated_zones)}"
+        )
+        has_output = exchange.reply.streaming or exchange.error_response
+        if has_output or exchange.sends.runs:
+            self.send(reason)
+            return
+        remaining_s = exchange.deadline - clocks.boot_time()
+        self.refuse(
+            admission.refusal(
+                errors.ErrorCode.ZONES_EVACUATED,
+                reason,
+                exchange.gateway.evacuation.retry_after_s(remaining_s),
+            )
+        )
+
     def shed(self, choice: engines.Choice, retry_after_s: float) -> None:
         """Refuse a request that would only lengthen a queue."""
         self.refuse(
--- a/src/_coltsfootroad/gateway/memoryreservation.py
+++ b/src/_coltsfootroad/gateway/memoryreservation.py
@@ -92,8 +92,12 @@
 
         Nothing is sent to a later incarnation of the engine: the reservation
         ended with the earlier one, and a renewal would reserve unused memory.
+        Nothing is sent to an evacuated zone either, not even a release.
         """
-        if not self.gateway.endpoints.is_current(share.endpoint):
+        endpoints = self.gateway.endpoints
+        if not endpoints.is_current(share.endpoint):
+            return 0
+        if endpoints.is_evacuated(share.endpoint):
             return 0
         names = self.gateway.dialect.names
         announcement = share.endpoint.announcement
@@ -103,7 +107,14 @@
         pool = self.gateway.pool(announcement.address)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                await pool.call(request, sink, True)
+                await pool.call(
+                    request,
+                    sink,
+                    True,
+                    self.gateway.evacuation.memory_check(
+                        share.endpoint, self.request_id
+                    ),
+                )
         except TimeoutError:
             LOG.info(
                 "memory request not answered",
--- a/src/_coltsfootroad/gateway/peerforwarding.py
+++ b/src/_coltsfootroad/gateway/peerforwarding.py
@@ -64,6 +64,9 @@
     def is_partitioned(self) -> bool:
         """Return whether this gateway does not reach the request's service."""
         exchange = self.exchange
+        if exchange.has_only_evacuated():
+            # No other gateway may send it to an endpoint either.
+            return False
         return exchange.gateway.reach.is_partitioned_from(exchange.service.name)
 
     def is_unreachable(self) -> bool:
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -21,6 +21,7 @@
 from _coltsfootroad.gateway import dialect as dialect_lib
 from _coltsfootroad.gateway import directory
 from _coltsfootroad.gateway import engines
+from _coltsfootroad.gateway import evacuation
 from _coltsfootroad.gateway import front as front_lib
 from _coltsfootroad.gateway import gossip as gossip_lib
 from _coltsfootroad.gateway import leaderclient
@@ -82,6 +83,7 @@
         self.view = routeview.RouteView(settings.staleness_bound_s)
         self.start_up = startup.StartupGate(self.view)
         self.endpoints = endpointset.EndpointSet()
+        self.evacuation = evacuation.Evacuation(self.endpoints, self.view)
         self.load = workload.Workload()
         self.isolation = isolation.Isolation()
         self.chooser = engines.Chooser(
@@ -344,6 +346,7 @@
                 "own_work": list(self.load.own.values()),
                 "foreign_work": self.load.foreign,
                 "counts": dict(self.counts),
+                "evacuation": self.evacuation.dump(),
                 "quarantine": list(self.quarantine.view.entries.values()),
                 "crashes": list(self.crash_reporter.recent.values()),
                 "isolated": list(self.isolation.suspects),
@@ -454,6 +457,7 @@
             lambda: dict(self.quarantine.refusals_by_kind),
         )
         self.add_budget_metrics()
+        self.evacuation.add_metrics(self.metrics)
         counter("colts_log_dropped", "Log lines dropped", logs.dropped)
         traffic.PROCESS.add_metrics(self.metrics)
 
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -208,6 +208,7 @@
         for name in changes.lost_relays:
             self.choice.forget(name)
         self.apply_endpoints(changes)
+        gateway.evacuation.learn(changes)
         gateway.quarantine.learn(changes)
         gateway.crash_reporter.watch(changes)
         gateway.view.member_view.learn(
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -19,6 +19,8 @@
 from _coltsfootroad.shell import controlrelay
 from _coltsfootroad.shell import disk as disk_lib
 from _coltsfootroad.shell import dumps
+from _coltsfootroad.shell import evacuationapi
+from _coltsfootroad.shell import evacuationlogger
 from _coltsfootroad.shell import leaderpoller
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import logs
@@ -103,6 +105,7 @@
         )
         self.quorum_logger = quorumlogger.QuorumLogger(self.node)
         self.quarantine_logger = quarantinelogger.QuarantineLogger(self.node)
+        self.evacuation_logger = evacuationlogger.EvacuationLogger(self.node)
         self.retry_loan_logger = retryloanlogger.RetryLoanLogger(self.node)
         self.add_metrics()
 
@@ -134,6 +137,7 @@
         routes = [
             *operatorapi.routes(self),
             *quarantineapi.routes(self),
+            *evacuationapi.routes(self),
             *web.admin_routes(
                 self.settings.admin_token, self.dump, self.metrics
             ),
@@ -290,6 +294,7 @@
     def check_changes(self) -> None:
         """Check watches again if what their responses depend on changed."""
         self.quarantine_logger.log_changes()
+        self.evacuation_logger.log_changes()
         coordinator = self.node.coordinator
         watched_state = (
             coordinator and coordinator.epoch,
@@ -423,6 +428,7 @@
                 "claims": len(self.node.state.claims.claims),
                 "leases": self.node.state.leases,
                 "quarantine": list(self.node.state.quarantine.entries.values()),
+                "evacuation": self.node.state.evacuation.orders,
                 "hub": self.coordinator_dump(),
                 "syncs": self.node.syncs,
             }
@@ -470,6 +476,11 @@
             "Idempotency keys kept",
             lambda: len(node.state.claims.claims),
         )
+        gauge(
+            "colts_control_evacuated_zones",
+            "Evacuated zones in the state applied here",
+            self.evacuation_logger.evacuated,
+        )
         gauge(
             "colts_control_disk_full",
             "1 while a full disk stops this replica",
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import typing
 
 import attrs
 from expression import Error
@@ -40,6 +41,25 @@
 
 
 LISTEN_ADDRESS = {"validator": check_address}
+ZoneNames = typing.NewType("ZoneNames", tuple[str, ...])
+
+
+def structure_zone_names(value, _) -> ZoneNames:
+    """Return the names in a list of zones or of objects, or in a table.
+
+    Platforms describe their zones in a table with more than the names.
+    """
+    if not isinstance(value, (list, dict)):
+        raise TypeError(f"{value!r} is neither a list nor a table of zones")
+    names = tuple(
+        item.get("name") if isinstance(item, dict) else item for item in value
+    )
+    if not all(isinstance(name, str) and name for name in names):
+        raise TypeError(f"{value!r} holds a zone without a name")
+    return ZoneNames(names)
+
+
+documents.CONVERTER.register_structure_hook(ZoneNames, structure_zone_names)
 
 
 def peer_addresses(seeds: tuple[str, ...], port: int) -> tuple[str, ...]:
@@ -163,6 +183,9 @@
             a proxy; `listen` if empty.
         availability_zone: Zone of the VM; gateways watch the control plane
             through processes of their own zone.
+        availability_zones: Zones of the deployment, the only ones that can be
+            evacuated; any name is accepted if empty. A list of names or of
+            objects with a `name`, or a table with the names as keys.
         admin_listen: `ip:port` of the operator API, state dump and metrics.
         admin_token: Token that the operator API requires.
         data_folder: Folder that holds all durable state; empty on a VM
@@ -183,6 +206,7 @@
     listen: str = attrs.field(**LISTEN_ADDRESS)
     advertise: str = ""
     availability_zone: str = ""
+    availability_zones: ZoneNames = ZoneNames(())
     admin_listen: str = attrs.field(**LISTEN_ADDRESS)
     admin_token: str = attrs.field(validator=check_token)
     data_folder: str = ""
--- a/src/_coltsfootroad/shell/wireformats.py
+++ b/src/_coltsfootroad/shell/wireformats.py
@@ -7,6 +7,7 @@
 import attrs
 
 from _coltsfootroad.control import crashreports
+from _coltsfootroad.control import evacuations
 from _coltsfootroad.control import fences
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
@@ -67,6 +68,10 @@
     crashreports.EndQuarantine,
     retrylending.BorrowRetries,
     retrylending.RetriesLent,
+    evacuations.SetEvacuation,
+    evacuations.EvacuationAnswer,
+    evacuations.ReadEvacuations,
+    evacuations.EvacuationsCopy,
 )
 NOTES = wire.WireFormat.of(NoteBatch)
 PEERS = wire.WireFormat.of(
