--- a/features/control/relays.feature
+++ b/features/control/relays.feature
@@ -16,6 +16,8 @@
       | a late report of a former relay is accepted              |
       | a new leader never reports members lost with the old one |
       | a gateway stays attached to a relay that is behind       |
+      | a relay does not copy the evacuated zones                |
+      | a gateway keeps zones that a complete response leaves out |
 
   Scenario Outline: Gateways leave a relay that <fault> within <seconds> s
     Given 6 gateways that each watch a relay of their zone
--- a/features/support/relayhistories.py
+++ b/features/support/relayhistories.py
@@ -10,11 +10,13 @@
 from hypothesis import strategies as st
 
 from _coltsfootroad.control import coordinator as coordinator_lib
+from _coltsfootroad.control import fleetstate
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import watchcache
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import relaychoice
+from _coltsfootroad.gateway import evacuation
 from _coltsfootroad.shell import watchserver
 from features.support import relayworld
 from features.support import virtualloop
@@ -103,6 +105,8 @@
             [
                 "version",
                 "version",
+                "order",
+                "order",
                 "storm",
                 "die",
                 "restart",
@@ -135,6 +139,11 @@
         """Apply a version."""
         self.world.put_version()
 
+    def order(self, place):
+        """Order or withdraw the evacuation of a zone."""
+        zone = relayworld.ZONES[place % len(relayworld.ZONES)]
+        self.world.change_evacuation(zone)
+
     def storm(self, _place):
         """Apply several versions in a row."""
         for _ in range(5):
@@ -253,6 +262,7 @@
 ORIGINAL_APPLY_RESPONSE = watchcache.WatchCache.apply_response
 ORIGINAL_ANSWER = watchserver.WatchServer.answer_now
 ORIGINAL_TAKE_OVER = coordinator_lib.Coordinator.take_over
+ORIGINAL_LEARN = evacuation.Evacuation.learn
 
 
 def resets_proof_age(self, request, now):
@@ -299,6 +309,11 @@
         live.until = coordinator_lib.NEVER
 
 
+def keeps_zones(self, changes):
+    """Apply a complete response like changes."""
+    ORIGINAL_LEARN(self, attrs.evolve(changes, whole=False))
+
+
 DEFECTS = {
     "a relay resets the age of the proof": (
         watchcache.WatchCache,
@@ -330,6 +345,16 @@
         "back_off",
         lambda self, address, now: None,
     ),
+    "a relay does not copy the evacuated zones": (
+        fleetstate.FleetState,
+        "apply_evacuation",
+        lambda self, changes, revision: None,
+    ),
+    "a gateway keeps zones that a complete response leaves out": (
+        evacuation.Evacuation,
+        "learn",
+        keeps_zones,
+    ),
 }
 
 
--- a/features/support/relayworld.py
+++ b/features/support/relayworld.py
@@ -16,6 +16,7 @@
 
 from _coltsfootroad.control import coordinator as coordinator_lib
 from _coltsfootroad.control import crashreports
+from _coltsfootroad.control import evacuations
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import retrylending
@@ -221,6 +222,8 @@
         self.broken = loop.create_future()
         self.cuts: set[frozenset[str]] = set()
         self.acked: list[tuple[float, int]] = []
+        # When the newest order of each zone was acknowledged.
+        self.ordered_at: dict[str, float] = {}
         self.processes: dict[str, Process] = {}
         self.by_address: dict[str, Process] = {}
         self.gateways = {}
@@ -250,6 +253,7 @@
         for process in self.processes.values():
             if process.coordinator is not None:
                 process.coordinator.publish_quarantine(self.now)
+                process.coordinator.publish_evacuation()
                 process.watch_server.wake_watches()
         return answer
 
@@ -342,6 +346,21 @@
                 process.watch_server.wake_watches()
         return True
 
+    def change_evacuation(self, zone: str) -> None:
+        """Order or withdraw a zone's evacuation if a leader can commit it."""
+        leader = self.leader()
+        if leader is None or not self.can_lead(leader):
+            return
+        order = self.state.evacuation.order(zone)
+        self.apply(
+            evacuations.SetEvacuation(
+                zone=zone,
+                evacuated=not order.evacuated,
+                after_revision=order.revision,
+            )
+        )
+        self.ordered_at[zone] = self.now
+
     def config(self, version: int) -> routes_lib.RouteConfig:
         """Return the routes of a version."""
         return gatewaybed.config(version)
@@ -416,7 +435,7 @@
             self.check_gateway(gateway)
 
     def check_gateway(self, gateway) -> None:
-        """Check that no version is served too long after a newer one."""
+        """Check that no version or order is unknown for too long."""
         view = gateway.view
         if not view.is_current(self.now):
             return
@@ -424,6 +443,18 @@
         if later:
             late_s = self.now - later[0]
             assert late_s < MAX_REVOCATION_S, (gateway.settings.gateway, late_s)
+        missing = self.missing_zones(gateway)
+        since = [self.now - self.ordered_at[zone] for zone in missing]
+        assert all(late_s < MAX_REVOCATION_S for late_s in since), (
+            gateway.settings.gateway,
+            missing,
+            since,
+        )
+
+    def missing_zones(self, gateway) -> set[str]:
+        """Return the evacuated zones that a gateway does not know."""
+        evacuated = set(self.state.evacuation.evacuated_zones())
+        return evacuated - gateway.endpoints.evacuated_zones
 
     async def run(self, seconds: float) -> None:
         """Advance time and check the invariants in each step."""
@@ -468,6 +499,9 @@
         for name, gateway in self.gateways.items():
             assert gateway.view.version == newest, (name, gateway.view.version)
             assert gateway.view.age_s(self.now) < 2.5, name
+            zones = set(self.state.evacuation.evacuated_zones())
+            found = gateway.endpoints.evacuated_zones
+            assert found == zones, (name, found ^ zones)
             known = set(gateway.view.members)
             assert known == alive, (name, known ^ alive)
             used = {k.name for k in gateway.endpoints.serving_endpoints("s")}
