soak: evacuate zones beside lost gateways and replicas

Cause: suspended and restarted processes meet orders only with real programs. Ruled out: drawing evacuations in the common soak, which would change the faults of all its seeds. Change: a soak of its own; no request may reach a zone from 5 s after the acknowledgement until the withdrawal is called. Evacuations of one zone now follow each other.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -72,6 +72,16 @@
       | seed | served |
       | 1    | 300    |
 
+  # Guards against a gateway that is suspended, restarted or out of touch and sends
+  # to an evacuated zone later than 5 s after the acknowledgement.
+  Scenario Outline: Zones are evacuated one after the other, seed <seed>
+    When zones are evacuated in a soak of seed <seed>
+    Then no guarantee is violated and at least <served> requests are served
+
+    Examples:
+      | seed | served |
+      | 1    | 300    |
+
   Scenario Outline: A seed draws the same faults, within the fault tolerance
     Then seeds 0 to <most> draw the same faults twice
     And no disk is lost within <clear> s of another fault of the replicas
@@ -169,4 +179,6 @@
       | cut-off gateways serve too little      | cut off from endpoints served 20 of 60 |
       | cut-off gateways serve enough          | nothing                   |
       | no gateway reaches an endpoint         | nothing                   |
+      | an evacuated zone gets a request       | got 1 requests, the last 5.10 s after |
+      | a zone gets requests beside its evacuation | nothing               |
       | a process stops too slowly             | exited with 0 after 20.0 s |
--- a/features/soak/audit.py
+++ b/features/soak/audit.py
@@ -36,6 +36,9 @@
 FAILED_CUT_OFF = 10
 FAILED_CUT_OFF_SHARE = 1 / 50
 MIN_CUT_OFF_RATIO = 2 / 3
+# From the acknowledgement of an order on, requests may reach the evacuated zone
+# for this long.
+MAX_EVACUATION_S = 5.0
 # Gateway of a disturbance that keeps all gateways from reaching the replicas.
 ALL_GATEWAYS = -1
 
@@ -91,6 +94,15 @@
     end: float
 
 
+@attrs.frozen(kw_only=True)
+class Evacuation:
+    """The time from an acknowledged order to the call that withdrew it."""
+
+    zone: str
+    begin: float
+    end: float
+
+
 @attrs.frozen(kw_only=True)
 class Exit:
     """How a process exited after SIGTERM.
@@ -145,6 +157,11 @@
     # Times at which callers sent requests and at which endpoints got them.
     sent: list[float] = attrs.Factory(list)
     arrivals: list[tuple[str, float]] = attrs.Factory(list)
+    # Times at which endpoints of a zone got requests.
+    zone_arrivals: dict[str, list[float]] = attrs.Factory(
+        lambda: collections.defaultdict(list)
+    )
+    evacuations: list[Evacuation] = attrs.Factory(list)
     offers: list[Offer] = attrs.Factory(list)
     responses: list[Response] = attrs.Factory(list)
     # Times in which an endpoint is known to have been free.
@@ -171,6 +188,7 @@
     violations += check_quarantine(observed)
     violations += check_retry_budget(observed)
     violations += check_cuts(observed)
+    violations += check_evacuations(observed)
     return violations + observed.repair_failures
 
 
@@ -192,6 +210,23 @@
     return [worst[1]] if worst[0] > 0 else []
 
 
+def check_evacuations(observed: Observations) -> list[str]:
+    """Check that evacuated zones get no requests."""
+    violations = []
+    for evacuation in observed.evacuations:
+        late = [
+            at - evacuation.begin
+            for at in observed.zone_arrivals[evacuation.zone]
+            if evacuation.begin + MAX_EVACUATION_S < at < evacuation.end
+        ]
+        if late:
+            violations.append(
+                f"evacuated zone {evacuation.zone} got {len(late)} requests,"
+                f" the last {max(late):.2f} s after the acknowledgement"
+            )
+    return violations
+
+
 def check_cuts(observed: Observations) -> list[str]:
     """Check that cut-off gateways serve two thirds as often as the others.
 
--- a/features/soak/driver.py
+++ b/features/soak/driver.py
@@ -14,6 +14,7 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.core import routes
 from _coltsfootroad.fakes import ports
+from _coltsfootroad.shell import evacuationcalls
 from features.soak import audit
 from features.soak import callers
 from features.soak import endpoints as endpoints_lib
@@ -30,6 +31,9 @@
 BURST_VERSIONS = 12
 BURST_INTERVAL_S = 0.06
 SHED_FRACTION = 0.85
+# The platform resends a call on a zone for this long.
+EVACUATION_TIMEOUT_S = 5.0
+EVACUATION_RETRY_S = 0.15
 # After a fault of replicas or of their links, gateways may lack contact with
 # the control plane for an election and the timeouts of a link.
 CONTROL_RECOVERY_S = 4.0
@@ -63,6 +67,9 @@
     cut_locks: dict[int, asyncio.Lock] = attrs.Factory(
         lambda: collections.defaultdict(asyncio.Lock)
     )
+    zone_locks: dict[str, asyncio.Lock] = attrs.Factory(
+        lambda: collections.defaultdict(asyncio.Lock)
+    )
 
     async def run_faults(
         self, faults: list[plan.Fault], started_at: float
@@ -344,6 +351,48 @@
         if acknowledged_at is not None:
             self.observed.revoked_at[key] = acknowledged_at
 
+    async def do_evacuate(self, fault):
+        """Evacuate a zone, and withdraw the order after the duration.
+
+        A late withdrawal must not end the next evacuation of the zone.
+        """
+        zone = plan.zone_of(fault.target)
+        async with self.zone_locks[zone]:
+            await self.evacuate(zone, fault.duration_s)
+
+    async def evacuate(self, zone: str, seconds: float) -> None:
+        """Order an evacuation, and withdraw it after some seconds."""
+        if not await self.change_evacuation(zone, True):
+            return
+        acknowledged_at = time.monotonic()
+        await asyncio.sleep(seconds)
+        self.observed.evacuations.append(
+            audit.Evacuation(
+                zone=zone, begin=acknowledged_at, end=time.monotonic()
+            )
+        )
+        await self.change_evacuation(zone, False)
+
+    async def change_evacuation(self, zone: str, evacuated: bool) -> bool:
+        """Resend a call until it is acknowledged; return whether it was."""
+
+        async def call_leader(message):
+            return await self.link.call(message, evacuationcalls.TIMEOUT_S)
+
+        end = time.monotonic() + EVACUATION_TIMEOUT_S
+        while time.monotonic() < end:
+            result = await evacuationcalls.change(
+                call_leader, (), zone, evacuated
+            )
+            if result.is_ok():
+                return True
+            await asyncio.sleep(EVACUATION_RETRY_S)
+        self.observed.repair_failures.append(
+            f"a call on zone {zone} got no acknowledgement within"
+            f" {EVACUATION_TIMEOUT_S:g} s: {result.error.message}"
+        )
+        return False
+
     def next_config(self) -> routes.RouteConfig:
         """Return the next version with the keys that are not revoked."""
         self.version += 1
--- a/features/soak/endpoints.py
+++ b/features/soak/endpoints.py
@@ -61,6 +61,7 @@
         self.mode = ""
         # Fraction of requests rejected as if the endpoint were full.
         self.shed_fraction = 0.0
+        self.zone = ""
         self.disturbed_until = 0.0
         self.writers: set[asyncio.StreamWriter] = set()
         # Connections that were accepted just before a crash are served after it.
@@ -82,6 +83,7 @@
         request = seen.headers.get("x-request-id", "")
         if request:
             self.observed.arrivals.append((request, time.monotonic()))
+        self.observed.zone_arrivals[self.zone].append(time.monotonic())
         if "x-deadline-ms" in seen.headers:
             left_s = int(seen.headers["x-deadline-ms"]) / MS_PER_S
             self.observed.offers.append(
@@ -216,6 +218,7 @@
     seq: int = 0
     incarnation: int = registry.NO_INCARNATION
     state: registry.EndpointState = registry.EndpointState.SERVING
+    zone: str = ""
     announcer: asyncio.Task | None = None
     poison_restart: asyncio.Task | None = None
     # Marks the recent runs of an endpoint as disturbed.
@@ -244,6 +247,7 @@
             self.incarnation = int(time.time() * MS_PER_S)
         endpoint = SoakEndpoint(name, incarnation_id, self.observed, self.rng)
         endpoint.on_poison = self.crash_on_poison
+        endpoint.zone = self.zone
         # Until the new endpoint has started, faults affect the previous one.
         await endpoint.start()
         self.endpoint = endpoint
@@ -268,6 +272,7 @@
             seq=self.seq,
             service=SERVICE,
             address=self.proxy.address,
+            availability_zone=self.zone,
             state=self.state,
         )
 
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -53,6 +53,7 @@
     VERSION_BURST = "storm of versions"
     VERSION_RACE = "race of versions"
     REVOKE = "revoke key"
+    EVACUATE = "evacuate zone"
 
 
 GATEWAY_KINDS = (
@@ -78,6 +79,7 @@
     FaultKind.REPLACE_REPLICA,
     FaultKind.SHED_ENDPOINTS,
     FaultKind.CUT_GATEWAY,
+    FaultKind.EVACUATE,
 )
 DRAWN_KINDS = tuple(kind for kind in FaultKind if kind not in SPECIAL_KINDS)
 ENDPOINT_KINDS = (
@@ -93,6 +95,18 @@
     FaultKind.CRASH_ENDPOINT,
     FaultKind.VERSION,
 )
+KINDS_BESIDE_EVACUATIONS = (
+    FaultKind.KILL_GATEWAY,
+    FaultKind.PAUSE_GATEWAY,
+    FaultKind.KILL_REPLICA,
+    FaultKind.CRASH_ENDPOINT,
+    FaultKind.VERSION,
+)
+ZONES = 3
+# Longer than the time in which an order has its full effect.
+EVACUATION_DURATION_S = (7.0, 9.0)
+# A gateway that is suspended for the longest of these loses its proof.
+DURATION_BESIDE_EVACUATIONS_S = (0.3, 6.0)
 # Modes of each kind, one of which is drawn with the fault.
 MODES = {
     FaultKind.STORAGE: ("slow", "full"),
@@ -141,6 +155,7 @@
             answer them.
         shedding: Whether all endpoints shed while gateways restart in series.
         cutting: Whether gateways are cut off from all endpoints in series.
+        evacuating: Whether zones are evacuated one after the other.
     """
 
     replicas: int = 3
@@ -155,6 +170,7 @@
     poison_parts: int = 0
     shedding: bool = False
     cutting: bool = False
+    evacuating: bool = False
 
     @property
     def callers_stop_s(self) -> float:
@@ -318,6 +334,45 @@
     return sorted(found, key=lambda fault: fault.at)
 
 
+def zone_of(number: int) -> str:
+    """Return the zone of an endpoint by its number."""
+    return f"z{number % ZONES}"
+
+
+def draw_with_evacuations(seed: int, options: SoakOptions) -> list[Fault]:
+    """Return evacuations of one zone after the other beside other faults."""
+    rng = random.Random(seed)
+    found = []
+    at = WARM_UP_S
+    while at < WARM_UP_S + options.seconds:
+        duration_s = rng.uniform(*EVACUATION_DURATION_S)
+        found.append(
+            Fault(
+                at=at,
+                kind=FaultKind.EVACUATE,
+                target=rng.randrange(ZONES),
+                duration_s=duration_s,
+            )
+        )
+        at += duration_s + rng.uniform(1.0, 3.0)
+    at = WARM_UP_S
+    while at < WARM_UP_S + options.seconds:
+        at += rng.expovariate(1 / (3 * MEAN_FAULT_INTERVAL_S))
+        kind = rng.choice(KINDS_BESIDE_EVACUATIONS)
+        targets = {
+            FaultKind.CRASH_ENDPOINT: options.endpoints,
+            FaultKind.KILL_REPLICA: options.replicas,
+        }.get(kind, options.gateways)
+        duration_s = rng.uniform(*DURATION_BESIDE_EVACUATIONS_S)
+        if kind is not FaultKind.PAUSE_GATEWAY:
+            duration_s = 1.0
+        target = rng.randrange(targets)
+        found.append(
+            Fault(at=at, kind=kind, target=target, duration_s=duration_s)
+        )
+    return sorted(found, key=lambda fault: fault.at)
+
+
 def follows_earlier_loss(fault: Fault, losses: list[Fault]) -> bool:
     """Return whether a fault loses a replica after an earlier loss."""
     is_later = bool(losses) and fault.at > losses[-1].at
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -50,6 +50,9 @@
 CUTTING = flags.DEFINE_bool(
     "cutting", False, "Gateways are cut off from all endpoints in series."
 )
+EVACUATING = flags.DEFINE_bool(
+    "evacuating", False, "Zones are evacuated one after the other."
+)
 ROUTES = flags.DEFINE_integer(
     "routes", 0, "Additional routes without requests."
 )
@@ -91,6 +94,8 @@
         )
         for slot in slots:
             slot.mark_runs_disturbed = injector.mark_runs_disturbed
+            if options.evacuating:
+                slot.zone = plan.zone_of(slot.number)
         await start_serving(injector, fleet)
         threads = start_callers(observed, fleet, stopping, options, seed)
         started_at = time.monotonic()
@@ -119,6 +124,8 @@
         return plan.draw_with_shedding(seed, options)
     if options.cutting:
         return plan.draw_with_cuts(seed, options)
+    if options.evacuating:
+        return plan.draw_with_evacuations(seed, options)
     if options.replacing:
         return plan.draw_replacements(seed, options)
     return plan.draw_faults(seed, options)
@@ -288,6 +295,7 @@
         poison_parts=POISON_PARTS.value,
         shedding=SHEDDING.value,
         cutting=CUTTING.value,
+        evacuating=EVACUATING.value,
     )
     failed = 0
     for seed in seeds:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -83,6 +83,12 @@
     run_in_scenario(context, seed, options)
 
 
+@when("zones are evacuated in a soak of seed {seed:d}")
+def soak_evacuating(context, seed):
+    options = plan.SoakOptions(evacuating=True, seconds=SECONDS)
+    run_in_scenario(context, seed, options)
+
+
 @when("all endpoints shed while gateways restart in a soak of seed {seed:d}")
 def soak_shedding(context, seed):
     options = plan.SoakOptions(
@@ -402,6 +408,14 @@
         | {
             "absences": [audit.Disturbance(gateway=0, begin=9.0, end=12.0)],
         },
+        "an evacuated zone gets a request": {
+            "evacuations": [audit.Evacuation(zone="z", begin=1.0, end=9.0)],
+            "zone_arrivals": {"z": [0.5, 5.9, 6.1, 9.5]},
+        },
+        "a zone gets requests beside its evacuation": {
+            "evacuations": [audit.Evacuation(zone="z", begin=1.0, end=9.0)],
+            "zone_arrivals": {"z": [0.5, 5.9, 9.5]},
+        },
         "a process stops too slowly": {
             "exits": [audit.Exit(name="gateway 0", code=0, took_s=20.0)]
         },
