core: publish and count down the cold phase of endpoints

Cause: announcements state for how long an endpoint is cold and services state what a cold endpoint can handle; both were decoded and dropped. Ruled out: publishing each announcement's remaining time, as 6,800 endpoints that announce every 1.2 s would be 5,700 revisions a second. Change: Announcement has cold_remaining_s, ServiceSpec has cold_start_s and cold_per_s, GatewaySettings has cold_overrun and cold_slack. Conclusion: gateways can know which endpoints are cold; nothing uses it yet.

--- a/src/_coltsfootroad/core/registry.py
+++ b/src/_coltsfootroad/core/registry.py
@@ -28,6 +28,9 @@
 # that arrive this far apart. Late announcements from before the sign-off arrive
 # together.
 MIN_RENEWAL_SPAN_S = 1.0
+# An announcement may be this much later on its way than the one before. With a
+# lower tolerance, each late one would be published as a longer cold phase.
+COLD_END_TOLERANCE_S = 0.5
 
 
 class EndpointState(enum.Enum):
@@ -54,6 +57,7 @@
         kv_tokens: Size of the KV cache in tokens, engines only.
         max_running: Size of a batch.
         models: Models that are loaded and ready.
+        cold_remaining_s: Seconds for which it is still slow after a start.
     """
 
     endpoint: str
@@ -67,14 +71,35 @@
     kv_tokens: int = 0
     max_running: int = 256
     models: tuple[str, ...] = ()
+    cold_remaining_s: float = 0.0
 
 
 @attrs.define
 class Registration:
-    """An announcement with the end of its lease."""
+    """An announcement with the end of its lease.
+
+    Attributes:
+        announcement: The newest announcement.
+        lease_until: End of its lease.
+        cold_until: End of the cold phase as of the last change, which is what
+            others count down to.
+    """
 
     announcement: Announcement
     lease_until: float
+    cold_until: float = float("-inf")
+
+    def same_phase(self, announcement: Announcement, now: float) -> bool:
+        """Return whether an announcement states the known cold phase.
+
+        One that counts down, with the delays of announcements, is the same.
+        """
+        was_cold = self.announcement.cold_remaining_s > 0
+        is_cold = announcement.cold_remaining_s > 0
+        if is_cold != was_cold:
+            return False
+        end = now + announcement.cold_remaining_s
+        return not is_cold or end <= self.cold_until + COLD_END_TOLERANCE_S
 
 
 @attrs.frozen(kw_only=True)
@@ -148,11 +173,19 @@
             return Change.NONE
         if known is not None:
             announcement = self.supersede(announcement, known.announcement, now)
-        self.registrations[name] = Registration(announcement, lease_until)
+        renewed = Registration(
+            announcement, lease_until, now + announcement.cold_remaining_s
+        )
+        self.registrations[name] = renewed
         if known is None:
             return Change.UPDATED
-        same = attrs.evolve(announcement, seq=known.announcement.seq)
-        if same == known.announcement:
+        same = attrs.evolve(
+            announcement,
+            seq=known.announcement.seq,
+            cold_remaining_s=known.announcement.cold_remaining_s,
+        )
+        if same == known.announcement and known.same_phase(announcement, now):
+            renewed.cold_until = known.cold_until
             return Change.RENEWED
         return Change.UPDATED
 
--- a/src/_coltsfootroad/core/routes.py
+++ b/src/_coltsfootroad/core/routes.py
@@ -103,11 +103,22 @@
 
 @attrs.frozen(kw_only=True)
 class ServiceSpec:
-    """A service and the limits of its endpoints."""
+    """A service and the limits of its endpoints.
+
+    Attributes:
+        name: Unique within a version.
+        connection_limit: Connections that an endpoint accepts, 0 if unknown.
+        engine: Capacity and timing, None for a plain service.
+        cold_start_s: Seconds for which an endpoint is cold after its start.
+        cold_per_s: Requests that a cold endpoint can handle in a second, 0 for
+            no limit.
+    """
 
     name: str
     connection_limit: int = 0
     engine: EngineSpec | None = None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -148,6 +159,12 @@
     """Return an error that names the invalid value of a version, if any."""
     if config.version < 0:
         return invalid(f"version {config.version} is negative")
+    for service in config.services:
+        if min(service.cold_start_s, service.cold_per_s) < 0:
+            return invalid(
+                f"service {service.name!r}: cold start {service.cold_start_s} s"
+                f" or {service.cold_per_s} cold requests a second is negative"
+            )
     services = {service.name for service in config.services}
     locations: set[tuple[str, str]] = set()
     for route in config.routes:
--- a/src/_coltsfootroad/gateway/names.py
+++ b/src/_coltsfootroad/gateway/names.py
@@ -35,6 +35,7 @@
         urgency: Rank in the engine's queue, 0 first.
         helpers: Engines that prefill parts of the prompt.
         faulty_peer: Engine that made a shared prefill fail.
+        cold_ms: Milliseconds for which the endpoint is still cold.
         last_event_id: ID of the last event received; the stream resumes after
             it.
         retry_after: Seconds after which a refused caller should retry.
@@ -56,6 +57,7 @@
     urgency: str = "X-Urgency"
     helpers: str = "X-Reading-Helpers"
     faulty_peer: str = "X-Faulty-Peer"
+    cold_ms: str = "X-Cold-Ms"
     last_event_id: str = "Last-Event-Id"
     retry_after: str = "Retry-After"
     forwarded_by: str = "X-Forwarded-By-Gateway"
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -72,6 +72,9 @@
         retry_ratio: Retries as a fraction of the requests for a service.
         retry_slack: Further retries in one window, over all gateways.
         retry_window_s: Length of the window.
+        cold_overrun: Factor on the rate that a cold endpoint can handle.
+        cold_slack: Further requests in one second to a cold endpoint, over all
+            gateways.
         log_level: Least severe level that is logged.
     """
 
@@ -99,6 +102,12 @@
     retry_window_s: float = attrs.field(
         default=10.0, validator=documents.check_positive
     )
+    cold_overrun: float = attrs.field(
+        default=1.5, validator=documents.check_positive
+    )
+    cold_slack: float = attrs.field(
+        default=5.0, validator=attrs.validators.ge(0)
+    )
     log_level: str = "INFO"
 
     def control(self) -> tuple[str, ...]:
