--- a/src/_coltsfootroad/core/rotation.py
+++ b/src/_coltsfootroad/core/rotation.py
@@ -39,15 +39,24 @@
     zones = fanout.group_by_zone(m for m in members if not m.leaving)
     chosen = []
     for found in zones.values():
-        count = max(MIN_PER_ZONE, math.ceil(ROTATION_SHARE * len(found)))
         found.sort(key=rank)
-        chosen.extend(found[:count])
+        chosen.extend(found[: zone_count(len(found))])
     return tuple(chosen)
 
 
+def zone_count(size: int) -> int:
+    """Return how many gateways of a zone with `size` are in rotation."""
+    return max(MIN_PER_ZONE, math.ceil(ROTATION_SHARE * size))
+
+
 def rank(member: addresses.Member) -> int:
     """Return the rank of a gateway in its zone; the lowest comes first."""
-    return hashing.stable_hash(member.entry, RANK_KEY)
+    return name_rank(member.entry)
+
+
+def name_rank(gateway: str) -> int:
+    """Return the rank of a gateway in its zone by its name."""
+    return hashing.stable_hash(gateway, RANK_KEY)
 
 
 @attrs.define
