gateway: limit the requests to cold endpoints

Cause: gateways sent to cold endpoints as to others. Ruled out: holding all requests while endpoints are cold, as callers wait for nothing; probes of the cold phase, as they cost. Metrics, log lines and a section of the state dump. Services without cold_per_s take the same path as before.

--- a/src/_coltsfootroad/core/endpointset.py
+++ b/src/_coltsfootroad/core/endpointset.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from _coltsfootroad.core import coldness
 from _coltsfootroad.core import registry
 
 # Ejection time after the first failure, doubled with each further consecutive
@@ -41,6 +42,9 @@
         slowdown: Factor by which it is slower than its specification.
         restarted_at: When this incarnation replaced an earlier one. Requests
             sent before that ended with the earlier incarnation.
+        cold: Its cold phase.
+        cold_slowdown: The same factor while it is cold, before it is learned;
+            0 while it is not.
     """
 
     announcement: registry.Announcement
@@ -49,6 +53,13 @@
     ejected_until: float = 0.0
     slowdown: float = 1.0
     restarted_at: float = float("-inf")
+    cold: coldness.Coldness = attrs.Factory(coldness.Coldness)
+    cold_slowdown: float = 0.0
+
+    @property
+    def expected_slowdown(self) -> float:
+        """Return the factor to predict its times with."""
+        return max(self.slowdown, self.cold_slowdown)
 
     @property
     def name(self) -> str:
--- a/src/_coltsfootroad/core/errors.py
+++ b/src/_coltsfootroad/core/errors.py
@@ -35,6 +35,7 @@
     PROMPT_TOO_LONG = "prompt_too_long"
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_UNREACHABLE = "endpoints_unreachable"
+    ENDPOINTS_COLD = "endpoints_cold"
     ENDPOINT_FAILED = "endpoint_failed"
     ENTRY_FENCED = "entry_fenced"
     ENTRY_DRAINING = "entry_draining"
@@ -68,6 +69,7 @@
     ErrorCode.PROMPT_TOO_LONG: 413,
     ErrorCode.NO_ENDPOINT: 503,
     ErrorCode.ENDPOINTS_UNREACHABLE: 503,
+    ErrorCode.ENDPOINTS_COLD: 503,
     ErrorCode.ENDPOINT_FAILED: 502,
     ErrorCode.ENTRY_FENCED: 503,
     ErrorCode.ENTRY_DRAINING: 503,
--- a/src/_coltsfootroad/core/placement/enginestatecache.py
+++ b/src/_coltsfootroad/core/placement/enginestatecache.py
@@ -56,7 +56,7 @@
             cached.endpoint is endpoint
             and cached.version == version
             and cached.spec == spec
-            and cached.state.slowdown == endpoint.slowdown
+            and cached.state.slowdown == endpoint.expected_slowdown
         ):
             cached = self.compute(endpoint, version, spec, now)
         cached.state.advance_to(now)
@@ -78,7 +78,7 @@
             spec,
             now,
             in_gateway_zone=self.is_in_gateway_zone(endpoint),
-            slowdown=endpoint.slowdown,
+            slowdown=endpoint.expected_slowdown,
         )
         cached = CachedState(endpoint, version, spec, state)
         self.cached[endpoint.name] = cached
--- a/src/_coltsfootroad/gateway/engines.py
+++ b/src/_coltsfootroad/gateway/engines.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.core.placement import enginestate
 from _coltsfootroad.core.placement import enginestatecache
 from _coltsfootroad.core.placement import workload
+from _coltsfootroad.gateway import coldendpoints
 from _coltsfootroad.gateway import memoryreservation
 
 
@@ -51,6 +52,7 @@
     rng: random.Random
     isolation: isolation_lib.Isolation = attrs.Factory(isolation_lib.Isolation)
     limits: candidates.CandidateLimits = candidates.DEFAULT_LIMITS
+    cold: coldendpoints.ColdEndpoints | None = None
     state_cache: enginestatecache.EngineStateCache = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -74,20 +76,58 @@
         known = self.endpoints.serving_endpoints(spec.name)
         if suspect is not None:
             known = self.isolation.select(suspect, known, avoid, now)
-        sampled = candidates.sample_endpoints(
-            known, now, avoid, self.rng, self.limits.sampled
-        )
+        sampled = self.sample(spec, known, avoid, now)
         if not sampled:
             return None
         if spec.engine is None or prompt is None:
             return self.least_loaded(sampled)
         return self.place_prompt(spec, prompt, sampled, now)
 
+    def sample(
+        self,
+        spec: routes.ServiceSpec,
+        known: list[endpointset.KnownEndpoint],
+        avoid: set[str],
+        now: float,
+    ) -> list[endpointset.KnownEndpoint]:
+        """Return a random sample without cold endpoints that are at a limit."""
+        sampled = candidates.sample_endpoints(
+            known, now, avoid, self.rng, self.limits.sampled
+        )
+        if self.cold is None or not spec.cold_per_s:
+            return sampled
+        usable = self.cold.usable(spec, sampled, now)
+        if usable or not avoid:
+            return usable
+        # An endpoint that was tried comes before a refusal.
+        return self.sample(spec, known, set(), now)
+
+    def blocked_endpoints(
+        self, spec: routes.ServiceSpec, now: float
+    ) -> list[endpointset.KnownEndpoint]:
+        """Return cold endpoints, if only these serve and all are at a limit."""
+        if self.cold is None or not spec.cold_per_s:
+            return []
+        sampled = candidates.sample_endpoints(
+            self.endpoints.serving_endpoints(spec.name),
+            now,
+            set(),
+            self.rng,
+            self.limits.sampled,
+        )
+        return [] if self.cold.usable(spec, sampled, now) else sampled
+
     def least_loaded(self, sampled: list[endpointset.KnownEndpoint]) -> Choice:
-        """Return the endpoint with the least work, the first one on a tie."""
+        """Return the endpoint with the least work, the first one on a tie.
+
+        The work of a cold endpoint takes longer.
+        """
         loads = [len(self.state_cache.current_work(known)) for known in sampled]
-        least = min(loads)
-        return Choice(endpoint=sampled[loads.index(least)], load=least)
+        best = min(
+            range(len(sampled)),
+            key=lambda n: (loads[n] + 1) * (sampled[n].cold_slowdown or 1.0),
+        )
+        return Choice(endpoint=sampled[best], load=loads[best])
 
     def place_prompt(
         self,
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.core.placement import startuplimit
 from _coltsfootroad.core.placement import urgency
 from _coltsfootroad.gateway import admission
+from _coltsfootroad.gateway import coldadmission
 from _coltsfootroad.gateway import contentguard
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.gateway import finalfailure
@@ -55,6 +56,7 @@
         reservation: Memory that is reserved for the current send.
         guard: Applies the quarantine to the request.
         budget: Charges retries to the service's retry budget.
+        cold: Keeps sends to cold endpoints within their limit.
         work: Reports the current send as load.
         forwarding: Forwards the request through another gateway.
         final_failure: Refuses or fails the request.
@@ -71,6 +73,7 @@
     reservation: memoryreservation.MemoryReservation | None = None
     guard: contentguard.ContentGuard = attrs.field(init=False)
     budget: sendbudget.SendBudget = attrs.field(init=False)
+    cold: coldadmission.ColdAdmission = attrs.field(init=False)
     work: ownwork.OwnWork = attrs.field(init=False)
     forwarding: peerforwarding.PeerForwarding = attrs.field(init=False)
     final_failure: finalfailure.FinalFailure = attrs.field(init=False)
@@ -81,6 +84,7 @@
         self.request_id = self.request.headers.get(names.request_id, "")
         self.guard = contentguard.ContentGuard(self)
         self.budget = sendbudget.SendBudget(self)
+        self.cold = coldadmission.ColdAdmission(self)
         self.work = ownwork.OwnWork(self.gateway)
         self.forwarding = peerforwarding.PeerForwarding(self)
         self.final_failure = finalfailure.FinalFailure(self)
@@ -217,6 +221,8 @@
             self.final_failure.send_unreachable()
             return None
         choice = None if reason else self.choose(now)
+        if choice is None and not reason and self.cold.is_blocked(now):
+            return await self.cold.go_on(now)
         if choice is None:
             self.final_failure.send(
                 reason or "no endpoint serves the request now"
@@ -300,12 +306,8 @@
             async with asyncio.timeout(None) as timeout:
                 watchdog.start(timeout)
                 self.guard.send_timeout = timeout
-                return await pool.call(
-                    request,
-                    sink,
-                    self.route.idempotent,
-                    self.budget.charge,
-                    observer,
+                return await self.cold.call(
+                    choice, pool, request, sink, observer
                 )
         except TimeoutError:
             if not timeout.expired():
@@ -383,6 +385,7 @@
         self.sends.tried.add(endpoint.name)
         late = self.rank(choice, now) == urgency.LATE_RANK
         self.work.begin(choice, self.admitted.prompt, late, now)
+        self.cold.hold(choice)
         sink = self.make_sink()
         pool = self.gateway.pool(endpoint.announcement.address)
         connect = self.gateway.reach_monitor.connect_watch(endpoint)
@@ -414,6 +417,7 @@
                 end = upstream.CallEnd.LOST
         finally:
             self.work.end()
+            self.cold.release()
             self.release_reservation()
         outcome = self.classify_outcome(end, sink)
         health.update_endpoints(
--- a/src/_coltsfootroad/gateway/finalfailure.py
+++ b/src/_coltsfootroad/gateway/finalfailure.py
@@ -75,6 +75,21 @@
             )
         )
 
+    def send_cold(self, retry_after_s: float) -> None:
+        """Refuse a request whose service has only cold endpoints at a limit."""
+        exchange = self.exchange
+        if exchange.reply.streaming or exchange.budget.arrivals:
+            self.send("all endpoints of the service are cold and at a limit")
+            return
+        self.refuse(
+            admission.refusal(
+                errors.ErrorCode.ENDPOINTS_COLD,
+                f"all endpoints of {exchange.service.name!r} are cold and get"
+                " as many requests as they can handle",
+                retry_after_s,
+            )
+        )
+
     def shed(self, choice: engines.Choice, retry_after_s: float) -> None:
         """Refuse a request that would only lengthen a queue."""
         self.refuse(
--- a/src/_coltsfootroad/gateway/peerforwarding.py
+++ b/src/_coltsfootroad/gateway/peerforwarding.py
@@ -30,6 +30,7 @@
     errors.ErrorCode.ENTRY_DRAINING.value,
     errors.ErrorCode.UNAVAILABLE.value,
     errors.ErrorCode.ENDPOINTS_UNREACHABLE.value,
+    errors.ErrorCode.ENDPOINTS_COLD.value,
 )
 
 
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -16,6 +16,7 @@
 from _coltsfootroad.core import routeview
 from _coltsfootroad.core import windowbudget
 from _coltsfootroad.core.placement import workload
+from _coltsfootroad.gateway import coldendpoints
 from _coltsfootroad.gateway import crashdetector
 from _coltsfootroad.gateway import crashreporter
 from _coltsfootroad.gateway import dialect as dialect_lib
@@ -91,6 +92,10 @@
             self.rng,
             self.isolation,
         )
+        self.cold = coldendpoints.ColdEndpoints(
+            settings, self.view, self.endpoints
+        )
+        self.chooser.cold = self.cold
         self.reach = reachability.Reachability(self.endpoints)
         self.reach_monitor = reachmonitor.ReachMonitor(
             self.reach, self.rng, self.on_reach_change
@@ -222,6 +227,7 @@
         before = self.view.version
         if self.view.adopt(config):
             self.front.apply(config.limits)
+            self.cold.on_routes(clocks.boot_time())
             LOG.info(
                 "routes in force",
                 version=config.version,
@@ -233,6 +239,9 @@
         """Apply an endpoint's announcement."""
         before = self.endpoints.known.get(announcement.endpoint)
         learned = self.endpoints.learn(announcement, clocks.boot_time())
+        now = clocks.boot_time()
+        registry_age_s = self.start_up.registry_age_s(now)
+        self.cold.learn(announcement, learned, registry_age_s, now)
         if learned is endpointset.AnnouncementResult.OLD:
             return
         LOG.info(
@@ -340,6 +349,7 @@
                 "proof_age_s": self.view.age_s(clocks.boot_time()),
                 "members": self.view.members,
                 "retry_budgets": self.budgets_dump(),
+                "cold": self.cold.dump(clocks.boot_time()),
                 "endpoints": self.endpoints.known,
                 "own_work": list(self.load.own.values()),
                 "foreign_work": self.load.foreign,
@@ -454,6 +464,7 @@
             lambda: dict(self.quarantine.refusals_by_kind),
         )
         self.add_budget_metrics()
+        self.cold.add_metrics(self.metrics)
         counter("colts_log_dropped", "Log lines dropped", logs.dropped)
         traffic.PROCESS.add_metrics(self.metrics)
 
--- a/src/_coltsfootroad/gateway/startup.py
+++ b/src/_coltsfootroad/gateway/startup.py
@@ -55,6 +55,11 @@
         """Record for how long the leader has received announcements."""
         self.registry_since = now - registry_age_s
 
+    def registry_age_s(self, now: float) -> float:
+        """Return for how long the leader has received announcements."""
+        since = self.registry_since
+        return 0.0 if since is None else now - since
+
     def is_settled(self, now: float) -> bool:
         """Return whether requests need not be held; stays true once it is."""
         if self.done:
--- a/src/_coltsfootroad/gateway/watch.py
+++ b/src/_coltsfootroad/gateway/watch.py
@@ -216,6 +216,8 @@
             changes.whole,
             0.0 if changes.more else news.registry_age_s,
         )
+        proved_at = requested_at - news.proof_age_s
+        gateway.cold.learn_members(changes, proved_at, clocks.boot_time())
         if not self.apply_routes(request, news):
             return
         gateway.view.confirm(requested_at - news.proof_age_s)
