--- a/features/platform/decode.feature
+++ b/features/platform/decode.feature
@@ -19,6 +19,8 @@
       | routes.0.timeoutMs | 0      | timeout is 0   |
       | routes.1.service   | "no"   | 'no' is not known |
       | version            | "7"    | cannot be read |
+      | services.0.coldPerS | -1    | is negative    |
+      | services.0.coldPerS | "14"  | cannot be read |
       | routes             | null   | cannot be read |
 
   Scenario Outline: A heartbeat in state <state> is <meaning>
@@ -74,6 +76,40 @@
       | nothing       | 0             |
       | 1764720000000 | 1764720000000 |
 
+  # Guards against cold endpoints that nobody knows of, and against a remaining
+  # time of years by a wrong unit.
+  Scenario Outline: A heartbeat with <ms> ms of cold time left states <s> s
+    Then a heartbeat with coldRemainingMs as <ms> states <s> s
+
+    Examples:
+      | ms    | s     |
+      | 0     | 0     |
+      | 7250  | 7.25  |
+      | 1e15  | 600   |
+
+  Scenario Outline: A service's <field> of <value> is decoded as <key> <decoded>
+    Then a service with <field> as <value> has a <key> of <decoded>
+
+    Examples:
+      | field      | value | key          | decoded |
+      | coldPerS   | 14    | cold_per_s   | 14      |
+      | coldPerS   | 0     | cold_per_s   | 0       |
+      | coldStartS | 8.5   | cold_start_s | 8.5     |
+      | unknown    | 1     | cold_per_s   | 0       |
+      | unknown    | 1     | cold_start_s | 0       |
+
+  # Guards against a gateway that cannot read its settings on deployments without
+  # the bounds of cold endpoints.
+  Scenario Outline: The gateway's template is valid with <bounds>
+    Then the gateway's template with <bounds> gives an overrun of <overrun> and a slack of <slack>
+
+    Examples:
+      | bounds                        | overrun | slack |
+      | none                          | 1.5     | 5     |
+      | coldOverrun=2, coldSlack=3    | 2       | 3     |
+      | coldOverrun=2                 | 2       | 5     |
+      | coldSlack=0                   | 1.5     | 0     |
+
   Scenario Outline: Arbitrary bytes as <what> do not crash the decoder
     Then <what> of arbitrary bytes is decoded or refused with a message
 
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import re
 import sys
 
 from behave import then
@@ -9,7 +10,9 @@
 import hypothesis
 from hypothesis import strategies
 
+from _coltsfootroad.core import documents
 from _coltsfootroad.core import routes
+from _coltsfootroad.shell import settings as settings_lib
 
 # The adapter's folder has the name of a standard library module, so it is not a
 # package, and its path is added instead.
@@ -131,6 +134,65 @@
     )
 
 
+@then("a heartbeat with coldRemainingMs as {ms} states {seconds:g} s")
+def cold_remaining(_, ms, seconds):
+    found = instances.decode_heartbeat(
+        "i-1", heartbeat_with("coldRemainingMs", ms)
+    )
+    assert found.ok.cold_remaining_s == seconds, found
+
+
+@then("a service with {field} as {value} has a {key} of {decoded:g}")
+def service_field(_, field, value, key, decoded):
+    document = sample()
+    change(document, f"services.0.{field}", json.loads(value))
+    config = decode(json.dumps(document).encode()).ok
+    assert getattr(config.services[0], key) == decoded
+
+
+def render(template: str, values: dict) -> str:
+    """Return a template with its sections and placeholders filled in."""
+    for name, value in values.items():
+        if value is None:
+            section = rf"{{{{#{re.escape(name)}}}}}.*?{{{{/{name}}}}}"
+            template = re.sub(section, "", template, flags=re.DOTALL)
+        template = re.sub(rf"{{{{[#/]{re.escape(name)}}}}}", "", template)
+        template = template.replace(f"{{{{{name}}}}}", str(value))
+    return template
+
+
+@then(
+    "the gateway's template with {bounds} gives an overrun of {overrun:g} and a"
+    " slack of {slack:g}"
+)
+def template_gives(_, bounds, overrun, slack):
+    values = {
+        "node|json": '"g"',
+        "zone|json": '"z"',
+        "seeds|json": "[]",
+        "ipAddress": "127.0.0.1",
+        "internalPorts.0": 1,
+        "internalPorts.1": 2,
+        "bounds.graceS": 8,
+        "bounds.retryBudgetRatio": 0.2,
+        "bounds.budgetSlack": 50,
+        "bounds.budgetWindowS": 10,
+        "bounds.coldOverrun": None,
+        "bounds.coldSlack": None,
+    }
+    for name in ("front", "ready", "directory"):
+        values[f"listen.{name}|json"] = '"127.0.0.1:3"'
+    if bounds != "none":
+        for bound in bounds.split(", "):
+            name, _, value = bound.partition("=")
+            values[f"bounds.{name}"] = value
+    text = render(pathlib.Path("deploy/gateway.json").read_text(), values)
+    settings = documents.CONVERTER.structure(
+        json.loads(text), settings_lib.GatewaySettings
+    )
+    assert (settings.cold_overrun, settings.cold_slack) == (overrun, slack)
+
+
 DECODERS = {
     "a heartbeat": lambda body: instances.decode_heartbeat("i-1", body),
     "a sign-off": lambda body: instances.decode_sign_off("i-1", body),
