--- a/features/gateway/cold.feature
+++ b/features/gateway/cold.feature
@@ -52,3 +52,7 @@
       | cold with room          | sent and counted        |
       | cold and at its limit   | not sent                |
       | restarted since         | not sent                |
+
+  # Guards against a placement that takes a cold engine for a fast one.
+  Scenario: A cold engine is predicted to take longer
+    Then a prompt on an idle engine takes 3 times as long while it is cold
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -281,3 +281,27 @@
         assert exchange.budget.charge.called == (sent != "not sent")
 
     gateway_steps.run_with_bed(context, story)
+
+
+@then(
+    "a prompt on an idle engine takes {factor:g} times as long while it is cold"
+)
+def takes_longer(context, factor):
+    async def story(bed):
+        endpoint = await bed.add("e1", "answer")
+        settle(bed)
+        spec = bed.gateway.view.table.services[SERVICE]
+        spec = attrs.evolve(spec, engine=gateway_steps.ENGINE)
+        times = []
+        for remaining_s in (0.0, COLD, 0.0):
+            bed.announce(
+                endpoint, seq=2 + len(times), cold_remaining_s=remaining_s
+            )
+            choice = bed.gateway.chooser.choose(
+                spec, gateway_steps.SHORT, set(), clocks.boot_time()
+            )
+            times.append(choice.predicted_s)
+        assert times[0] == times[2], times
+        assert abs(times[1] / times[0] - factor) < 1e-9, times
+
+    gateway_steps.run_with_bed(context, story)
