merge: limit for cold endpoints

Conflicts: both sides kept; the check right before the first byte tests evacuated zones and the proof first, then the limit of cold endpoints, then charges the retry budget.

--- a/src/_coltsfootroad/core/errors.py
+++ b/src/_coltsfootroad/core/errors.py
@@ -36,6 +36,7 @@
     NO_ENDPOINT = "no_endpoint"
     ENDPOINTS_UNREACHABLE = "endpoints_unreachable"
     ZONES_EVACUATED = "zones_evacuated"
+    ENDPOINTS_COLD = "endpoints_cold"
     ENDPOINT_FAILED = "endpoint_failed"
     ENTRY_FENCED = "entry_fenced"
     ENTRY_DRAINING = "entry_draining"
@@ -70,6 +71,7 @@
     ErrorCode.NO_ENDPOINT: 503,
     ErrorCode.ENDPOINTS_UNREACHABLE: 503,
     ErrorCode.ZONES_EVACUATED: 503,
+    ErrorCode.ENDPOINTS_COLD: 503,
     ErrorCode.ENDPOINT_FAILED: 502,
     ErrorCode.ENTRY_FENCED: 503,
     ErrorCode.ENTRY_DRAINING: 503,
--- a/src/_coltsfootroad/gateway/evacuation.py
+++ b/src/_coltsfootroad/gateway/evacuation.py
@@ -91,8 +91,9 @@
     def send_check(self, exchange, choice) -> Callable[[], bool]:
         """Return the check to make right before a request is written.
 
-        It charges the send to the retry budget if it is allowed. Otherwise the
-        send does not count as one of the request's.
+        It counts the send for the limit of cold endpoints and the retry budget
+        if it is allowed. Otherwise the send does not count as one of the
+        request's.
         """
         endpoints = (choice.endpoint, *choice.helpers)
 
@@ -100,7 +101,7 @@
             if not self.allows(endpoints, exchange.request_id):
                 exchange.sends.count -= 1
                 return False
-            return exchange.budget.charge()
+            return exchange.cold.may_send(choice)
 
         return may_send
 
