benchmarks: add the load of competing callers

Cause: no load of the placement benchmark has the first deployment's engines, targets, phases and oscillation. Change: three loads, with all engines, without a fifth and without a third. Conclusion: a base for comparing placements at the borders of phases.

--- a/benchmarks/mixes.py
+++ b/benchmarks/mixes.py
@@ -5,6 +5,8 @@
 times its mean, and that of the other a third or a twentieth.
 """
 
+import math
+
 import attrs
 
 from _coltsfootroad.core import routes
@@ -157,6 +159,69 @@
 )
 
 
+# The first deployment of docs/design/load-parts.md: an engine has 177 prefill
+# tokens a millisecond, and a prompt of the long class takes 7 engine-seconds.
+COMPETING_SPEC = routes.EngineSpec(
+    slots=6,
+    kv_tokens=267_750,
+    stride=52,
+    step_s=0.00085,
+    per_sequence_s=0.00000966,
+    context_s_per_token=0.00000000254,
+    read_tokens_per_s=177_000.0,
+    pair_s=0.175e-9,
+    chunk_tokens=2_048,
+    hop_s=0.0001,
+)
+COMPETING = tuple(
+    attrs.evolve(
+        prompt_class,
+        target_s=target_s,
+        gap_s=gap_s,
+        prompt_max=min(prompt_class.prompt_max, 700_000),
+    )
+    for prompt_class, target_s, gap_s in zip(
+        prompt_classes(
+            (42.5, 2.7, 1.16),
+            (220_000, 4.023),
+            (1.3, 3.5, 29.0),
+            (0.33, 0.88, 7.4),
+        ),
+        (0.308, 1.513, 4.023),
+        (0.25, 0.6, 1.0),
+        strict=True,
+    )
+)
+COMPETING_LONG = (0.3, 1.0, 2.75)
+COMPETING_SHORT = (2.4, 1.0, 0.05)
+OSCILLATION = 0.55
+OSCILLATION_PERIOD_S = 13.0
+
+
+def oscillating(phases):
+    """Return the phases in steps of half a second, with the oscillation."""
+    found, at = [], 0.0
+    for seconds, factors in phases:
+        for _ in range(round(2 * seconds)):
+            angle = 2 * math.pi * at / OSCILLATION_PERIOD_S
+            factor = 1 + OSCILLATION * math.sin(angle)
+            found.append((0.5, tuple(factor * x for x in factors)))
+            at += 0.5
+    return tuple(found)
+
+
+COMPETING_PHASES = oscillating(
+    (
+        (2.0, EVEN),
+        (10.0, COMPETING_SHORT),
+        (10.0, COMPETING_LONG),
+        (10.0, COMPETING_SHORT),
+        (10.0, COMPETING_LONG),
+        (5.0, COMPETING_SHORT),
+    )
+)
+
+
 def scale_phases(phases, factor: float):
     """Return phases with all rates multiplied by a factor."""
     return tuple((s, tuple(factor * x for x in xs)) for s, xs in phases)
@@ -268,4 +333,25 @@
         prompt_classes=HUGE,
         phases=scale_phases(SHORT_FIRST_PHASES, 1.7),
     ),
+    Load(
+        name="competing",
+        engines=60,
+        spec=COMPETING_SPEC,
+        prompt_classes=COMPETING,
+        phases=COMPETING_PHASES,
+    ),
+    Load(
+        name="competing-lost",
+        engines=48,
+        spec=COMPETING_SPEC,
+        prompt_classes=COMPETING,
+        phases=COMPETING_PHASES,
+    ),
+    Load(
+        name="competing-busy",
+        engines=40,
+        spec=COMPETING_SPEC,
+        prompt_classes=COMPETING,
+        phases=COMPETING_PHASES,
+    ),
 )
