core: divide scarce engine time between workspaces

Cause: first-come first-served, a workspace with nine tenths of the demand gets nine tenths of the engines, and the requests of all others are late. Conclusion: the gateway has to measure usage and ask for the decision.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -16,8 +16,11 @@
 
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import failoverdelay
+from _coltsfootroad.core import fairadmission
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
+from _coltsfootroad.core.fairness import refusalledger
+from _coltsfootroad.core.fairness import usage
 from _coltsfootroad.core.placement import candidates
 from _coltsfootroad.core.placement import engineplacement
 from _coltsfootroad.core.placement import shedding
@@ -34,6 +37,9 @@
     "cut_s", 60.0, "Arrivals after this time are ignored."
 )
 GATEWAYS = flags.DEFINE_integer("in_use", 1, "Number of gateways in rotation.")
+WORKSPACES = flags.DEFINE_integer(
+    "workspaces", 0, "Workspaces that share scarce capacity; 0: no sharing."
+)
 FULL = flags.DEFINE_bool(
     "full", False, "Compare all engines instead of a sample."
 )
@@ -52,6 +58,9 @@
 MAX_TRIES = 2
 SERVICE = "engines"
 ZONES = 3
+# Share of all requests of the largest workspace; each further one has this much
+# less than the one before.
+WORKSPACE_DECAY = 0.8
 
 
 @attrs.define(eq=False)
@@ -67,6 +76,8 @@
     parts: int = 1
     tries: int = 0
     predicted_s: float = 0.0
+    workspace: int = 0
+    retry_at: float = 0.0
 
     def route(self) -> routes.Route:
         """Return the route of the request's class."""
@@ -156,6 +167,10 @@
     load: mixes.Load
     rng: random.Random
     gateways: int = 1
+    workspaces: int = 0
+    # Of its own, so that the same requests arrive with and without workspaces.
+    workspace_rng: random.Random = attrs.Factory(lambda: random.Random(1))
+    fair: list[fairadmission.FairAdmission] = attrs.Factory(list)
     views: views_lib.GatewayViews = attrs.field(init=False)
     keys: itertools.count = attrs.Factory(itertools.count)
     endpoints: endpointset.EndpointSet = attrs.Factory(endpointset.EndpointSet)
@@ -173,6 +188,11 @@
             self.endpoints.learn(make_announcement(str(index), zone))
         self.service = routes.ServiceSpec(name=SERVICE, engine=self.load.spec)
         self.views = views_lib.GatewayViews(self.gateways)
+        if self.workspaces:
+            self.fair = [
+                fairadmission.FairAdmission(self.rng)
+                for _ in range(self.gateways)
+            ]
         self.choosers = [
             engines_lib.Chooser(
                 self.endpoints,
@@ -192,6 +212,7 @@
         ]
         for arrival in arrivals:
             arrival.gateway = self.rng.randrange(self.gateways)
+            arrival.workspace = self.sample_workspace()
         arrival_queue = [(a.at, n, a) for n, a in enumerate(arrivals)]
         heapq.heapify(arrival_queue)
         while arrival_queue:
@@ -266,7 +287,10 @@
         retry_delay_s = shedding.shed_retry_after_s(
             candidate, choice.late_waiting, choice.batch_slots, self.rng
         )
+        if retry_delay_s is None and self.fair:
+            retry_delay_s = self.fair_delay_s(arrival, prompt, choice, now)
         if retry_delay_s is not None:
+            arrival.retry_at = now + retry_delay_s
             return retry_delay_s
         arrival.predicted_s = choice.predicted_s
         arrival.parts = 1 + len(choice.helpers)
@@ -283,6 +307,47 @@
         self.running[id(job)] = arrival
         return None
 
+    def sample_workspace(self) -> int:
+        """Return a workspace; a few have most of the requests."""
+        if not self.workspaces:
+            return 0
+        weights = [WORKSPACE_DECAY**n for n in range(self.workspaces)]
+        return (
+            1 + self.workspace_rng.choices(range(self.workspaces), weights)[0]
+        )
+
+    def fair_delay_s(self, arrival, prompt, choice, now) -> float | None:
+        """Return the retry delay if scarce capacity refuses a request."""
+        engine_s = usage.engine_seconds(
+            self.load.spec, prompt.prompt_tokens, prompt.output_tokens
+        )
+        is_due = arrival.tries and now >= arrival.retry_at
+        refusal = self.fair[arrival.gateway].decide(
+            fairadmission.Arrival(
+                workspace=arrival.workspace,
+                groups=(
+                    f"workspace {arrival.workspace}",
+                    f"size {arrival.prompt_class.name}",
+                ),
+                engine_s=engine_s,
+                value=prompt.value,
+                predicted_s=choice.predicted_s,
+                left_s=arrival.at + arrival.prompt_class.deadline_s - now,
+                retry=refusalledger.Retry.DUE
+                if is_due
+                else refusalledger.Retry.NONE,
+            ),
+            self.load.engines,
+            True,
+            now,
+        )
+        if refusal is not None:
+            return refusal.retry_after_s
+        queued = choice.predicted_s > prompt.target_s
+        for decision in self.fair:
+            decision.recent.add(arrival.workspace, engine_s, queued, now)
+        return None
+
     def send_part(self, arrival, prompt, index, leads, late, now) -> None:
         """Send a request, or a part of its prompt, to one engine."""
         engine = self.engines[index]
@@ -315,6 +380,7 @@
     limits: candidates.CandidateLimits = candidates.DEFAULT_LIMITS,
     cut_s: float = float("inf"),
     gateways: int = 1,
+    workspaces: int = 0,
 ) -> dict[str, float]:
     """Return the received share of the possible value, in total and by class.
 
@@ -324,7 +390,11 @@
     for seed in range(seeds):
         arrivals = [a for a in sample_arrivals(load, seed) if a.at < cut_s]
         simulation = Simulation(
-            load, random.Random(seed), gateways, limits=limits
+            load,
+            random.Random(seed),
+            gateways,
+            workspaces,
+            limits=limits,
         )
         simulation.run(arrivals)
         for arrival in arrivals:
@@ -348,7 +418,12 @@
     for load in mixes.ALL_LOADS:
         if not LOADS.value or load.name in LOADS.value:
             found = gains(
-                load, PLAYS.value, limits, CUT_S.value, GATEWAYS.value
+                load,
+                PLAYS.value,
+                limits,
+                CUT_S.value,
+                GATEWAYS.value,
+                WORKSPACES.value,
             )
             words = [f"{name} {share:.3f}" for name, share in found.items()]
             print(f"{load.name:12}", *words, flush=True)
--- /dev/null
+++ b/src/_coltsfootroad/core/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Bounded records of demand and refusals for `core/fairadmission.py`."""
--- a/src/_coltsfootroad/core/placement/work.py
+++ b/src/_coltsfootroad/core/placement/work.py
@@ -21,6 +21,9 @@
         value: Relative cost of a late answer to the caller.
         late: Whether it had missed its target when it was sent. An engine
             serves it after requests that can meet theirs.
+        workspace: Short hash of the caller's workspace, 0 for none.
+        queued: Whether no engine had room for it within its target, however
+            long its caller had waited before.
     """
 
     endpoint: str
@@ -34,6 +37,8 @@
     gap_target_s: float = 0.0
     value: float = 1.0
     late: bool = False
+    workspace: int = 0
+    queued: bool = False
 
     @property
     def is_late_waiting(self) -> bool:
--- a/src/_coltsfootroad/core/placement/workload.py
+++ b/src/_coltsfootroad/core/placement/workload.py
@@ -1,5 +1,7 @@
 """Tracks unfinished work of all gateways at each endpoint."""
 
+from collections.abc import Callable
+
 import attrs
 
 from _coltsfootroad.core.placement import loadindex
@@ -34,6 +36,8 @@
     gap_target_ms: int = 0
     value: float = 1.0
     late: bool = False
+    workspace: int = 0
+    queued: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -41,6 +45,8 @@
     """Changes of one gateway's work, or all its work if `full`.
 
     `partitioned_from` names the services that the gateway does not reach.
+    `refusals` holds hashes of refused requests, with the milliseconds until
+    they may be retried.
     """
 
     gateway: str
@@ -49,6 +55,7 @@
     full: bool
     changes: tuple[Change, ...] = ()
     partitioned_from: tuple[str, ...] = ()
+    refusals: tuple[tuple[int, int], ...] = ()
 
 
 @attrs.define
@@ -82,6 +89,8 @@
             changes.
         published: Keys of own work that was published to other gateways.
         next_key: Key of the next work item.
+        on_foreign_work: Called with gateway, incarnation, key, work and time of
+            each work item that another gateway reports, also repeatedly.
     """
 
     own: dict[int, work_lib.WorkItem] = attrs.Factory(dict)
@@ -90,6 +99,9 @@
     changed: dict[int, None] = attrs.Factory(dict)
     published: set[int] = attrs.Factory(set)
     next_key: int = 1
+    on_foreign_work: Callable[
+        [str, int, int, work_lib.WorkItem, float], None
+    ] = attrs.field(default=lambda *_: None, eq=False)
 
     def add(self, work: work_lib.WorkItem) -> int:
         """Add own work that is about to be sent; return its key."""
@@ -144,6 +156,8 @@
             int(work.gap_target_s * MS),
             round(work.value, 1),
             work.late,
+            work.workspace,
+            work.queued,
         )
 
     def apply_summary(self, summary: Summary, now: float) -> bool:
@@ -179,6 +193,7 @@
         if change.endpoint:
             work = known.works[change.key] = to_work(change, now)
             self.index.put(key, work)
+            self.on_foreign_work(gateway, known.mark[0], change.key, work, now)
         if change.endpoint and change.prompt_tokens:
             known.prompts.add(change.key)
 
@@ -231,4 +246,6 @@
         gap_target_s=change.gap_target_ms / MS,
         value=change.value,
         late=change.late,
+        workspace=change.workspace,
+        queued=change.queued,
     )
--- a/src/_coltsfootroad/core/routes.py
+++ b/src/_coltsfootroad/core/routes.py
@@ -112,10 +112,18 @@
 
 @attrs.frozen(kw_only=True)
 class KeyHolder:
-    """A workspace and the API keys of its callers."""
+    """A workspace and the API keys of its callers.
+
+    Attributes:
+        workspace: Name of the workspace.
+        keys: API keys of its callers.
+        priority: Its priority while capacity is scarce, 0 is the highest;
+            takes precedence over the routes'. None if it has none.
+    """
 
     workspace: str
     keys: tuple[str, ...]
+    priority: int | None = None
 
 
 @attrs.frozen(kw_only=True)
