gateway: share scarce engine time between workspaces

Cause: gateways know the work of all others, but not whose it is. Change: gateways count the engine time of all gateways' prompts by workspace, from two trailing fields of load changes that are sent only where workspaces share capacity. Refused requests are remembered by hash at all gateways, so that a due retry has precedence and an early one has none. Log lines, metrics and a section of the state dump show each decision. Conclusion: acts where the configuration states a workspace's priority, or the setting fair_admission is set.

--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -6,6 +6,7 @@
 from tornado import http1connection
 
 from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import fairadmission
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import sends as sends_lib
 from _coltsfootroad.core.placement import engineplacement
@@ -52,6 +53,7 @@
         admitted: The request's route and limits, None before admission.
         sends: Counts the sends to endpoints, None before admission.
         error_response: The last complete 5xx response of an endpoint.
+        weighed: Whether its share of scarce capacity has been decided.
         reservation: Memory that is reserved for the current send.
         guard: Applies the quarantine to the request.
         budget: Charges retries to the service's retry budget.
@@ -68,6 +70,7 @@
     admitted: admission.Admitted | None = None
     sends: sends_lib.SendHistory | None = None
     error_response: responses.BufferedResponse | None = None
+    weighed: bool = False
     reservation: memoryreservation.MemoryReservation | None = None
     guard: contentguard.ContentGuard = attrs.field(init=False)
     budget: sendbudget.SendBudget = attrs.field(init=False)
@@ -226,6 +229,10 @@
         if retry_after_s is not None:
             self.final_failure.shed(choice, retry_after_s)
             return None
+        refusal = self.scarcity_refusal(choice)
+        if refusal is not None:
+            self.final_failure.refuse_scarce(refusal)
+            return None
         return await self.attempt(choice)
 
     def rank(self, choice: engines.Choice, now: float) -> int:
@@ -238,15 +245,26 @@
         prompt = self.admitted.prompt
         if prompt is None or self.sends.count:
             return None
+        fairness, now = self.gateway.fairness, clocks.boot_time()
         candidate = shedding.Candidate(
             prompt_tokens=prompt.prompt_tokens,
             predicted_s=choice.predicted_s,
             target_s=prompt.target_s,
-            is_retry=self.admitted.is_retry,
+            is_retry=fairness.is_retry(self, now),
         )
-        return shedding.shed_retry_after_s(
+        delay_s = shedding.shed_retry_after_s(
             candidate, choice.late_waiting, choice.batch_slots, self.gateway.rng
         )
+        return fairness.bound_shed_delay(self, delay_s, now)
+
+    def scarcity_refusal(
+        self, choice: engines.Choice
+    ) -> fairadmission.Refusal | None:
+        """Return why scarce capacity refuses the first send, if it does."""
+        if self.sends.count or self.weighed:
+            return None
+        self.weighed = True
+        return self.gateway.fairness.refusal(self, choice, clocks.boot_time())
 
     def choose(self, now: float) -> engines.Choice | None:
         """Return the endpoints for the next send, None if there are none."""
@@ -382,7 +400,9 @@
         endpoint = choice.endpoint
         self.sends.tried.add(endpoint.name)
         late = self.rank(choice, now) == urgency.LATE_RANK
-        self.work.begin(choice, self.admitted.prompt, late, now)
+        self.work.begin(
+            choice, self.admitted.prompt, late, now, self.admitted.workspace
+        )
         sink = self.make_sink()
         pool = self.gateway.pool(endpoint.announcement.address)
         connect = self.gateway.reach_monitor.connect_watch(endpoint)
--- a/src/_coltsfootroad/gateway/finalfailure.py
+++ b/src/_coltsfootroad/gateway/finalfailure.py
@@ -3,6 +3,7 @@
 import attrs
 
 from _coltsfootroad.core import errors
+from _coltsfootroad.core import fairadmission
 from _coltsfootroad.gateway import admission
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.shell import logs
@@ -87,6 +88,19 @@
             )
         )
 
+    def refuse_scarce(self, refusal: fairadmission.Refusal) -> None:
+        """Refuse a request for which capacity does not suffice."""
+        if refusal.reason is fairadmission.Reason.SHARE:
+            code = errors.ErrorCode.RATE_LIMITED
+            text = (
+                f"the workspace used {refusal.used_s:.1f} engine-seconds of"
+                f" {refusal.allowed_s:.1f}, and capacity is scarce"
+            )
+        else:
+            code = errors.ErrorCode.DEADLINE_UNREACHABLE
+            text = "the first event is predicted after the deadline"
+        self.refuse(admission.refusal(code, text, refusal.retry_after_s))
+
     def on_deadline(self) -> None:
         """Respond to a request whose deadline has passed."""
         exchange = self.exchange
--- a/src/_coltsfootroad/gateway/gossip.py
+++ b/src/_coltsfootroad/gateway/gossip.py
@@ -55,6 +55,17 @@
     late: bool
 
 
+class WireWorkspaceChange(WireChange, array_like=True):
+    """A change of a prompt whose workspace shares scarce capacity.
+
+    Earlier builds ignore the trailing fields, and senders leave them out for
+    work without a workspace.
+    """
+
+    workspace: int = 0
+    queued: bool = False
+
+
 class WireSummary(msgspec.Struct, array_like=True):
     """A summary, encoded as a list; each change is a list as well."""
 
@@ -62,11 +73,13 @@
     incarnation: int
     seq: int
     full: bool
-    changes: tuple[WireChange, ...]
+    changes: tuple[WireWorkspaceChange, ...]
     # Whether the receiver forwards it to the other gateways of its zone.
     pass_on: bool = False
     # Services of which the sender reaches no endpoint.
     partitioned_from: tuple[str, ...] = ()
+    # Hashes of refused requests, and milliseconds until they may be retried.
+    refusals: tuple[tuple[int, int], ...] = ()
 
 
 DECODER = msgspec.msgpack.Decoder(WireSummary)
@@ -80,11 +93,20 @@
         summary.incarnation,
         summary.seq,
         summary.full,
-        tuple(WireChange(*attrs.astuple(change)) for change in summary.changes),
+        tuple(change_to_wire(change) for change in summary.changes),
         partitioned_from=summary.partitioned_from,
+        refusals=summary.refusals,
     )
 
 
+def change_to_wire(change: workload.Change) -> WireChange:
+    """Return the wire form of a change."""
+    fields = attrs.astuple(change)
+    if change.workspace:
+        return WireWorkspaceChange(*fields)
+    return WireChange(*fields[: len(WireChange.__struct_fields__)])
+
+
 def encode(summary: workload.Summary) -> bytes:
     """Return the encoded bytes of a summary."""
     return ENCODER.encode(to_wire(summary))
@@ -107,6 +129,7 @@
             for change in wire.changes
         ),
         partitioned_from=wire.partitioned_from,
+        refusals=wire.refusals,
     )
 
 
@@ -150,7 +173,9 @@
             return
         if wire.pass_on:
             self.pass_on(wire)
-        self.gateway.load.apply_summary(from_wire(wire), clocks.boot_time())
+        now = clocks.boot_time()
+        self.gateway.load.apply_summary(from_wire(wire), now)
+        self.gateway.fairness.ledger.apply(wire.refusals, now)
 
     def error_received(self, exc):
         """Log that a datagram could not be delivered."""
@@ -184,7 +209,7 @@
     def send(self) -> None:
         """Send a summary of the changes."""
         self.send_timer = None
-        if self.gateway.load.changed:
+        if self.gateway.load.changed or self.gateway.fairness.ledger.unsent:
             self.send_summary(full=False)
 
     def announce_partition(self) -> None:
@@ -198,7 +223,8 @@
             return
         self.seq += 1
         settings = self.gateway.settings
-        changes = self.gateway.load.collect_changes(full, clocks.boot_time())
+        now = clocks.boot_time()
+        changes = self.gateway.load.collect_changes(full, now)
         if len(changes) > MAX_CHANGES:
             LOG.warning("summary truncated", changes=len(changes))
         wire = to_wire(
@@ -209,6 +235,7 @@
                 full=full,
                 changes=changes[:MAX_CHANGES],
                 partitioned_from=self.gateway.reach.partitioned_services(),
+                refusals=self.gateway.fairness.ledger.collect(now),
             )
         )
         self.fanout_round += full
--- a/src/_coltsfootroad/gateway/ownwork.py
+++ b/src/_coltsfootroad/gateway/ownwork.py
@@ -25,8 +25,11 @@
         prompt: engineplacement.Prompt | None,
         late: bool,
         now: float,
+        workspace: str = "",
     ) -> None:
         """Register a send; `late` if it can no longer meet its target."""
+        fairness = self.gateway.fairness
+        tag = fairness.tag(workspace)
         held = {share.endpoint.name: share.tokens for share in choice.shares}
         known = (choice.endpoint, *choice.helpers)
         for position, endpoint in enumerate(known):
@@ -35,10 +38,13 @@
             work.kv_tokens = held.get(endpoint.name, 0)
             if prompt is not None:
                 set_prompt_fields(work, prompt, len(known), late)
+                work.workspace = tag
+                work.queued = bool(tag) and choice.predicted_s > prompt.target_s
             if work.leads and prompt is not None:
                 total = prompt.prompt_tokens + prompt.output_tokens
                 work.kv_tokens = total - sum(held.values())
             self.keys.append(self.gateway.load.add(work))
+            fairness.on_own_work(work, now)
         # Batch slots fill up within milliseconds, so other gateways must know
         # of a prompt at once. Plain endpoints can run two simultaneous calls.
         self.gateway.notify_peers(urgent=prompt is not None)
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -21,6 +21,7 @@
 from _coltsfootroad.gateway import dialect as dialect_lib
 from _coltsfootroad.gateway import directory
 from _coltsfootroad.gateway import engines
+from _coltsfootroad.gateway import fairness as fairness_lib
 from _coltsfootroad.gateway import front as front_lib
 from _coltsfootroad.gateway import gossip as gossip_lib
 from _coltsfootroad.gateway import leaderclient
@@ -83,6 +84,10 @@
         self.start_up = startup.StartupGate(self.view)
         self.endpoints = endpointset.EndpointSet()
         self.load = workload.Workload()
+        self.fairness = fairness_lib.Fairness(
+            self, self.rng, settings.fair_admission
+        )
+        self.load.on_foreign_work = self.fairness.on_foreign_work
         self.isolation = isolation.Isolation()
         self.chooser = engines.Chooser(
             self.endpoints,
@@ -348,6 +353,7 @@
                 "crashes": list(self.crash_reporter.recent.values()),
                 "isolated": list(self.isolation.suspects),
                 "reach": self.reach.services,
+                "fairness": self.fairness.dump(),
                 "forwards": dict(self.forwards),
                 "forwards_in_flight": dict(self.peers.in_flight),
                 "running": [e.request_id for e in self.running],
@@ -454,6 +460,7 @@
             lambda: dict(self.quarantine.refusals_by_kind),
         )
         self.add_budget_metrics()
+        self.fairness.add_metrics(self.metrics)
         counter("colts_log_dropped", "Log lines dropped", logs.dropped)
         traffic.PROCESS.add_metrics(self.metrics)
 
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -72,6 +72,8 @@
         retry_ratio: Retries as a fraction of the requests for a service.
         retry_slack: Further retries in one window, over all gateways.
         retry_window_s: Length of the window.
+        fair_admission: Whether workspaces share scarce capacity fairly also
+            where the configuration states no priority of a workspace.
         log_level: Least severe level that is logged.
     """
 
@@ -99,6 +101,7 @@
     retry_window_s: float = attrs.field(
         default=10.0, validator=documents.check_positive
     )
+    fair_admission: bool = False
     log_level: str = "INFO"
 
     def control(self) -> tuple[str, ...]:
