core: let prompts that meet their target precede late retries

Cause: in a lasting overload due retries, which are late, took all capacity from first tries that could still be on time, and early retries gained from a level that was infinite whenever usage was just below the capacity. Change: the level is finite; late prompts get 0.8 of it, early retries half. A retry is known by content and deadline, also at other gateways.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -332,6 +332,7 @@
                 engine_s=engine_s,
                 value=prompt.value,
                 predicted_s=choice.predicted_s,
+                target_left_s=arrival.at + prompt.target_s - now,
                 left_s=arrival.at + arrival.prompt_class.deadline_s - now,
                 retry=refusalledger.Retry.DUE
                 if is_due
--- a/src/_coltsfootroad/core/fairadmission.py
+++ b/src/_coltsfootroad/core/fairadmission.py
@@ -25,17 +25,17 @@
 # capacity counts as scarce, and below which it no longer does. A prompt is
 # queued if no engine had room for it within its target. A retry always comes
 # after its target, so how late prompts are says nothing of the capacity.
-SCARCE_SHARE = 0.15
-AMPLE_SHARE = 0.03
+SCARCE_SHARE = 0.25
+AMPLE_SHARE = 0.05
 # Such prompts at which the share is significant: single ones are prediction
 # errors.
 MIN_MISSED = 8
 # Capacity stays scarce for at least this long after the last such prompts: a
 # load that oscillates within it does not switch the decision.
 HOLD_S = 3.0
-# Share of the engines' time that is divided. Batches are not full all the time,
-# as a slot becomes free only at the end of a pass.
-CAPACITY_SHARE = 0.95
+# Share of the engines' time that is divided. The factors below and the share
+# that drains queues leave enough unused.
+CAPACITY_SHARE = 1.0
 # Part of it that is held back while all prompts are queued, so that the queues
 # drain within seconds. Without it a queue, once long, makes all later prompts
 # late for as long as demand lasts.
@@ -43,15 +43,28 @@
 # The level is computed this often at most, as it takes time with the number of
 # workspaces.
 LEVEL_INTERVAL_S = 0.1
+# Factor on a workspace's level for a prompt that can no longer meet its target.
+# What is left for it is what those that can meet theirs do not use; otherwise
+# retries, which are late, would take all capacity in a lasting overload.
+LATE_FACTOR = 0.8
 # Factor for all but a retry at the stated time. Callers retry once, so refusing
 # a retry loses the request.
-FIRST_TRY_FACTOR = 0.85
+FIRST_TRY_FACTOR = 0.95
+# Factor for a retry before the stated time. The usage of a workspace above its
+# share stays near its level, so that early retries of its callers are refused
+# and gain nothing.
+EARLY_RETRY_FACTOR = 0.5
 # Least factor by which requests of one workspace are ordered: the value per
 # engine-second, relative to the mean. Factors are at most 1, as more than the
 # capacity would lengthen the queues.
-MIN_VALUE_FACTOR = 0.8
+MIN_VALUE_FACTOR = 0.9
+RETRY_FACTORS = {
+    refusalledger.Retry.DUE: 1.0,
+    refusalledger.Retry.NONE: FIRST_TRY_FACTOR,
+    refusalledger.Retry.EARLY: EARLY_RETRY_FACTOR,
+}
 # Bounds of the stated retry delay, in seconds; usage decays within
-# seconds. A caller's remaining time limits it further.
+# them. A caller's remaining time limits it further.
 MIN_RETRY_S, MAX_RETRY_S = 0.4, 3.0
 # Relative range of the delay, so that callers do not return together.
 RETRY_SPREAD = 0.3
@@ -77,6 +90,7 @@
         value: Relative value of an answer.
         priority: Of its workspace, else of its route; 0 is the highest.
         predicted_s: Predicted seconds until the first event.
+        target_left_s: Seconds until its target.
         left_s: Seconds until its deadline.
         retry: What is known of an earlier try.
     """
@@ -87,6 +101,7 @@
     value: float
     priority: int = fairqueue.MIDDLE_PRIORITY
     predicted_s: float
+    target_left_s: float
     left_s: float
     retry: refusalledger.Retry = refusalledger.Retry.NONE
 
@@ -127,7 +142,7 @@
 ) -> float:
     """Return the level up to which usage, by weight, fits into a capacity.
 
-    Infinite if all of it fits.
+    If all of it fits, the level is what the largest user may reach.
     """
     left_s = capacity_s
     left_weight = sum(weights.get(tag, 1.0) for tag in used_s)
@@ -137,11 +152,12 @@
     )
     for level, tag in by_level:
         weight = weights.get(tag, 1.0)
-        if level * left_weight > left_s:
+        is_last = tag == by_level[-1][1]
+        if is_last or level * left_weight > left_s:
             return left_s / left_weight
         left_s -= level * weight
         left_weight -= weight
-    return float("inf")
+    return capacity_s
 
 
 @attrs.define
@@ -241,7 +257,10 @@
         """Refuse a prompt of a workspace that has used its share."""
         used_s = self.recent.used_s(arrival.workspace, now)
         allowed_s = self.allowed_s(arrival, engines, now)
-        if used_s < allowed_s or self.served.protects(arrival.groups, now):
+        if used_s < allowed_s:
+            return None
+        early = arrival.retry is refusalledger.Retry.EARLY
+        if not early and self.served.protects(arrival.groups, now):
             return None
         self.recent.add_refused(now)
         excess = used_s / max(allowed_s, 1e-9) - 1.0
@@ -269,9 +288,9 @@
         mean = self.offered_value / max(self.offered_s, 1e-9)
         relative = arrival.value / max(arrival.engine_s, 1e-9) / max(mean, 1e-9)
         allowed_s *= min(1.0, max(MIN_VALUE_FACTOR, relative))
-        if arrival.retry is not refusalledger.Retry.DUE:
-            allowed_s *= FIRST_TRY_FACTOR
-        return allowed_s
+        if arrival.predicted_s > arrival.target_left_s:
+            allowed_s *= LATE_FACTOR
+        return allowed_s * RETRY_FACTORS[arrival.retry]
 
     def delay_s(self, expected_s: float, arrival: Arrival) -> float:
         """Return the retry delay for an expected time to capacity."""
--- a/src/_coltsfootroad/core/placement/workload.py
+++ b/src/_coltsfootroad/core/placement/workload.py
@@ -46,7 +46,7 @@
 
     `partitioned_from` names the services that the gateway does not reach.
     `refusals` holds hashes of refused requests, with the milliseconds until
-    they may be retried.
+    they may be retried and until their deadlines.
     """
 
     gateway: str
@@ -55,7 +55,7 @@
     full: bool
     changes: tuple[Change, ...] = ()
     partitioned_from: tuple[str, ...] = ()
-    refusals: tuple[tuple[int, int], ...] = ()
+    refusals: tuple[tuple[int, int, int], ...] = ()
 
 
 @attrs.define
--- a/src/_coltsfootroad/gateway/fairness.py
+++ b/src/_coltsfootroad/gateway/fairness.py
@@ -169,9 +169,16 @@
 
     def retry(self, exchange, now: float) -> refusalledger.Retry:
         """Return what is known of an earlier try of a request."""
-        if not (self.ledger.due and exchange.admitted.is_retry):
+        if not self.ledger.known:
             return refusalledger.Retry.NONE
-        return self.ledger.classify(self.request_hash(exchange), now)
+        return self.ledger.classify(
+            self.request_hash(exchange), self.stated_deadline(exchange), now
+        )
+
+    def stated_deadline(self, exchange) -> float:
+        """Return the caller's own deadline in seconds of the boot clock."""
+        request = exchange.request
+        return request.arrived_at + request.stated_timeout_s(exchange.names)
 
     def is_retry(self, exchange, now: float) -> bool:
         """Return whether a request has the precedence of a retry."""
@@ -200,6 +207,7 @@
             value=prompt.value,
             priority=priority,
             predicted_s=choice.predicted_s,
+            target_left_s=exchange.request.arrived_at + prompt.target_s - now,
             left_s=admitted.deadline - now,
             retry=self.retry(exchange, now),
         )
@@ -268,7 +276,11 @@
 
     def record(self, exchange, delay_s: float, now: float) -> None:
         """Remember a refused request here and at the other gateways."""
-        self.ledger.record(self.request_hash(exchange), now + delay_s)
+        self.ledger.record(
+            self.request_hash(exchange),
+            now + delay_s,
+            self.stated_deadline(exchange),
+        )
         self.gateway.notify_peers()
 
     # --- operators ----------------------------------------------------------
@@ -309,7 +321,7 @@
         return {
             "active": self.is_active(),
             "priorities": self.priorities,
-            "remembered_refusals": len(self.ledger.due),
+            "remembered_refusals": len(self.ledger.known),
             "services": {
                 service: {
                     "scarce": decision.scarcity.scarce,
--- a/src/_coltsfootroad/gateway/gossip.py
+++ b/src/_coltsfootroad/gateway/gossip.py
@@ -78,8 +78,9 @@
     pass_on: bool = False
     # Services of which the sender reaches no endpoint.
     partitioned_from: tuple[str, ...] = ()
-    # Hashes of refused requests, and milliseconds until they may be retried.
-    refusals: tuple[tuple[int, int], ...] = ()
+    # Hashes of refused requests, and the milliseconds until they may be retried
+    # and until their deadlines.
+    refusals: tuple[tuple[int, int, int], ...] = ()
 
 
 DECODER = msgspec.msgpack.Decoder(WireSummary)
