platform: test the priority of a tenant

Cause: no test covers the new field. Change: the sample states a priority of one of two tenants; a wrong type is refused.

--- a/features/platform/decode.feature
+++ b/features/platform/decode.feature
@@ -19,6 +19,7 @@
       | routes.0.timeoutMs | 0      | timeout is 0   |
       | routes.1.service   | "no"   | 'no' is not known |
       | version            | "7"    | cannot be read |
+      | tenants.0.priority | "high" | cannot be read |
       | routes             | null   | cannot be read |
 
   Scenario Outline: A heartbeat in state <state> is <meaning>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -62,6 +62,7 @@
     assert engine.kv_tokens == 450_000
     assert config.services[1].engine is None
     assert config.holders[0].keys == ("k1", "k2")
+    assert [holder.priority for holder in config.holders] == [0, None]
     assert config.limits.idle_timeout_s == 15.0
 
 
