merge: share scarce engine time between workspaces

Change beside: equal priorities of all workspaces do not enable the sharing, as platforms state a priority for each workspace also where all are alike; a deployment without differing priorities is served as before.

--- a/features/platform/decode.feature
+++ b/features/platform/decode.feature
@@ -21,6 +21,7 @@
       | version            | "7"    | cannot be read |
       | services.0.coldPerS | -1    | is negative    |
       | services.0.coldPerS | "14"  | cannot be read |
+      | tenants.0.priority | "high" | cannot be read |
       | routes             | null   | cannot be read |
 
   Scenario Outline: A heartbeat in state <state> is <meaning>
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -23,6 +23,7 @@
 from _coltsfootroad.gateway import directory
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.gateway import evacuation
+from _coltsfootroad.gateway import fairness as fairness_lib
 from _coltsfootroad.gateway import front as front_lib
 from _coltsfootroad.gateway import gossip as gossip_lib
 from _coltsfootroad.gateway import leaderclient
@@ -86,6 +87,10 @@
         self.endpoints = endpointset.EndpointSet()
         self.evacuation = evacuation.Evacuation(self.endpoints, self.view)
         self.load = workload.Workload()
+        self.fairness = fairness_lib.Fairness(
+            self, self.rng, settings.fair_admission
+        )
+        self.load.on_foreign_work = self.fairness.on_foreign_work
         self.isolation = isolation.Isolation()
         self.chooser = engines.Chooser(
             self.endpoints,
@@ -361,6 +366,7 @@
                 "crashes": list(self.crash_reporter.recent.values()),
                 "isolated": list(self.isolation.suspects),
                 "reach": self.reach.services,
+                "fairness": self.fairness.dump(),
                 "forwards": dict(self.forwards),
                 "forwards_in_flight": dict(self.peers.in_flight),
                 "running": [e.request_id for e in self.running],
@@ -469,6 +475,7 @@
         self.add_budget_metrics()
         self.evacuation.add_metrics(self.metrics)
         self.cold.add_metrics(self.metrics)
+        self.fairness.add_metrics(self.metrics)
         counter("colts_log_dropped", "Log lines dropped", logs.dropped)
         traffic.PROCESS.add_metrics(self.metrics)
 
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -95,6 +95,8 @@
         cold_overrun: Factor on the rate that a cold endpoint can handle.
         cold_slack: Further requests in one second to a cold endpoint, over all
             gateways.
+        fair_admission: Whether workspaces share scarce capacity fairly also
+            where all of them have the same priority.
         log_level: Least severe level that is logged.
     """
 
@@ -128,6 +130,7 @@
     cold_slack: float = attrs.field(
         default=5.0, validator=attrs.validators.ge(0)
     )
+    fair_admission: bool = False
     log_level: str = "INFO"
 
     def control(self) -> tuple[str, ...]:
