control: bound the bodies of announcements

Cause: a heartbeat of some hundred bytes could have 8 MB, the limit of configurations, and take any time. Ruled out: a lower limit of the listener, as it also takes configurations. Conclusion: heads were bounded by tornado already (64 KB).

--- a/src/_coltsfootroad/shell/web.py
+++ b/src/_coltsfootroad/shell/web.py
@@ -13,6 +13,8 @@
 from _coltsfootroad.shell import settings as settings_lib
 
 IDLE_TIMEOUT_S = 300.0
+# Longest wait for a complete body. At 10 Mbit/s, 32 MB take 27 s.
+BODY_TIMEOUT_S = 60.0
 MAX_HEADER_BYTES = 64 * 1024
 # Expected responses, logged by the components that send them.
 UNLOGGED_STATUSES = (503,)
@@ -32,6 +34,7 @@
         max_buffer_size=max_body_bytes + MAX_HEADER_BYTES,
         max_header_size=MAX_HEADER_BYTES,
         idle_connection_timeout=IDLE_TIMEOUT_S,
+        body_timeout=BODY_TIMEOUT_S,
     )
     host, port = settings_lib.split_address(address)
     with listening.errors_at(address):
@@ -125,6 +128,29 @@
         return value if isinstance(value, dict) else None
 
 
+class LimitedBody:
+    """Limits the body of one handler's requests below the listener's limit.
+
+    Handlers with this base need `tornado.web.stream_request_body`. A larger
+    body gets status 400, and the connection is closed.
+
+    Attributes:
+        max_body_bytes: Largest body in bytes.
+        body: The body, as far as it was received.
+    """
+
+    max_body_bytes: int
+
+    def prepare(self):
+        """Set the limit before the body is read."""
+        self.body = bytearray()
+        self.request.connection.set_max_body_size(self.max_body_bytes)
+
+    def data_received(self, chunk):
+        """Store a chunk of the body."""
+        self.body += chunk
+
+
 class AdminHandler(Handler):
     """Base class of handlers that require the admin token."""
 
