gateway: bound the bytes of a response and those held for callers

Cause: heads had 64 KB, bodies were buffered up to 64 MB on VMs with 200 MB, and memory requests read whatever an engine sent. A response that violates HTTP counted as a lost connection, so its request was a suspect of crashes. Nothing bounded the sum of unread responses and request bodies. A stream whose caller paused counted its endpoint as silent and was sent again. A cancellation while a write waited was swallowed by the HTTP parser. Ruled out: one lower limit in the parser, as limits depend on the kind of response; a bound for each connection, which would be below one response; lists of received pieces, which take 40 times the memory for single bytes. Change: limits in responselimits.py; such a send ends as malformed, is lost, counts against the endpoint and is no crash. heldmemory.py decides which connection is closed above held_memory_share (0.2) of the memory. The watchdog waits while the caller reads. Figures: a gateway without load has 50 MB resident (one process, VmRSS). Without the change of the watchdog, the scenario of a pausing caller fails. Conclusion: endless responses and slow readers hold bounded memory.

--- a/features/support/gatewaybed.py
+++ b/features/support/gatewaybed.py
@@ -272,6 +272,16 @@
     whole: bool
 
 
+def request_headers(deadline_ms: int, key: str) -> dict[str, str]:
+    """Return the headers of a caller's request."""
+    return {
+        "Host": HOST,
+        "X-Request-Id": "r-1",
+        "X-Deadline-Ms": str(deadline_ms),
+        "X-Api-Key": key,
+    }
+
+
 def ask(
     port: int,
     path: str,
@@ -284,12 +294,7 @@
     connection = http.client.HTTPConnection(
         "127.0.0.1", port, timeout=TIMEOUT_S
     )
-    headers = {
-        "Host": HOST,
-        "X-Request-Id": "r-1",
-        "X-Deadline-Ms": str(deadline_ms),
-        "X-Api-Key": key,
-    }
+    headers = request_headers(deadline_ms, key)
     try:
         connection.request(method, path, b"body", headers | (extra or {}))
         answer = connection.getresponse()
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -13,6 +13,7 @@
 from _coltsfootroad.core.placement import startuplimit
 from _coltsfootroad.core.placement import urgency
 from _coltsfootroad.gateway import admission
+from _coltsfootroad.gateway import callermemory
 from _coltsfootroad.gateway import contentguard
 from _coltsfootroad.gateway import engines
 from _coltsfootroad.gateway import finalfailure
@@ -49,6 +50,7 @@
         connection: The caller's connection.
         request: The request as received.
         request_id: Request ID from the caller's headers, may be empty.
+        caller: Records the bytes that are held for the caller.
         admitted: The request's route and limits, None before admission.
         sends: Counts the sends to endpoints, None before admission.
         error_response: The last complete 5xx response of an endpoint.
@@ -65,6 +67,7 @@
     connection: http1connection.HTTP1Connection
     request: admission.CallerRequest
     request_id: str = ""
+    caller: callermemory.CallerConnection | None = None
     admitted: admission.Admitted | None = None
     sends: sends_lib.SendHistory | None = None
     error_response: responses.BufferedResponse | None = None
@@ -79,6 +82,8 @@
     def __attrs_post_init__(self):
         names = self.gateway.dialect.names
         self.request_id = self.request.headers.get(names.request_id, "")
+        if self.caller is None:
+            self.caller = self.gateway.caller_memory.open(self.connection)
         self.guard = contentguard.ContentGuard(self)
         self.budget = sendbudget.SendBudget(self)
         self.work = ownwork.OwnWork(self.gateway)
@@ -90,6 +95,7 @@
             self.request_id,
             self.request.arrived_at,
             self.record_event,
+            self.caller,
         )
 
     @property
@@ -432,6 +438,7 @@
             end=end.value,
             connect=connect.outcome(),
             status=sink.status,
+            fault=sink.fault.value if sink.fault else None,
             framing=sink.framing().value,
             took_s=round(clocks.boot_time() - now, 3),
             first_event_s=self.reply.first_event_s,
@@ -443,7 +450,7 @@
             self.reply.complete(sink)
             self.guard.on_answered(sink.status)
         elif end is upstream.CallEnd.LOST:
-            has_output = bool(sink.parts) or self.reply.last_event_at > now
+            has_output = bool(sink.body) or self.reply.last_event_at > now
             self.guard.on_lost(endpoint, now, has_output)
         elif end is upstream.CallEnd.STOPPED:
             self.guard.on_stopped(endpoint, now, clocks.boot_time())
@@ -464,11 +471,19 @@
 
     def make_sink(self) -> responses.BufferedResponse:
         """Return the sink for an endpoint's response."""
+        # An earlier response is dropped, or is an error response that is kept
+        # and not counted: at most 1 MB.
+        self.caller.hold_response(0)
         if self.route.kind is routes.RequestKind.STREAM:
             return responses.StreamedResponse(
-                self.names, self.request_id, reply=self.reply
+                self.names,
+                self.request_id,
+                self.caller.hold_response,
+                reply=self.reply,
             )
-        return responses.BufferedResponse(self.names, self.request_id)
+        return responses.BufferedResponse(
+            self.names, self.request_id, self.caller.hold_response
+        )
 
     def classify_outcome(
         self, end: upstream.CallEnd, sink: responses.BufferedResponse
@@ -476,7 +491,9 @@
         """Return the outcome of a send."""
         if end in upstream.NOTHING_SENT:
             return sends_lib.Outcome.NOT_RUN
-        if sink.genuine and sink.proves_not_run():
+        # What a malformed response states proves nothing.
+        is_readable = end is not upstream.CallEnd.MALFORMED
+        if is_readable and sink.genuine and sink.proves_not_run():
             return sends_lib.Outcome.NOT_RUN
         self.sends.runs += 1
         is_complete = (
--- a/src/_coltsfootroad/gateway/front.py
+++ b/src/_coltsfootroad/gateway/front.py
@@ -33,7 +33,8 @@
         self.connection = connection
         self.start = None
         self.headers = None
-        self.parts: list[bytes] = []
+        self.body = bytearray()
+        self.caller = gateway.caller_memory.open(connection)
         self.arrived_at = 0.0
         self.task: asyncio.Task | None = None
 
@@ -45,7 +46,8 @@
 
     def data_received(self, chunk):
         """Receive a chunk of the body."""
-        self.parts.append(chunk)
+        self.body += chunk
+        self.caller.hold_request(len(self.body))
 
     def finish(self):
         """Start to serve the complete request."""
@@ -53,11 +55,14 @@
         request = admission.CallerRequest(
             self.start,
             self.headers,
-            b"".join(self.parts),
+            bytes(self.body),
             self.arrived_at,
             self.headers.get(names.forwarded_by, ""),
         )
-        exchange = exchange_lib.Exchange(self.gateway, self.connection, request)
+        self.body.clear()
+        exchange = exchange_lib.Exchange(
+            self.gateway, self.connection, request, caller=self.caller
+        )
         self.connection.set_close_callback(self.on_caller_gone)
         self.gateway.running.add(exchange)
         self.task = asyncio.ensure_future(exchange.run())
@@ -71,6 +76,7 @@
     def on_done(self, exchange, task: asyncio.Task) -> None:
         """Handle the end of an exchange; log its exception if there is one."""
         self.gateway.running.discard(exchange)
+        self.caller.release()
         if task.cancelled():
             LOG.info(
                 "caller gone",
@@ -93,6 +99,9 @@
     def on_connection_close(self):
         """Cancel the exchange because the caller has disconnected."""
         self.on_caller_gone()
+        if self.task is None:
+            # The body was not complete, so that no exchange was started.
+            self.caller.release()
 
 
 class FrontServer(httpserver.HTTPServer):
--- a/src/_coltsfootroad/gateway/memoryreservation.py
+++ b/src/_coltsfootroad/gateway/memoryreservation.py
@@ -12,6 +12,7 @@
 
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.gateway import upstream
+from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import logs
 
 LOG = logs.logger("tickets")
@@ -103,7 +104,7 @@
         pool = self.gateway.pool(announcement.address)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
-                await pool.call(request, sink, True)
+                end = await pool.call(request, sink, True)
         except TimeoutError:
             LOG.info(
                 "memory request not answered",
@@ -111,8 +112,28 @@
                 endpoint=share.endpoint.name,
             )
             return 0
+        if end is upstream.CallEnd.MALFORMED:
+            self.record_fault(share, sink)
+            return 0
         return sink.status
 
+    def record_fault(self, share: MemoryShare, sink: StatusOnlySink) -> None:
+        """Count an engine as faulty whose response could not be read.
+
+        Memory that it has reserved is released like that of other engines.
+        """
+        endpoints = self.gateway.endpoints
+        if not endpoints.is_current(share.endpoint):
+            return
+        name = share.endpoint.name
+        LOG.info(
+            "endpoint rests",
+            request=self.request_id,
+            endpoint=name,
+            rest_s=endpoints.on_failure(name, clocks.boot_time(), False),
+            fault=sink.fault.value,
+        )
+
     async def renew(self) -> None:
         """Renew until cancelled."""
         while True:
--- a/src/_coltsfootroad/gateway/peerforwarding.py
+++ b/src/_coltsfootroad/gateway/peerforwarding.py
@@ -167,7 +167,8 @@
             took_s=round(clocks.boot_time() - started_at, 3),
             first_event_s=exchange.reply.first_event_s,
         )
-        if outcome is sends_lib.Outcome.NOT_RUN:
+        is_faulty = end is upstream.CallEnd.MALFORMED
+        if outcome is sends_lib.Outcome.NOT_RUN or is_faulty:
             gateway.peers.back_off(peer.entry, clocks.boot_time())
         elif outcome is sends_lib.Outcome.ANSWERED:
             gateway.forwards["answered"] += 1
@@ -203,6 +204,6 @@
     if is_endpoints or sink.status not in responses.NOT_RUN_STATUSES:
         return False
     with contextlib.suppress(msgspec.MsgspecError):
-        code = DECODER.decode(b"".join(sink.parts)).error.code
+        code = DECODER.decode(sink.body).error.code
         return code in NOTHING_SENT
     return False
--- a/src/_coltsfootroad/gateway/reply.py
+++ b/src/_coltsfootroad/gateway/reply.py
@@ -9,6 +9,7 @@
 
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import eventstream
+from _coltsfootroad.gateway import callermemory
 from _coltsfootroad.gateway import names as names_lib
 from _coltsfootroad.gateway import upstream
 from _coltsfootroad.shell import clocks
@@ -16,6 +17,8 @@
 from _coltsfootroad.shell import web
 
 LOG = logs.logger("request")
+# Larger bodies are written separately from the headers.
+MAX_COPIED_BYTES = 64 * 1024
 
 
 @attrs.define(eq=False)
@@ -28,6 +31,7 @@
         request_id: ID of the request.
         arrived_at: Boot clock seconds when the request's headers were read.
         on_event: Called before each write of new events.
+        caller: Records what the caller has not read.
         streaming: Whether the response has begun as a stream.
         last_event: ID of the last event that was forwarded.
         last_event_at: Boot clock seconds when that event was forwarded.
@@ -41,6 +45,7 @@
     request_id: str
     arrived_at: float
     on_event: Callable[[], None]
+    caller: callermemory.CallerConnection
     streaming: bool = False
     last_event: int | None = None
     last_event_at: float = 0.0
@@ -60,20 +65,21 @@
 
     def forward_events(self, events: list[eventstream.Event]):
         """Forward complete events, each event ID once."""
-        data = b""
+        found = []
         for event in events:
             last = self.last_event
             if event.number is not None:
                 if last is not None and event.number <= last:
                     continue
                 self.last_event = event.number
-            data += event.data
-        if not data:
+            found.append(event.data)
+        if not found:
             return None
         self.on_event()
         self.record_event_time(clocks.boot_time())
-        written = self.connection.write(data)
+        written = self.connection.write(b"".join(found))
         written.add_done_callback(upstream.consume_exception)
+        self.caller.on_written()
         return written
 
     def record_event_time(self, now: float) -> None:
@@ -101,15 +107,28 @@
             self.abort_stream(f"a later send got status {sink.status}")
             return
         if not self.streaming:
-            body = b"".join(sink.parts)
             headers = end_to_end_headers(sink.headers)
-            headers["Content-Length"] = str(len(body))
-            self.write_headers(sink.status, sink.reason, headers, body)
+            headers["Content-Length"] = str(len(sink.body))
+            self.write_response(sink.status, sink.reason, headers, sink.body)
         self.finish()
+        # The body now counts as unread.
+        self.caller.hold_response(0)
+        self.caller.on_written()
         self.gateway.record_response(
             sink.status, clocks.boot_time() - self.arrived_at
         )
 
+    def write_response(
+        self, status: int, reason: str, headers, body: bytearray
+    ) -> None:
+        """Write a complete response; a large body is not copied."""
+        if len(body) <= MAX_COPIED_BYTES:
+            self.write_headers(status, reason, headers, bytes(body))
+            return
+        self.write_headers(status, reason, headers)
+        written = self.connection.write(body)
+        written.add_done_callback(upstream.consume_exception)
+
     def finish(self) -> None:
         """Mark the response as complete."""
         try:
--- a/src/_coltsfootroad/gateway/responses.py
+++ b/src/_coltsfootroad/gateway/responses.py
@@ -1,5 +1,7 @@
 """Receives and checks endpoints' responses, buffered or event by event."""
 
+import asyncio
+from collections.abc import Callable
 import enum
 
 import attrs
@@ -8,11 +10,19 @@
 from _coltsfootroad.core import eventstream
 from _coltsfootroad.gateway import names as names_lib
 from _coltsfootroad.gateway import reply as reply_lib
+from _coltsfootroad.gateway import responselimits
 from _coltsfootroad.gateway import upstream
 
 MISDIRECTED = 421
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 REDIRECTION = 300
+# Larger chunks of a stream are divided, and other requests are served between
+# the pieces: 64 KB that hold only blank lines are 32,000 events.
+PIECE_BYTES = 8 * 1024
+
+
+def ignore_size(_: int) -> None:
+    """Ignore the size of a buffered body."""
 
 
 class Framing(enum.Enum):
@@ -34,16 +44,18 @@
         status: HTTP status, 0 before the headers arrive.
         reason: HTTP reason phrase.
         headers: Headers of the response.
-        parts: Chunks of the body.
+        on_buffered: Called with the number of bytes that are buffered.
+        body: The body, as far as it was received.
         genuine: Whether the endpoint itself responded, and to this request.
     """
 
     names: names_lib.HeaderNames
     request_id: str
+    on_buffered: Callable[[int], None] = ignore_size
     status: int = 0
     reason: str = ""
     headers: httputil.HTTPHeaders = attrs.Factory(httputil.HTTPHeaders)
-    parts: list[bytes] = attrs.Factory(list)
+    body: bytearray = attrs.Factory(bytearray)
     genuine: bool = False
 
     def on_head(self, status, reason, headers):
@@ -56,7 +68,17 @@
 
     def on_data(self, data):
         """Store a chunk of the body."""
-        self.parts.append(data)
+        self.body += data
+        self.on_buffered(len(self.body))
+
+    def body_limit(self):
+        """Return the limit of a body that is buffered."""
+        if self.status < REDIRECTION:
+            return responselimits.MAX_BODY_BYTES, responselimits.Fault.BODY
+        return (
+            responselimits.MAX_ERROR_BODY_BYTES,
+            responselimits.Fault.ERROR_BODY,
+        )
 
     def is_genuine(self) -> bool:
         """Return whether the endpoint itself responded, and to this request."""
@@ -122,9 +144,33 @@
     def on_data(self, data):
         """Forward complete events, or store a chunk of an error response."""
         if not self.is_stream():
-            self.parts.append(data)
+            BufferedResponse.on_data(self, data)
             return None
-        return self.reply.forward_events(self.splitter.feed(data))
+        if len(data) <= PIECE_BYTES:
+            return self.forward(data)
+        return self.forward_pieces(memoryview(data))
+
+    def body_limit(self):
+        """Return the limit of all events, or of an error response."""
+        if not self.is_stream():
+            return BufferedResponse.body_limit(self)
+        return responselimits.MAX_STREAM_BYTES, responselimits.Fault.STREAM
+
+    def forward(self, data):
+        """Forward the events that a piece completes."""
+        written = self.reply.forward_events(self.splitter.feed(data))
+        self.on_buffered(len(self.splitter.pending))
+        if self.splitter.is_over_limit:
+            self.abandon(responselimits.Fault.EVENT)
+        return written
+
+    async def forward_pieces(self, data) -> None:
+        """Forward the events of a large chunk piece by piece."""
+        for start in range(0, len(data), PIECE_BYTES):
+            written = self.forward(data[start : start + PIECE_BYTES])
+            if written is not None:
+                await written
+            await asyncio.sleep(0)
 
     def is_body_complete(self):
         """Return whether no partial event is left."""
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -7,6 +7,7 @@
 
 from _coltsfootroad.core import crashes
 from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import heldmemory
 from _coltsfootroad.core import isolation
 from _coltsfootroad.core import minimumshare
 from _coltsfootroad.core import peerchoice
@@ -16,6 +17,7 @@
 from _coltsfootroad.core import routeview
 from _coltsfootroad.core import windowbudget
 from _coltsfootroad.core.placement import workload
+from _coltsfootroad.gateway import callermemory
 from _coltsfootroad.gateway import crashdetector
 from _coltsfootroad.gateway import crashreporter
 from _coltsfootroad.gateway import dialect as dialect_lib
@@ -26,6 +28,7 @@
 from _coltsfootroad.gateway import leaderclient
 from _coltsfootroad.gateway import quarantine
 from _coltsfootroad.gateway import reachmonitor
+from _coltsfootroad.gateway import responselimits
 from _coltsfootroad.gateway import retryborrower
 from _coltsfootroad.gateway import startup
 from _coltsfootroad.gateway import upstream
@@ -33,6 +36,7 @@
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import logs
+from _coltsfootroad.shell import machinememory
 from _coltsfootroad.shell import metrics as metrics_lib
 from _coltsfootroad.shell import settings as settings_lib
 from _coltsfootroad.shell import traffic
@@ -121,6 +125,13 @@
         # Requests sent to, answered by and received from other gateways.
         self.forwards: collections.Counter = collections.Counter()
         self.lost_in_crashes = 0
+        self.caller_memory = callermemory.CallerMemory(
+            heldmemory.HeldMemory(
+                heldmemory.limit_bytes(
+                    machinememory.usable_bytes(), settings.held_memory_share
+                )
+            )
+        )
         self.front = front_lib.Front(self)
         self.gossip = gossip_lib.Gossip(self)
         self.watch = watch_lib.Watch(self)
@@ -350,6 +361,8 @@
                 "reach": self.reach.services,
                 "forwards": dict(self.forwards),
                 "forwards_in_flight": dict(self.peers.in_flight),
+                "held_memory": self.caller_memory.dump(),
+                "abandoned_responses": dict(responselimits.COUNTS),
                 "running": [e.request_id for e in self.running],
             }
         )
@@ -454,6 +467,13 @@
             lambda: dict(self.quarantine.refusals_by_kind),
         )
         self.add_budget_metrics()
+        self.caller_memory.add_metrics(self.metrics)
+        self.metrics.labelled_counter(
+            "colts_gateway_abandoned_responses",
+            "Responses over a limit or malformed, by fault",
+            "fault",
+            lambda: dict(responselimits.COUNTS),
+        )
         counter("colts_log_dropped", "Log lines dropped", logs.dropped)
         traffic.PROCESS.add_metrics(self.metrics)
 
--- a/src/_coltsfootroad/gateway/upstream.py
+++ b/src/_coltsfootroad/gateway/upstream.py
@@ -15,6 +15,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from _coltsfootroad.gateway import responselimits
 from _coltsfootroad.gateway import sockets
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import settings as settings_lib
@@ -29,8 +30,6 @@
 # Used when an endpoint states no keep-alive time.
 DEFAULT_KEEP_ALIVE_S = 1.0
 MAX_IDLE_PER_ENDPOINT = 8
-MAX_HEADER_BYTES = 64 * 1024
-MAX_BODY_BYTES = 64 * 1024 * 1024
 CHUNK_BYTES = 64 * 1024
 # Traffic counters of request and response bodies.
 REQUEST_KIND = "request"
@@ -70,6 +69,9 @@
     # The sender itself refused the send right before it.
     NOT_ALLOWED = "not_allowed"
     LOST = "lost"
+    # The response violates HTTP or has no end. The endpoint is at fault, and
+    # has not crashed. The request may have run.
+    MALFORMED = "malformed"
     SILENT = "silent"
     # Cancelled by the gateway because the request went into quarantine.
     STOPPED = "stopped"
@@ -92,7 +94,13 @@
 
 
 class ResponseSink(abc.ABC):
-    """Receives a response as it arrives."""
+    """Receives a response as it arrives.
+
+    Attributes:
+        fault: Why the response was abandoned, None if it was not.
+    """
+
+    fault: responselimits.Fault | None = None
 
     @abc.abstractmethod
     def on_head(self, status: int, reason: str, headers) -> bool:
@@ -100,7 +108,27 @@
 
     @abc.abstractmethod
     def on_data(self, data: bytes):
-        """Receive body bytes; may return a future to wait for."""
+        """Receive body bytes; may return a future to wait for.
+
+        Raises:
+            HTTPInputError: If the response is over a limit, see `abandon`.
+        """
+
+    def body_limit(self) -> tuple[int, responselimits.Fault]:
+        """Return the largest body in bytes, and the fault of a larger one."""
+        return (
+            responselimits.MAX_DISCARDED_BODY_BYTES,
+            responselimits.Fault.DISCARDED_BODY,
+        )
+
+    def abandon(self, fault: responselimits.Fault) -> None:
+        """Close the connection, as the response cannot be read to its end.
+
+        Raises:
+            HTTPInputError: Always; the HTTP parser closes the connection.
+        """
+        self.fault = fault
+        raise responselimits.input_error(fault)
 
 
 def allow_send() -> bool:
@@ -117,7 +145,19 @@
 
 
 class ResponseReader(httputil.HTTPMessageDelegate):
-    """Forwards tornado's parser callbacks to a sink."""
+    """Forwards tornado's parser callbacks to a sink.
+
+    Attributes:
+        sink: Receives the response.
+        headers: Headers of the response, None before they arrive.
+        complete: Whether the response is complete by its framing.
+        status: HTTP status, 0 before the headers arrive.
+        aborted: Whether the sink discards the body.
+        body_bytes: Number of bytes of the body that were received.
+        sink_failed: Whether the sink did not accept the body; mostly, the
+            caller has closed its connection.
+        is_cancelled: Whether the call was cancelled while the sink waited.
+    """
 
     def __init__(self, sink: ResponseSink):
         self.sink = sink
@@ -125,6 +165,9 @@
         self.complete = False
         self.status = 0
         self.aborted = False
+        self.body_bytes = 0
+        self.sink_failed = False
+        self.is_cancelled = False
 
     def headers_received(self, start_line, headers):
         """Receive the headers; 1xx responses are ignored."""
@@ -140,7 +183,31 @@
     def data_received(self, chunk):
         """Receive a chunk of the body."""
         traffic.count_received(RESPONSE_KIND, len(chunk))
-        return None if self.aborted else self.sink.on_data(chunk)
+        self.body_bytes += len(chunk)
+        if self.aborted:
+            limit, fault = ResponseSink.body_limit(self.sink)
+        else:
+            limit, fault = self.sink.body_limit()
+        if self.body_bytes > limit:
+            self.sink.abandon(fault)
+        if self.aborted:
+            return None
+        waiting = self.sink.on_data(chunk)
+        return None if waiting is None else self.wait_for(waiting)
+
+    async def wait_for(self, waiting) -> None:
+        """Wait until the sink has accepted a chunk."""
+        try:
+            await waiting
+        except httputil.HTTPInputError:
+            raise
+        except asyncio.CancelledError:
+            # The parser would report a cancellation as a fault of the sink.
+            self.is_cancelled = True
+            raise httputil.HTTPInputError("cancelled") from None
+        except Exception:
+            self.sink_failed = True
+            raise
 
     def finish(self):
         """Mark the response as complete according to its framing."""
@@ -258,10 +325,19 @@
             connection.finish()
             stream.set_nodelay(True)
             await connection.read_response(reader)
+            if not reader.complete:
+                # The parser closed the connection, or the sink failed.
+                if reader.is_cancelled:
+                    raise asyncio.CancelledError
+                if reader.sink_failed:
+                    return CallEnd.LOST
+                return self.abandoned(request, reader, sink.fault)
             is_complete = reader.complete and stream.error is None
             keep = is_complete and is_reusable(stream, reader, written.done())
             return CallEnd.COMPLETE if is_complete else CallEnd.LOST
         except (iostream.StreamClosedError, OSError):
+            if isinstance(stream.error, iostream.UnsatisfiableReadError):
+                return self.abandoned(request, reader, unbounded_line(reader))
             return CallEnd.LOST
         finally:
             if keep:
@@ -269,6 +345,19 @@
             else:
                 stream.close()
 
+    def abandoned(
+        self,
+        request: UpstreamRequest,
+        reader: ResponseReader,
+        fault: responselimits.Fault | None,
+    ) -> CallEnd:
+        """Record a response that is not read any further."""
+        reader.sink.fault = fault or responselimits.Fault.FRAMING
+        responselimits.record(
+            self.address, reader.sink.fault, request.target, reader.body_bytes
+        )
+        return CallEnd.MALFORMED
+
     def keep(self, stream: iostream.IOStream, headers) -> None:
         """Pool a connection for part of the endpoint's keep-alive time."""
         keep_alive_time_s = keep_alive_s(headers)
@@ -288,8 +377,9 @@
 
 
 PARAMETERS = http1connection.HTTP1ConnectionParameters(
-    max_header_size=MAX_HEADER_BYTES,
-    max_body_size=MAX_BODY_BYTES,
+    max_header_size=responselimits.MAX_HEAD_BYTES,
+    # Sinks have lower limits; this one applies to streams.
+    max_body_size=responselimits.MAX_STREAM_BYTES,
     chunk_size=CHUNK_BYTES,
     decompress=False,
 )
@@ -305,6 +395,13 @@
     return ConnectFailure.FAILED
 
 
+def unbounded_line(reader: ResponseReader) -> responselimits.Fault:
+    """Return the fault of a line without end: in the head or of a chunk."""
+    if reader.headers is None:
+        return responselimits.Fault.HEAD
+    return responselimits.Fault.FRAMING
+
+
 def ignore_close() -> None:
     """Ignore that an idle connection closed; `take_idle` detects it."""
 
--- a/src/_coltsfootroad/gateway/watchdog.py
+++ b/src/_coltsfootroad/gateway/watchdog.py
@@ -51,10 +51,17 @@
         """End the send, or schedule the next check."""
         now = clocks.boot_time()
         loop = asyncio.get_running_loop()
-        silent_s = now - max(self.started_at, self.exchange.reply.last_event_at)
+        silent_s = now - max(
+            self.started_at,
+            self.exchange.reply.last_event_at,
+            self.exchange.caller.read_at,
+        )
         allowed_s = self.allowed_silence_s(now)
         left_s = allowed_s - silent_s
-        if left_s > 0:
+        if self.exchange.caller.is_flushing:
+            # Nothing is read from the endpoint until the caller reads.
+            self.timer = loop.call_later(RECHECK_INTERVAL_S, self.check)
+        elif left_s > 0:
             self.timer = loop.call_later(
                 min(left_s, RECHECK_INTERVAL_S), self.check
             )
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -39,6 +39,14 @@
         )
 
 
+def check_share(_, attribute, value) -> None:
+    """Reject values that are not above 0 and at most 1."""
+    if not 0 < value <= 1:
+        raise ValueError(
+            f"{attribute.name} is {value!r}, must be above 0 and at most 1"
+        )
+
+
 LISTEN_ADDRESS = {"validator": check_address}
 
 
@@ -72,6 +80,8 @@
         retry_ratio: Retries as a fraction of the requests for a service.
         retry_slack: Further retries in one window, over all gateways.
         retry_window_s: Length of the window.
+        held_memory_share: Largest part of the memory that is used to hold
+            requests and responses for callers, from 0 to 1.
         log_level: Least severe level that is logged.
     """
 
@@ -99,6 +109,8 @@
     retry_window_s: float = attrs.field(
         default=10.0, validator=documents.check_positive
     )
+    # A gateway without load takes 50 MB; the smallest VMs have 200 MB.
+    held_memory_share: float = attrs.field(default=0.2, validator=check_share)
     log_level: str = "INFO"
 
     def control(self) -> tuple[str, ...]:
