--- a/src/_coltsfootroad/commands/control.py
+++ b/src/_coltsfootroad/commands/control.py
@@ -17,7 +17,7 @@
 LOG = logs.logger("main")
 # Serves a platform's API; its calls are forwarded to the leader.
 AddPlatformApi = Callable[
-    [links.ControlClient, settings_lib.ControlSettings], None
+    [links.ControlClient, settings_lib.ControlSettings], object
 ]
 BOOTSTRAP = flags.DEFINE_bool(
     "bootstrap",
--- a/src/_coltsfootroad/gateway/coldadmission.py
+++ b/src/_coltsfootroad/gateway/coldadmission.py
@@ -50,6 +50,19 @@
         """Pass a chunk on."""
         return self.sink.on_data(data)
 
+    def body_limit(self):
+        """Return the limit of the sink."""
+        return self.sink.body_limit()
+
+    @property
+    def fault(self):
+        """Return why the response was abandoned."""
+        return self.sink.fault
+
+    @fault.setter
+    def fault(self, fault):
+        self.sink.fault = fault
+
 
 @attrs.define(eq=False)
 class ColdAdmission:
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -40,6 +40,14 @@
         )
 
 
+def check_share(_, attribute, value) -> None:
+    """Reject values that are not above 0 and at most 1."""
+    if not 0 < value <= 1:
+        raise ValueError(
+            f"{attribute.name} is {value!r}, must be above 0 and at most 1"
+        )
+
+
 LISTEN_ADDRESS = {"validator": check_address}
 ZoneNames = typing.NewType("ZoneNames", tuple[str, ...])
 
@@ -97,6 +105,8 @@
             gateways.
         fair_admission: Whether workspaces share scarce capacity fairly also
             where all of them have the same priority.
+        held_memory_share: Largest part of the memory that is used to hold
+            requests and responses for callers, from 0 to 1.
         log_level: Least severe level that is logged.
     """
 
@@ -131,6 +141,8 @@
         default=5.0, validator=attrs.validators.ge(0)
     )
     fair_admission: bool = False
+    # A gateway without load takes 50 MB; the smallest VMs have 200 MB.
+    held_memory_share: float = attrs.field(default=0.2, validator=check_share)
     log_level: str = "INFO"
 
     def control(self) -> tuple[str, ...]:
