core: learn the slowdown of engines from the times of their events

Cause: engines are 3 to 5 times slower for 5 to 7 s, and placement reads a slowdown that was always 1.0. Readings travel with the work item of their stream. Three fields at the end of a change have defaults.

--- a/src/_coltsfootroad/core/placement/work.py
+++ b/src/_coltsfootroad/core/placement/work.py
@@ -21,6 +21,8 @@
         value: Relative cost of a late answer to the caller.
         late: Whether it had missed its target when it was sent. An engine
             serves it after requests that can meet theirs.
+        slowdown: The engine's slowdown by this stream, 0 without a reading.
+        slowdown_read_at: Time of that reading.
     """
 
     endpoint: str
@@ -34,6 +36,8 @@
     gap_target_s: float = 0.0
     value: float = 1.0
     late: bool = False
+    slowdown: float = 0.0
+    slowdown_read_at: float = float("-inf")
 
     @property
     def is_late_waiting(self) -> bool:
--- a/src/_coltsfootroad/core/placement/workload.py
+++ b/src/_coltsfootroad/core/placement/workload.py
@@ -1,5 +1,7 @@
 """Tracks unfinished work of all gateways at each endpoint."""
 
+import abc
+
 import attrs
 
 from _coltsfootroad.core.placement import loadindex
@@ -9,6 +11,12 @@
 # work has ended with it or cannot be tracked any longer.
 GATEWAY_TIMEOUT_S = 2.5
 MS = 1000
+TENTHS = 10
+# Slowdown of an engine that is as fast as its specification.
+SOUND = 1.0
+# Older readings of an engine's slowdown are not sent with full summaries: a
+# stream whose engine has stopped would report its last one forever.
+SLOWDOWN_VALID_S = 0.6
 # Stands for this gateway's name in the keys of the load index.
 OWN_GATEWAY = ""
 
@@ -20,6 +28,10 @@
     Encoded as a list, since field names would be most of the bytes. The age
     replaces the start time, since clocks differ between VMs. An empty endpoint
     means that the work has ended.
+
+    `slowdown_tenths` is the engine's slowdown by this stream, 0 if unknown. The
+    end of a plain call states how long it took in `took_ms`, or the endpoint
+    that failed it in `failed_at`.
     """
 
     key: int
@@ -34,6 +46,37 @@
     gap_target_ms: int = 0
     value: float = 1.0
     late: bool = False
+    slowdown_tenths: int = 0
+    took_ms: int = 0
+    failed_at: str = ""
+
+
+class ResultObserver(abc.ABC):
+    """Learns from the results that other gateways report with their work."""
+
+    @abc.abstractmethod
+    def on_slowdown(
+        self, key: loadindex.WorkKey, work: work_lib.WorkItem, now: float
+    ) -> None:
+        """Receive an engine's slowdown as a stream observed it."""
+
+    @abc.abstractmethod
+    def on_call_time(
+        self, work: work_lib.WorkItem, seconds: float, now: float
+    ) -> None:
+        """Receive the time that a plain call took."""
+
+    @abc.abstractmethod
+    def on_call_failure(self, endpoint: str, now: float) -> None:
+        """Receive the failure of a plain call."""
+
+
+@attrs.frozen
+class CallResult:
+    """The result of an own plain call that has ended."""
+
+    took_ms: int = 0
+    failed_at: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -82,6 +125,8 @@
             changes.
         published: Keys of own work that was published to other gateways.
         next_key: Key of the next work item.
+        results: Unpublished results of own calls that have ended.
+        observer: Receives the results that other gateways report.
     """
 
     own: dict[int, work_lib.WorkItem] = attrs.Factory(dict)
@@ -90,6 +135,8 @@
     changed: dict[int, None] = attrs.Factory(dict)
     published: set[int] = attrs.Factory(set)
     next_key: int = 1
+    results: dict[int, CallResult] = attrs.Factory(dict)
+    observer: ResultObserver | None = None
 
     def add(self, work: work_lib.WorkItem) -> int:
         """Add own work that is about to be sent; return its key."""
@@ -119,18 +166,50 @@
         self.changed[key] = None
         self.index.put((OWN_GATEWAY, key), self.own[key])
 
+    def add_result(self, key: int, result: CallResult) -> None:
+        """Publish the result of an own call that has just ended.
+
+        The time of a call is published only if its end is, a failure always.
+        """
+        if key in self.changed or result.failed_at:
+            self.changed[key] = None
+            self.results[key] = result
+
+    def set_slowdown(self, key: int, slowdown: float, now: float) -> bool:
+        """Record an engine's slowdown by an own stream; return if it is news.
+
+        That a sound engine is sound is sent with full summaries only. The
+        slowdown does not affect the engine's work, so the index keeps its
+        version.
+        """
+        work = self.own.get(key)
+        if work is None:
+            return False
+        before, work.slowdown = work.slowdown, slowdown
+        work.slowdown_read_at = now
+        if before == slowdown or max(before, slowdown) <= SOUND:
+            return False
+        self.changed[key] = None
+        return True
+
     def collect_changes(self, full: bool, now: float) -> tuple[Change, ...]:
         """Return the unpublished changes, or all own work if `full`."""
-        keys = list(self.own if full else self.changed)
+        keys = [*self.own, *self.results] if full else list(self.changed)
+        changes = tuple(self.make_change(key, now) for key in keys)
         self.changed.clear()
+        self.results.clear()
         self.published = set(self.own)
-        return tuple(self.make_change(key, now) for key in keys)
+        return changes
 
     def make_change(self, key: int, now: float) -> Change:
         """Return the change that publishes one work item."""
         work = self.own.get(key)
         if work is None:
-            return Change(key)
+            result = self.results.get(key, CallResult())
+            return Change(
+                key, took_ms=result.took_ms, failed_at=result.failed_at
+            )
+        is_recent = now - work.slowdown_read_at <= SLOWDOWN_VALID_S
         return Change(
             key,
             work.endpoint,
@@ -144,6 +223,7 @@
             int(work.gap_target_s * MS),
             round(work.value, 1),
             work.late,
+            round(work.slowdown * TENTHS) if is_recent else 0,
         )
 
     def apply_summary(self, summary: Summary, now: float) -> bool:
@@ -181,6 +261,25 @@
             self.index.put(key, work)
         if change.endpoint and change.prompt_tokens:
             known.prompts.add(change.key)
+        if self.observer is not None:
+            self.report_result(key, before, change, now)
+
+    def report_result(
+        self,
+        key: loadindex.WorkKey,
+        before: work_lib.WorkItem | None,
+        change: Change,
+        now: float,
+    ) -> None:
+        """Pass on the result in another gateway's change, if it has one."""
+        if change.failed_at:
+            self.observer.on_call_failure(change.failed_at, now)
+        elif change.took_ms and before is not None:
+            self.observer.on_call_time(before, change.took_ms / MS, now)
+        elif change.slowdown_tenths and change.endpoint:
+            work = to_work(change, now)
+            work.slowdown = change.slowdown_tenths / TENTHS
+            self.observer.on_slowdown(key, work, now)
 
     def count_own_prompts(self) -> int:
         """Return the number of prompts that this gateway has at engines."""
--- a/src/_coltsfootroad/gateway/gossip.py
+++ b/src/_coltsfootroad/gateway/gossip.py
@@ -53,6 +53,10 @@
     gap_target_ms: int
     value: float
     late: bool
+    # Earlier builds neither send nor read what follows.
+    slowdown_tenths: int = 0
+    took_ms: int = 0
+    failed_at: str = ""
 
 
 class WireSummary(msgspec.Struct, array_like=True):
