gateway: feed the times of sends to what is learned of uneven endpoints

Cause: the records in core need the sends and the other gateways' readings. Ruled out: pauses that the caller's connection caused, which would make engines with slow readers look slow. Change: pacing.py with log lines, metrics and a section of the dump; the choice and the watchdog's predictions read the slowdown; a call that no endpoint can answer before its deadline is refused at once as not run; prompts that may be split leave out engines that counted as slow until a reading shows that they are sound. Conclusion: without slow or failing endpoints requests are sent as before.

--- a/src/_coltsfootroad/gateway/engines.py
+++ b/src/_coltsfootroad/gateway/engines.py
@@ -4,9 +4,12 @@
 
 import attrs
 
+from _coltsfootroad.core import callrecords
 from _coltsfootroad.core import endpointset
 from _coltsfootroad.core import fingerprints
 from _coltsfootroad.core import isolation as isolation_lib
+from _coltsfootroad.core import pace
+from _coltsfootroad.core import plainchoice
 from _coltsfootroad.core import routes
 from _coltsfootroad.core.placement import candidates
 from _coltsfootroad.core.placement import engineplacement
@@ -29,6 +32,8 @@
         load: Work items in flight at the endpoint.
         late_waiting: Requests of the service that wait past their target.
         batch_slots: Batch slots of all endpoints of the service.
+        least_s: Seconds that a plain call takes at the least, 0 if unknown.
+        factor: Factor on the expected time of a plain endpoint, or slowdown.
     """
 
     endpoint: endpointset.KnownEndpoint
@@ -39,6 +44,8 @@
     load: int = 0
     late_waiting: int = 0
     batch_slots: int = 0
+    least_s: float = 0.0
+    factor: float = 1.0
 
 
 @attrs.define
@@ -51,6 +58,8 @@
     rng: random.Random
     isolation: isolation_lib.Isolation = attrs.Factory(isolation_lib.Isolation)
     limits: candidates.CandidateLimits = candidates.DEFAULT_LIMITS
+    calls: callrecords.CallRecords = attrs.Factory(callrecords.CallRecords)
+    paces: pace.PaceTable = attrs.Factory(pace.PaceTable)
     state_cache: enginestatecache.EngineStateCache = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -80,14 +89,25 @@
         if not sampled:
             return None
         if spec.engine is None or prompt is None:
-            return self.least_loaded(sampled)
+            return self.choose_plain(
+                plainchoice.untried(sampled, known, avoid), now
+            )
         return self.place_prompt(spec, prompt, sampled, now)
 
-    def least_loaded(self, sampled: list[endpointset.KnownEndpoint]) -> Choice:
-        """Return the endpoint with the least work, the first one on a tie."""
-        loads = [len(self.state_cache.current_work(known)) for known in sampled]
-        least = min(loads)
-        return Choice(endpoint=sampled[loads.index(least)], load=least)
+    def choose_plain(
+        self, compared: list[endpointset.KnownEndpoint], now: float
+    ) -> Choice:
+        """Return the endpoint of a plain call."""
+        loads = [
+            len(self.state_cache.current_work(known)) for known in compared
+        ]
+        found = plainchoice.choose(compared, loads, self.calls, now)
+        return Choice(
+            endpoint=compared[found.index],
+            load=loads[found.index],
+            least_s=found.least_s,
+            factor=found.factor,
+        )
 
     def place_prompt(
         self,
@@ -107,6 +127,8 @@
             self.availability_zone,
             engine.slots,
         )
+        if is_long:
+            picked = self.paces.without_unproved(picked, now)
         states = [
             self.state_cache.state(known, engine, now) for known in picked
         ]
@@ -130,6 +152,7 @@
             late_waiting=self.late_waiting(spec.name),
             batch_slots=engine.slots
             * len(self.endpoints.serving_endpoints(spec.name)),
+            factor=lead.slowdown,
         )
 
     def late_waiting(self, service: str) -> int:
@@ -148,4 +171,6 @@
     ) -> float:
         """Return the known remaining prefill time of an engine."""
         works = self.load.at_endpoint(known.name)
-        return enginestate.remaining_prefill_s(works, engine, now)
+        return enginestate.remaining_prefill_s(
+            works, engine, now, known.slowdown
+        )
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -21,6 +21,7 @@
 from _coltsfootroad.gateway import memoryreservation
 from _coltsfootroad.gateway import names as names_lib
 from _coltsfootroad.gateway import ownwork
+from _coltsfootroad.gateway import pacing
 from _coltsfootroad.gateway import peerforwarding
 from _coltsfootroad.gateway import reply as reply_lib
 from _coltsfootroad.gateway import responses
@@ -53,6 +54,7 @@
         sends: Counts the sends to endpoints, None before admission.
         error_response: The last complete 5xx response of an endpoint.
         reservation: Memory that is reserved for the current send.
+        pace: Times of the current send, None before the first one.
         guard: Applies the quarantine to the request.
         budget: Charges retries to the service's retry budget.
         work: Reports the current send as load.
@@ -69,6 +71,7 @@
     sends: sends_lib.SendHistory | None = None
     error_response: responses.BufferedResponse | None = None
     reservation: memoryreservation.MemoryReservation | None = None
+    pace: pacing.SendPace | None = None
     guard: contentguard.ContentGuard = attrs.field(init=False)
     budget: sendbudget.SendBudget = attrs.field(init=False)
     work: ownwork.OwnWork = attrs.field(init=False)
@@ -156,6 +159,7 @@
             async with asyncio.timeout(max(0.0, left_s)):
                 await self.attempt_until_done()
         except TimeoutError:
+            self.gateway.pacing.on_deadline(self.pace, clocks.boot_time())
             self.final_failure.on_deadline()
         finally:
             self.work.end()
@@ -222,6 +226,11 @@
                 reason or "no endpoint serves the request now"
             )
             return None
+        left_s = self.deadline - clocks.boot_time()
+        is_call = pacing.is_plain_call(self.service, self.route)
+        if is_call and choice.least_s > left_s:
+            self.final_failure.refuse_unmeetable(choice, left_s)
+            return None
         retry_after_s = self.shed_delay_s(choice)
         if retry_after_s is not None:
             self.final_failure.shed(choice, retry_after_s)
@@ -396,6 +405,7 @@
             proof_age_s=round(self.gateway.view.age_s(now), 3),
             load=choice.load,
             predicted_s=round(choice.predicted_s, 3),
+            factor=round(choice.factor, 2),
             helpers=[known.name for known in choice.helpers],
             isolated=self.guard.isolated_as() is not None,
         )
@@ -405,6 +415,14 @@
             if self.guard.entries():
                 return sends_lib.Outcome.NOT_RUN
             self.sends.count += 1
+            self.pace = self.gateway.pacing.begin(
+                choice,
+                self.service,
+                self.route,
+                self.work.keys[0],
+                self.reply.streaming,
+                clocks.boot_time(),
+            )
             end = await self.call_with_silence_timeout(
                 choice, pool, sink, connect
             )
@@ -416,6 +434,10 @@
             self.work.end()
             self.release_reservation()
         outcome = self.classify_outcome(end, sink)
+        send_pace, self.pace = self.pace, None
+        self.gateway.pacing.end(
+            send_pace, outcome, end, sink.status, clocks.boot_time()
+        )
         health.update_endpoints(
             self.gateway.endpoints,
             choice,
@@ -489,8 +511,12 @@
             return sends_lib.Outcome.FAULT
         return sends_lib.Outcome.ANSWERED
 
-    def record_event(self) -> None:
-        """Record an event: prefill is complete, or a pause has ended."""
+    def record_event(self, count: int) -> None:
+        """Record `count` events: prefill is complete, or a pause has ended."""
         now = clocks.boot_time()
         if self.work.record_event(now - self.reply.last_event_at):
             self.gateway.record_first_event(now - self.request.arrived_at)
+        if self.pace is not None:
+            self.gateway.pacing.on_events(
+                self.pace, count, self.reply.is_write_blocked, now
+            )
--- a/src/_coltsfootroad/gateway/finalfailure.py
+++ b/src/_coltsfootroad/gateway/finalfailure.py
@@ -14,6 +14,8 @@
 # Stated when this gateway reaches no endpoint and knows no gateway that does; a
 # lost path is probed this often.
 UNREACHABLE_RETRY_AFTER_S = 0.5
+# Callers retry after at most this share of their remaining time.
+UNMEETABLE_RETRY_SHARE = 1 / 3
 
 
 @attrs.define(eq=False)
@@ -87,6 +89,23 @@
             )
         )
 
+    def refuse_unmeetable(self, choice: engines.Choice, left_s: float) -> None:
+        """Refuse a call that no endpoint can answer before its deadline."""
+        reason = (
+            f"{left_s:.3f} s are left, a call takes {choice.least_s:.3f} s at"
+            f" the least with {choice.load} in flight"
+        )
+        exchange = self.exchange
+        if exchange.sends.count:
+            self.send(reason)
+            return
+        retry_after_s = min(choice.least_s, left_s * UNMEETABLE_RETRY_SHARE)
+        self.refuse(
+            admission.refusal(
+                errors.ErrorCode.DEADLINE_UNREACHABLE, reason, retry_after_s
+            )
+        )
+
     def on_deadline(self) -> None:
         """Respond to a request whose deadline has passed."""
         exchange = self.exchange
--- a/src/_coltsfootroad/gateway/reply.py
+++ b/src/_coltsfootroad/gateway/reply.py
@@ -27,25 +27,29 @@
         connection: The caller's connection.
         request_id: ID of the request.
         arrived_at: Boot clock seconds when the request's headers were read.
-        on_event: Called before each write of new events.
+        on_event: Called with the number of events before each write of new
+            events.
         streaming: Whether the response has begun as a stream.
         last_event: ID of the last event that was forwarded.
         last_event_at: Boot clock seconds when that event was forwarded.
         first_event_s: Seconds from the request's headers to its first event,
             None before it.
         longest_pause_s: Longest pause between two events in seconds.
+        is_write_blocked: Whether the caller's connection did not take the last
+            events at once. The next ones are read after that.
     """
 
     gateway: object
     connection: http1connection.HTTP1Connection
     request_id: str
     arrived_at: float
-    on_event: Callable[[], None]
+    on_event: Callable[[int], None]
     streaming: bool = False
     last_event: int | None = None
     last_event_at: float = 0.0
     first_event_s: float | None = None
     longest_pause_s: float = 0.0
+    is_write_blocked: bool = False
 
     def open_stream(self, status: int, reason: str, headers) -> None:
         """Start a streamed response; a resumed stream keeps its headers."""
@@ -61,6 +65,7 @@
     def forward_events(self, events: list[eventstream.Event]):
         """Forward complete events, each event ID once."""
         data = b""
+        count = 0
         for event in events:
             last = self.last_event
             if event.number is not None:
@@ -68,12 +73,14 @@
                     continue
                 self.last_event = event.number
             data += event.data
+            count += 1
         if not data:
             return None
-        self.on_event()
+        self.on_event(count)
         self.record_event_time(clocks.boot_time())
         written = self.connection.write(data)
         written.add_done_callback(upstream.consume_exception)
+        self.is_write_blocked = self.connection.stream.writing()
         return written
 
     def record_event_time(self, now: float) -> None:
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -24,6 +24,7 @@
 from _coltsfootroad.gateway import front as front_lib
 from _coltsfootroad.gateway import gossip as gossip_lib
 from _coltsfootroad.gateway import leaderclient
+from _coltsfootroad.gateway import pacing
 from _coltsfootroad.gateway import quarantine
 from _coltsfootroad.gateway import reachmonitor
 from _coltsfootroad.gateway import retryborrower
@@ -91,6 +92,14 @@
             self.rng,
             self.isolation,
         )
+        self.pacing = pacing.Pacing(
+            self.endpoints,
+            self.load,
+            self.notify_peers,
+            self.chooser.calls,
+            self.chooser.paces,
+        )
+        self.load.observer = self.pacing
         self.reach = reachability.Reachability(self.endpoints)
         self.reach_monitor = reachmonitor.ReachMonitor(
             self.reach, self.rng, self.on_reach_change
@@ -183,6 +192,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self.load.expire(clocks.boot_time())
+            self.pacing.advance(clocks.boot_time())
             self.gossip.refresh()
             traffic.PROCESS.log_if_due(clocks.boot_time())
 
@@ -348,6 +358,7 @@
                 "crashes": list(self.crash_reporter.recent.values()),
                 "isolated": list(self.isolation.suspects),
                 "reach": self.reach.services,
+                "uneven": self.pacing.dump(),
                 "forwards": dict(self.forwards),
                 "forwards_in_flight": dict(self.peers.in_flight),
                 "running": [e.request_id for e in self.running],
@@ -453,6 +464,7 @@
             "kind",
             lambda: dict(self.quarantine.refusals_by_kind),
         )
+        self.pacing.add_metrics(self.metrics)
         self.add_budget_metrics()
         counter("colts_log_dropped", "Log lines dropped", logs.dropped)
         traffic.PROCESS.add_metrics(self.metrics)
