benchmarks: emulate engines that are slow for some seconds

Cause: nothing showed what learned slowdowns change for callers. Ruled out: a slowdown fixed at the start of a pass, as a pass with a long prompt then stayed slow for up to 14 s. Placement's limits were passed as the chooser's isolation; they are passed by name.

--- a/benchmarks/mixes.py
+++ b/benchmarks/mixes.py
@@ -136,6 +136,41 @@
     attrs.evolve(prompt_class, per_s=9.0 * prompt_class.per_s)
     for prompt_class in LARGE
 )
+# The deployment with uneven engines. The stride and the spreads are assumed to be
+# those of the deployments above.
+UNEVEN = tuple(
+    attrs.evolve(prompt_class, target_s=target_s, gap_s=gap_s)
+    for prompt_class, target_s, gap_s in zip(
+        prompt_classes(
+            (40.9, 4.99, 0.935),
+            (260_000, 8.057),
+            (1.8, 2.4, 12.0),
+            (0.19, 0.59, 4.7),
+        ),
+        (0.271, 1.533, 8.057),
+        (0.25, 0.6, 1.0),
+        strict=True,
+    )
+)
+UNEVEN_SPEC = routes.EngineSpec(
+    slots=6,
+    kv_tokens=344_250,
+    stride=52,
+    step_s=0.00131,
+    per_sequence_s=0.0000137,
+    context_s_per_token=0.0000000036,
+    read_tokens_per_s=154_000.0,
+    pair_s=0.152e-9,
+    chunk_tokens=2_048,
+    hop_s=0.00014,
+)
+# Bursts of long prompts, then of short ones.
+UNEVEN_PHASES = (
+    (4.0, (1.0, 1.0, 1.0)),
+    (6.0, (1.0, 1.0, 2.45)),
+    (6.0, (1.8, 1.0, 1.0)),
+    (14.0, (1.0, 1.0, 1.0)),
+)
 # Rate factors of the short, middle and long class.
 SHORT_HEAVY = (2.45, 0.5, 0.05)
 LONG_HEAVY = (0.34, 1.3, 2.7)
@@ -254,6 +289,13 @@
         prompt_classes=LARGE,
         phases=scale_phases(SHORT_FIRST_PHASES, 1.7),
     ),
+    Load(
+        name="uneven",
+        engines=69,
+        spec=UNEVEN_SPEC,
+        prompt_classes=UNEVEN,
+        phases=UNEVEN_PHASES,
+    ),
     Load(
         name="huge",
         engines=1_000,
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -166,6 +166,8 @@
     running: dict[int, Arrival] = attrs.Factory(dict)
     next_passes: list[tuple[float, int]] = attrs.Factory(list)
     busy_engines: set[int] = attrs.Factory(set)
+    # Events that passes emit at their end, in the order of time.
+    due_events: list[tuple[float, int, batchengine.Job]] = attrs.Factory(list)
 
     def __attrs_post_init__(self):
         for index in range(self.load.engines):
@@ -179,7 +181,7 @@
                 load,
                 f"zone-{index % ZONES}",
                 self.rng,
-                self.limits,
+                limits=self.limits,
             )
             for index, load in enumerate(self.views.loads)
         ]
@@ -187,8 +189,7 @@
     def run(self, arrivals: list[Arrival]) -> None:
         """Simulate all arrivals until they end."""
         self.engines = [
-            batchengine.BatchEngine(self.load.spec)
-            for _ in range(self.load.engines)
+            self.make_engine(index) for index in range(self.load.engines)
         ]
         for arrival in arrivals:
             arrival.gateway = self.rng.randrange(self.gateways)
@@ -206,8 +207,9 @@
         self.advance(arrivals[-1].at + DRAIN_S)
 
     def advance(self, until: float) -> None:
-        """Run the passes that start up to a time."""
+        """Run the passes that start, and process events, up to a time."""
         while self.next_passes and self.next_passes[0][0] <= until:
+            self.process_events(self.next_passes[0][0])
             at, index = heapq.heappop(self.next_passes)
             engine = self.engines[index]
             if engine.is_idle:
@@ -216,17 +218,36 @@
             decoding_jobs = [j for j in engine.active if not j.pending_parts]
             end = engine.run_pass(at)
             for job in decoding_jobs:
-                self.record_event(job, end)
+                heapq.heappush(self.due_events, (end, next(self.keys), job))
             heapq.heappush(self.next_passes, (end, index))
+        self.process_events(until)
+
+    def process_events(self, until: float) -> None:
+        """Process the events up to a time."""
+        while self.due_events and self.due_events[0][0] <= until:
+            at, _, job = heapq.heappop(self.due_events)
+            self.record_event(job, at)
+
+    def make_engine(self, index: int) -> batchengine.BatchEngine:
+        """Return the engine with a number."""
+        del index
+        return batchengine.BatchEngine(self.load.spec)
+
+    def on_event(self, arrival: Arrival, at: float) -> None:
+        """Process an event after the work items were updated."""
+
+    def on_sent(self, arrival: Arrival, now: float) -> None:
+        """Process a send after the work items were published."""
 
     def record_event(self, job: batchengine.Job, at: float) -> None:
         """Update the work items of a request after one of its events."""
         arrival = self.running.get(id(job))
         if arrival is None:
             return
-        if job.done:
+        times = [event_at for event_at in job.event_times if event_at <= at]
+        done = job.done and len(times) == len(job.event_times)
+        if done:
             del self.running[id(job)]
-        times = job.event_times
         late = (
             len(times) > 1
             and times[-1] - times[-2] > arrival.prompt_class.gap_s
@@ -235,11 +256,13 @@
             changed = attrs.evolve(work, writing=True)
             if late and work.leads:
                 changed.gap_target_s = 0.0
-            if job.done:
+            if done:
                 self.publish(arrival, key, None, at)
             elif changed != work:
                 arrival.work_items[key] = changed
                 self.publish(arrival, key, changed, at)
+        if not done:
+            self.on_event(arrival, at)
 
     def publish(self, arrival, key, work, at, lag_s=views_lib.UPDATE_LAG_S):
         """Publish a change of a work item to the gateways."""
@@ -281,6 +304,7 @@
                 arrival, prompt, int(endpoint.name), number == 0, late, now
             )
         self.running[id(job)] = arrival
+        self.on_sent(arrival, now)
         return None
 
     def send_part(self, arrival, prompt, index, leads, late, now) -> None:
--- a/src/_coltsfootroad/replay/batchengine.py
+++ b/src/_coltsfootroad/replay/batchengine.py
@@ -108,12 +108,17 @@
         took_s = 0.0
         for _ in range(self.spec.stride if decoding else 1):
             took_s += step_s + self.run_prefill_step()
-        took_s *= self.slowdown
+        took_s = self.duration_s(now, took_s)
         self.busy_s += took_s
         for job in decoding:
             self.emit_event(job, now + took_s)
         return now + took_s
 
+    def duration_s(self, now: float, sound_s: float) -> float:
+        """Return the seconds of a pass that takes a sound engine `sound_s`."""
+        del now
+        return sound_s * self.slowdown
+
     def run_prefill_step(self) -> float:
         """Prefill up to `chunk_tokens`; return the seconds that it takes."""
         budget = self.spec.chunk_tokens
