--- a/src/_coltsfootroad/core/placement/work.py
+++ b/src/_coltsfootroad/core/placement/work.py
@@ -24,6 +24,8 @@
         workspace: Short hash of the caller's workspace, 0 for none.
         queued: Whether no engine had room for it within its target, however
             long its caller had waited before.
+        slowdown: The engine's slowdown by this stream, 0 without a reading.
+        slowdown_read_at: Time of that reading.
     """
 
     endpoint: str
@@ -39,6 +41,8 @@
     late: bool = False
     workspace: int = 0
     queued: bool = False
+    slowdown: float = 0.0
+    slowdown_read_at: float = float("-inf")
 
     @property
     def is_late_waiting(self) -> bool:
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -29,6 +29,7 @@
 from _coltsfootroad.gateway import front as front_lib
 from _coltsfootroad.gateway import gossip as gossip_lib
 from _coltsfootroad.gateway import leaderclient
+from _coltsfootroad.gateway import pacing
 from _coltsfootroad.gateway import quarantine
 from _coltsfootroad.gateway import reachmonitor
 from _coltsfootroad.gateway import responselimits
@@ -107,6 +108,14 @@
             settings, self.view, self.endpoints
         )
         self.chooser.cold = self.cold
+        self.pacing = pacing.Pacing(
+            self.endpoints,
+            self.load,
+            self.notify_peers,
+            self.chooser.calls,
+            self.chooser.paces,
+        )
+        self.load.observer = self.pacing
         self.reach = reachability.Reachability(self.endpoints)
         self.reach_monitor = reachmonitor.ReachMonitor(
             self.reach, self.rng, self.on_reach_change
@@ -206,6 +215,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             self.load.expire(clocks.boot_time())
+            self.pacing.advance(clocks.boot_time())
             self.gossip.refresh()
             traffic.PROCESS.log_if_due(clocks.boot_time())
 
@@ -378,6 +388,7 @@
                 "isolated": list(self.isolation.suspects),
                 "reach": self.reach.services,
                 "fairness": self.fairness.dump(),
+                "uneven": self.pacing.dump(),
                 "forwards": dict(self.forwards),
                 "forwards_in_flight": dict(self.peers.in_flight),
                 "held_memory": self.caller_memory.dump(),
@@ -485,6 +496,7 @@
             "kind",
             lambda: dict(self.quarantine.refusals_by_kind),
         )
+        self.pacing.add_metrics(self.metrics)
         self.add_budget_metrics()
         self.evacuation.add_metrics(self.metrics)
         self.cold.add_metrics(self.metrics)
