platform: wait for every process before calls on zones in the test

Cause: the step waited for one process only; under load others did not listen yet, and two scenarios failed on the refused connection. Change: wait until each process acknowledges. Conclusion: the guarantee under test is unchanged.

--- a/features/steps/platformevacuation_steps.py
+++ b/features/steps/platformevacuation_steps.py
@@ -54,10 +54,11 @@
         program.start()
         context.programs.append(program)
     context.add_cleanup(relay_steps.kill_all, context.programs)
-    processstate.wait_until(
-        lambda: call(api[3], "DELETE", "za")[0] == 200,
-        "no process acknowledges",
-    )
+    for address in api:
+        processstate.wait_until(
+            lambda address=address: call(address, "DELETE", "za")[0] == 200,
+            f"the process at {address} does not acknowledge",
+        )
 
 
 def call(address: str, method: str, zone: str) -> tuple[int, str]:
