gateway: renew reserved memory also without a recent proof

Cause: the check before the first byte also stopped renewals of gateways that had no leader for 4.5 s, so that long prompts in several parts lost their memory without any order of an operator. Change: only new reservations need the proof; nothing goes to evacuated zones. Conclusion: an outage of control ends no stream that runs.

--- a/src/_coltsfootroad/gateway/evacuation.py
+++ b/src/_coltsfootroad/gateway/evacuation.py
@@ -82,21 +82,27 @@
             )
 
     def stop_reason(
-        self, endpoints: Sequence[endpointset.KnownEndpoint], now: float
+        self,
+        endpoints: Sequence[endpointset.KnownEndpoint],
+        now: float,
+        needs_proof: bool = True,
     ) -> str:
         """Return why endpoints may not be written to, empty if they may."""
-        if not self.view.is_current(now):
+        if needs_proof and not self.view.is_current(now):
             return NO_PROOF
         if any(map(self.endpoints.is_evacuated, endpoints)):
             return EVACUATED
         return ""
 
     def allows(
-        self, endpoints: Sequence[endpointset.KnownEndpoint], request_id: str
+        self,
+        endpoints: Sequence[endpointset.KnownEndpoint],
+        request_id: str,
+        needs_proof: bool = True,
     ) -> bool:
         """Return whether endpoints may be written to now; log it if not."""
         now = clocks.boot_time()
-        reason = self.stop_reason(endpoints, now)
+        reason = self.stop_reason(endpoints, now, needs_proof)
         if not reason:
             return True
         self.stopped[reason] += 1
@@ -129,14 +135,18 @@
         return may_send
 
     def memory_check(
-        self, endpoint: endpointset.KnownEndpoint, request_id: str
+        self,
+        endpoint: endpointset.KnownEndpoint,
+        request_id: str,
+        is_new: bool,
     ) -> Callable[[], bool]:
         """Return the check to make right before a memory request is written.
 
-        Renewals and releases are not written either: a reservation ends with
-        its lease.
+        Renewals and releases are not written to an evacuated zone either: a
+        reservation ends with its lease. Elsewhere they need no proof, as they
+        send no new work; without a leader, streams that run keep their memory.
         """
-        return lambda: self.allows((endpoint,), request_id)
+        return lambda: self.allows((endpoint,), request_id, is_new)
 
     def retry_after_s(self, remaining_s: float) -> float:
         """Count a refusal; return the retry delay to state."""
--- a/src/_coltsfootroad/gateway/memoryreservation.py
+++ b/src/_coltsfootroad/gateway/memoryreservation.py
@@ -113,7 +113,7 @@
                     sink,
                     True,
                     self.gateway.evacuation.memory_check(
-                        share.endpoint, self.request_id
+                        share.endpoint, self.request_id, self.renewer is None
                     ),
                 )
         except TimeoutError:
