gateway: split the steps before a send

Cause: with the refusals of four parts one method decided on everything between the choice and the send. Change: what follows without a choice, and what refuses one, are methods of their own. No logic changes. Conclusion: attempt_once reads as the order of its steps.

--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -234,30 +234,43 @@
             self.final_failure.send_unreachable()
             return None
         choice = None if reason else self.choose(now)
-        if choice is None and not reason and self.has_only_evacuated():
+        if choice is None:
+            return await self.on_no_choice(reason, now)
+        if self.refuse_choice(choice):
+            return None
+        return await self.attempt(choice)
+
+    async def on_no_choice(
+        self, reason: str, now: float
+    ) -> sends_lib.Outcome | None:
+        """Refuse a request without a choice, or wait for a cold endpoint.
+
+        `reason` states why nothing may be sent, empty if sending is allowed.
+        """
+        if not reason and self.has_only_evacuated():
             self.final_failure.send_evacuated()
             return None
-        if choice is None and not reason and self.cold.is_blocked(now):
+        if not reason and self.cold.is_blocked(now):
             return await self.cold.go_on(now)
-        if choice is None:
-            self.final_failure.send(
-                reason or "no endpoint serves the request now"
-            )
-            return None
+        self.final_failure.send(reason or "no endpoint serves the request now")
+        return None
+
+    def refuse_choice(self, choice: engines.Choice) -> bool:
+        """Refuse a request that is not to be sent; return whether it was."""
         left_s = self.deadline - clocks.boot_time()
         is_call = pacing.is_plain_call(self.service, self.route)
         if is_call and choice.least_s > left_s:
             self.final_failure.refuse_unmeetable(choice, left_s)
-            return None
+            return True
         retry_after_s = self.shed_delay_s(choice)
         if retry_after_s is not None:
             self.final_failure.shed(choice, retry_after_s)
-            return None
+            return True
         refusal = self.scarcity_refusal(choice)
         if refusal is not None:
             self.final_failure.refuse_scarce(refusal)
-            return None
-        return await self.attempt(choice)
+            return True
+        return False
 
     def has_only_evacuated(self) -> bool:
         """Return whether only evacuated zones could serve the request."""
