placement: prefer engines that still hold the beginning of a prompt

Cause: an engine that retains prompts responds sooner to a prompt whose beginning it holds, but placement assumed that every engine prefills all of it. Ruled out: PrefixIndex of the entry, which needs numbered events of the engines; comparing all holders, of which a common part has hundreds; recording at the send, which counts lost prompts as held. Change: HeldPrefixes estimates from own sends which parts each engine holds, and drops them at a restart, with age, as memory fills and when a first event came as late as with nothing saved. Placement in one part weighs the saved prefill against the wait, in the unit of queued prefill. Off by default (EngineSpec.retains_prefixes). Load changes of other gateways do not name parts, so their sends are not known.

--- a/src/_coltsfootroad/core/placement/enginemodel.py
+++ b/src/_coltsfootroad/core/placement/enginemodel.py
@@ -14,6 +14,15 @@
     return total_s / max(1, parts)
 
 
+def saved_s(spec: routes.EngineSpec, held_tokens: int) -> float:
+    """Return the seconds of prefill that a held beginning of a prompt saves.
+
+    The tokens that follow still attend to the beginning, so only the pairs
+    within it are saved.
+    """
+    return prefill_s(spec, held_tokens)
+
+
 def pass_s(spec: routes.EngineSpec, streams: int, context: int) -> float:
     """Return the seconds of a pass, the gap between a stream's events.
 
--- a/src/_coltsfootroad/core/placement/engineplacement.py
+++ b/src/_coltsfootroad/core/placement/engineplacement.py
@@ -87,6 +87,7 @@
         tickets: Helpers that hold a part of the KV cache, with their tokens.
         first_event_s: Predicted time to the first event.
         cost: Cost in units of the value of one short request.
+        saved_s: Seconds of prefill that a held beginning saves.
     """
 
     lead: str
@@ -94,6 +95,7 @@
     tickets: tuple[tuple[str, int], ...] = ()
     first_event_s: float = 0.0
     cost: float = 0.0
+    saved_s: float = 0.0
 
 
 def miss_likelihood(predicted_s: float, target_s: float) -> float:
@@ -129,15 +131,22 @@
     prompt: Prompt,
     states: list[enginestate.EngineState],
     spec: routes.EngineSpec,
+    saved: dict[str, float] | None = None,
 ) -> Placement | None:
-    """Return the cheapest placement, None if there is none."""
+    """Return the cheapest placement, None if there is none.
+
+    `saved` has the seconds of prefill that engines save which hold the
+    beginning of the prompt. It counts only if the prompt is not split.
+    """
     best: Placement | None = None
     for parts in PART_COUNTS:
         if parts > min(len(states), MAX_HELPERS + 1):
             break
         if parts > 1 and not may_split(prompt):
             break
-        found = place_in_parts(prompt, states, spec, parts)
+        found = place_in_parts(
+            prompt, states, spec, parts, saved if parts == 1 else None
+        )
         if found is not None and (best is None or found.cost < best.cost):
             best = found
     return best
@@ -148,6 +157,7 @@
     states: list[enginestate.EngineState],
     spec: routes.EngineSpec,
     parts: int,
+    saved: dict[str, float] | None = None,
 ) -> Placement | None:
     """Return the cheapest placement in `parts` parts, None if there is none."""
     part_s = enginemodel.prefill_s(spec, prompt.prompt_tokens, parts)
@@ -156,6 +166,12 @@
         cost + decode_cost(prompt, state, spec, part_s)
         for state, cost in zip(states, prefill_costs, strict=True)
     ]
+    if saved:
+        for index, state in enumerate(states):
+            if state.endpoint in saved:
+                lead_costs[index] = holder_cost(
+                    prompt, state, spec, part_s, saved[state.endpoint]
+                )
     first = min(range(len(states)), key=lead_costs.__getitem__)
     helpers = heapq.nsmallest(
         parts - 1,
@@ -174,6 +190,8 @@
     if tickets is None:
         return None
     chosen = [lead, *others]
+    saved_s = saved.get(lead.endpoint, 0.0) if saved else 0.0
+    part_s -= saved_s
     first_event_s = max(predict_first_event_s(s, spec, part_s) for s in chosen)
     cost = lead_costs[first] + sum(prefill_costs[index] for index in helpers)
     cost += prompt.value * miss_likelihood(first_event_s, prompt.target_s)
@@ -183,6 +201,7 @@
         tickets=tickets,
         first_event_s=first_event_s,
         cost=cost,
+        saved_s=saved_s,
     )
 
 
@@ -234,6 +253,25 @@
     return cost + QUEUED_PREFILL_COST_PER_S * state.prefill_left_s
 
 
+def holder_cost(
+    prompt: Prompt,
+    state: enginestate.EngineState,
+    spec: routes.EngineSpec,
+    part_s: float,
+    saved_s: float,
+) -> float:
+    """Return the cost of an engine that holds the beginning of a prompt.
+
+    A saved second is worth what a second of queued prefill costs: either moves
+    all requests that follow by a second. So a holder is preferred until the
+    wait there is longer than prefilling the beginning elsewhere.
+    """
+    left_s = part_s - saved_s
+    cost = prefill_cost(state, left_s)
+    cost += decode_cost(prompt, state, spec, left_s)
+    return cost - QUEUED_PREFILL_COST_PER_S * saved_s
+
+
 def decode_cost(
     prompt: Prompt,
     state: enginestate.EngineState,
--- a/src/_coltsfootroad/core/routes.py
+++ b/src/_coltsfootroad/core/routes.py
@@ -87,6 +87,8 @@
         pair_s: Seconds of attention per pair of a token and an earlier one.
         chunk_tokens: Prompt tokens prefilled in one step at most.
         hop_s: Additional seconds of a step for a prompt on several engines.
+        retains_prefixes: Whether engines keep prompts in their memory after the
+            end of a request and do not prefill a kept beginning again.
     """
 
     slots: int = 8
@@ -99,6 +101,7 @@
     pair_s: float = 0.0
     chunk_tokens: int = 2_048
     hop_s: float = 0.0
+    retains_prefixes: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/_coltsfootroad/gateway/engines.py
+++ b/src/_coltsfootroad/gateway/engines.py
@@ -12,9 +12,11 @@
 from _coltsfootroad.core import plainchoice
 from _coltsfootroad.core import routes
 from _coltsfootroad.core.placement import candidates
+from _coltsfootroad.core.placement import enginemodel
 from _coltsfootroad.core.placement import engineplacement
 from _coltsfootroad.core.placement import enginestate
 from _coltsfootroad.core.placement import enginestatecache
+from _coltsfootroad.core.placement import heldprefixes
 from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import coldendpoints
 from _coltsfootroad.gateway import memoryreservation
@@ -35,6 +37,7 @@
         batch_slots: Batch slots of all endpoints of the service.
         least_s: Seconds that a plain call takes at the least, 0 if unknown.
         factor: Factor on the expected time of a plain endpoint, or slowdown.
+        saved_s: Seconds of prefill that a held beginning of the prompt saves.
     """
 
     endpoint: endpointset.KnownEndpoint
@@ -47,6 +50,7 @@
     batch_slots: int = 0
     least_s: float = 0.0
     factor: float = 1.0
+    saved_s: float = 0.0
 
 
 @attrs.define
@@ -62,6 +66,7 @@
     cold: coldendpoints.ColdEndpoints | None = None
     calls: callrecords.CallRecords = attrs.Factory(callrecords.CallRecords)
     paces: pace.PaceTable = attrs.Factory(pace.PaceTable)
+    held: heldprefixes.HeldPrefixes = attrs.Factory(heldprefixes.HeldPrefixes)
     state_cache: enginestatecache.EngineStateCache = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -76,10 +81,13 @@
         avoid: set[str],
         now: float,
         suspect: fingerprints.Fingerprint | None = None,
+        parts: tuple[heldprefixes.Part, ...] = (),
     ) -> Choice | None:
         """Return the best endpoint, preferring those not in `avoid`.
 
         A request suspected of crashes gets an endpoint without other suspects.
+        `parts` are those of a prompt whose beginning engines may hold; it is
+        empty for suspects and for engines that retain nothing.
         """
         self.load.expire(now)
         known = self.endpoints.serving_endpoints(spec.name)
@@ -95,7 +103,51 @@
             return self.choose_plain(
                 plainchoice.untried(sampled, usable, avoid), now
             )
-        return self.place_prompt(spec, prompt, sampled, now)
+        holders = self.holders(spec, parts, avoid, now) if parts else []
+        return self.place_prompt(spec, prompt, sampled, now, parts, holders)
+
+    def holders(
+        self,
+        spec: routes.ServiceSpec,
+        parts: tuple[heldprefixes.Part, ...],
+        avoid: set[str],
+        now: float,
+    ) -> list[endpointset.KnownEndpoint]:
+        """Return a few usable engines that hold a prompt's beginning."""
+        found = []
+        # Twice as many are looked up, as some may be ejected or tried.
+        limit = 2 * heldprefixes.MAX_COMPARED_HOLDERS
+        for name in self.held.likely_holders(parts, limit):
+            if name in avoid or not self.endpoints.serves(name, spec.name):
+                continue
+            known = self.endpoints.known[name]
+            if known.ejected_until <= now:
+                found.append(known)
+        if self.cold is not None and spec.cold_per_s:
+            found = self.cold.usable(spec, found, now)
+        return found[: heldprefixes.MAX_COMPARED_HOLDERS]
+
+    def saved_by_engine(
+        self,
+        parts: tuple[heldprefixes.Part, ...],
+        picked: list[endpointset.KnownEndpoint],
+        states: list[enginestate.EngineState],
+        engine: routes.EngineSpec,
+        now: float,
+    ) -> dict[str, float]:
+        """Return the seconds of prefill that engines save, without zeros."""
+        saved = {}
+        for known, state in zip(picked, states, strict=True):
+            tokens = self.held.held_tokens(
+                known.name,
+                known.incarnation_key,
+                parts,
+                engine.kv_tokens - state.kv_used,
+                now,
+            )
+            if tokens:
+                saved[known.name] = enginemodel.saved_s(engine, tokens)
+        return saved
 
     def sample(
         self,
@@ -152,6 +204,8 @@
         prompt: engineplacement.Prompt,
         sampled: list[endpointset.KnownEndpoint],
         now: float,
+        parts: tuple[heldprefixes.Part, ...] = (),
+        holders: list[endpointset.KnownEndpoint] | None = None,
     ) -> Choice | None:
         """Return the engines with the lowest cost for a prompt."""
         engine = spec.engine
@@ -164,12 +218,18 @@
             self.availability_zone,
             engine.slots,
         )
+        if holders:
+            names = {known.name for known in picked}
+            picked = picked + [k for k in holders if k.name not in names]
         if is_long:
             picked = self.paces.without_unproved(picked, now)
         states = [
             self.state_cache.state(known, engine, now) for known in picked
         ]
-        placement = engineplacement.place(prompt, states, engine)
+        saved = None
+        if parts:
+            saved = self.saved_by_engine(parts, picked, states, engine, now)
+        placement = engineplacement.place(prompt, states, engine, saved)
         if placement is None:
             return None
         by_name = {known.name: known for known in picked}
@@ -190,6 +250,7 @@
             batch_slots=engine.slots
             * len(self.endpoints.serving_endpoints(spec.name)),
             factor=lead.expected_slowdown,
+            saved_s=placement.saved_s,
         )
 
     def late_waiting(self, service: str) -> int:
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -28,6 +28,7 @@
 from _coltsfootroad.gateway import peerforwarding
 from _coltsfootroad.gateway import reply as reply_lib
 from _coltsfootroad.gateway import responses
+from _coltsfootroad.gateway import retainedprompt
 from _coltsfootroad.gateway import sendbudget
 from _coltsfootroad.gateway import startup
 from _coltsfootroad.gateway import upstream
@@ -64,6 +65,7 @@
         budget: Charges retries to the service's retry budget.
         cold: Keeps sends to cold endpoints within their limit.
         work: Reports the current send as load.
+        retained: Uses and updates what engines hold of the prompt.
         forwarding: Forwards the request through another gateway.
         final_failure: Refuses or fails the request.
         reply: Writes to the caller's connection.
@@ -84,6 +86,7 @@
     budget: sendbudget.SendBudget = attrs.field(init=False)
     cold: coldadmission.ColdAdmission = attrs.field(init=False)
     work: ownwork.OwnWork = attrs.field(init=False)
+    retained: retainedprompt.RetainedPrompt = attrs.field(init=False)
     forwarding: peerforwarding.PeerForwarding = attrs.field(init=False)
     final_failure: finalfailure.FinalFailure = attrs.field(init=False)
     reply: reply_lib.Reply = attrs.field(init=False)
@@ -97,6 +100,7 @@
         self.budget = sendbudget.SendBudget(self)
         self.cold = coldadmission.ColdAdmission(self)
         self.work = ownwork.OwnWork(self.gateway)
+        self.retained = retainedprompt.RetainedPrompt(self)
         self.forwarding = peerforwarding.PeerForwarding(self)
         self.final_failure = finalfailure.FinalFailure(self)
         self.reply = reply_lib.Reply(
@@ -303,6 +307,7 @@
             self.sends.tried,
             now,
             self.guard.isolated_as(),
+            self.retained.parts(),
         )
 
     def cannot_send_reason(self, now: float) -> str:
@@ -443,6 +448,7 @@
             load=choice.load,
             predicted_s=round(choice.predicted_s, 3),
             factor=round(choice.factor, 2),
+            saved_s=round(choice.saved_s, 3),
             helpers=[known.name for known in choice.helpers],
             isolated=self.guard.isolated_as() is not None,
         )
@@ -452,12 +458,14 @@
             if self.guard.entries():
                 return sends_lib.Outcome.NOT_RUN
             self.sends.count += 1
+            self.retained.begin(choice, clocks.boot_time())
             self.pace = self.gateway.pacing.begin(
                 choice,
                 self.service,
                 self.route,
                 self.work.keys[0],
-                self.reply.streaming,
+                # A first event after a saved prefill proves no pace.
+                self.reply.streaming or choice.saved_s > 0,
                 clocks.boot_time(),
             )
             end = await self.call_with_silence_timeout(
@@ -469,6 +477,7 @@
                 end = upstream.CallEnd.LOST
         finally:
             self.work.end()
+            self.retained.end()
             self.cold.release()
             self.release_reservation()
         outcome = self.classify_outcome(end, sink)
@@ -563,6 +572,7 @@
     def record_event(self, count: int) -> None:
         """Record `count` events: prefill is complete, or a pause has ended."""
         now = clocks.boot_time()
+        self.retained.on_events(now)
         if self.work.record_event(now - self.reply.last_event_at):
             self.gateway.record_first_event(now - self.request.arrived_at)
         if self.pace is not None:
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -389,6 +389,7 @@
                 "reach": self.reach.services,
                 "fairness": self.fairness.dump(),
                 "uneven": self.pacing.dump(),
+                "held_prefixes": self.chooser.held.dump(),
                 "forwards": dict(self.forwards),
                 "forwards_in_flight": dict(self.peers.in_flight),
                 "held_memory": self.caller_memory.dump(),
@@ -497,6 +498,12 @@
             lambda: dict(self.quarantine.refusals_by_kind),
         )
         self.pacing.add_metrics(self.metrics)
+        self.metrics.labelled_counter(
+            "colts_gateway_held_prefixes",
+            "Records of prefixes that engines hold, and dropped ones",
+            "kind",
+            lambda: dict(self.chooser.held.counts),
+        )
         self.add_budget_metrics()
         self.evacuation.add_metrics(self.metrics)
         self.cold.add_metrics(self.metrics)
