tests: wait until a change is acknowledged before orders are tested

Ruled out: a fault of the product; operators resend after 503. Change: an order and its withdrawal are acknowledged before the scenarios begin. Conclusion: the precondition is now what the scenarios need.

--- a/features/steps/platformevacuation_steps.py
+++ b/features/steps/platformevacuation_steps.py
@@ -59,6 +59,13 @@
             lambda address=address: call(address, "DELETE", "za")[0] == 200,
             f"the process at {address} does not acknowledge",
         )
+    # A withdrawal of an order that was never given is acknowledged before all
+    # replicas have joined, a change only after that.
+    for method in ("POST", "DELETE"):
+        processstate.wait_until(
+            lambda method=method: call(api[0], method, "za")[0] == 200,
+            f"{method} is not acknowledged",
+        )
 
 
 def call(address: str, method: str, zone: str) -> tuple[int, str]:
