gateway: avoid ejected endpoints for retries while crashes are suspected

Cause: a retry prefers an ejected endpoint that it has not tried. Beside requests that crash endpoints, such an endpoint has often just come back, and the retry crashed it: four late sends of a poison request, three allowed. Change: the preference is suspended while any request is suspected of crashes. Six comments use the terms of the field.

--- a/src/_coltsfootroad/core/fairadmission.py
+++ b/src/_coltsfootroad/core/fairadmission.py
@@ -44,8 +44,8 @@
 # workspaces.
 LEVEL_INTERVAL_S = 0.1
 # Factor on a workspace's level for a prompt that can no longer meet its target.
-# What is left for it is what those that can meet theirs do not use; otherwise
-# retries, which are late, would take all capacity in a lasting overload.
+# Prompts that can meet their targets come first; otherwise retries, which are
+# late, would take all capacity in a lasting overload.
 LATE_FACTOR = 0.8
 # Factor for all but a retry at the stated time. Callers retry once, so refusing
 # a retry loses the request.
@@ -220,8 +220,8 @@
     ) -> Refusal | None:
         """Return why a prompt is refused, None to send it now.
 
-        `engines` is the number of the service's engines. Without news of the
-        other gateways, usage is unknown, and nothing is refused for fairness.
+        `engines` is the number of the service's engines. Without updates
+        of other gateways, usage is unknown, and nothing is refused for fairness.
         """
         self.note_offered(arrival)
         refusal = self.deadline_refusal(arrival)
--- a/src/_coltsfootroad/core/fairness/refusalledger.py
+++ b/src/_coltsfootroad/core/fairness/refusalledger.py
@@ -50,7 +50,7 @@
 
     Attributes:
         known: The requests, in the order of the refusals.
-        unsent: Own refusals that other gateways have not been told of.
+        unsent: Own refusals that are not published to other gateways yet.
     """
 
     known: dict[int, RefusedRequest] = attrs.Factory(dict)
--- a/src/_coltsfootroad/core/heldmemory.py
+++ b/src/_coltsfootroad/core/heldmemory.py
@@ -70,9 +70,8 @@
     def victim(self) -> Holding | None:
         """Return the connection to close first, None if nothing is held.
 
-        It is the one with the most unread bytes. Where closing all slow readers
-        would not suffice, they are not the cause, and it is the one that holds
-        the most bytes altogether.
+        It has the most unread bytes. Where closing all slow readers would not
+        suffice, they are not the cause, and it holds the most bytes of all.
         """
         unread = sum(holding.unread for holding in self.holdings)
         if self.total - unread <= self.limit:
--- a/src/_coltsfootroad/core/pace.py
+++ b/src/_coltsfootroad/core/pace.py
@@ -67,7 +67,7 @@
         """Add a sample; return whether it completed a reading.
 
         Two consecutive samples must agree: one long pause may be a lost packet,
-        and the short one that follows it would look sound. `suspected` states
+        and the short pause after it would look sound. `suspected` states
         that the engine counted as slow recently.
         """
         slowdown = to_slowdown(ratio)
--- a/src/_coltsfootroad/core/placement/pacesampler.py
+++ b/src/_coltsfootroad/core/placement/pacesampler.py
@@ -18,7 +18,7 @@
 # prefilled after it: ages of work lack the time of their datagram.
 SENT_MARGIN_S = 0.03
 # Passes of a busy engine before a first event at the most: the rest of the
-# current one, one with the prefill, and one that decodes.
+# current pass, a pass with the prefill, and a decoding pass.
 BUSY_PASSES = 3
 
 
--- a/src/_coltsfootroad/gateway/engines.py
+++ b/src/_coltsfootroad/gateway/engines.py
@@ -100,9 +100,11 @@
             usable = known
             if self.cold is not None and spec.cold_per_s:
                 usable = self.cold.usable(spec, known, now)
-            return self.choose_plain(
-                plainchoice.untried(sampled, usable, avoid), now
-            )
+            # While requests are suspected of crashes, an ejected endpoint may
+            # have just come back from one, and this request may cause the next.
+            if not self.isolation.suspects:
+                sampled = plainchoice.untried(sampled, usable, avoid)
+            return self.choose_plain(sampled, now)
         holders = self.holders(spec, parts, avoid, now) if parts else []
         return self.place_prompt(spec, prompt, sampled, now, parts, holders)
 
