--- a/src/_coltsfootroad/core/fairadmission.py
+++ b/src/_coltsfootroad/core/fairadmission.py
@@ -221,7 +221,7 @@
         """Return why a prompt is refused, None to send it now.
 
         `engines` is the number of the service's engines. Without updates
-        of other gateways, usage is unknown, and nothing is refused for fairness.
+        of other gateways, usage is unknown and nothing is refused for fairness.
         """
         self.note_offered(arrival)
         refusal = self.deadline_refusal(arrival)
