tests: keep the reason of a failed scenario with its files

Cause: two entries of KNOWN-RED.txt have no detail, as scenarios without programs kept only the load of the machine and the message was lost with the output. Figures: a scenario that is known to fail keeps its step and message. Conclusion: a single failure by hand leaves what it said.

--- a/features/environment.py
+++ b/features/environment.py
@@ -13,6 +13,8 @@
 NAME_LENGTH = 60
 # Load of the machine during a failed scenario.
 MACHINE_FILE = "machine.txt"
+# The steps that failed and their messages.
+REASON_FILE = "reason.txt"
 
 
 def before_scenario(context, _):
@@ -31,10 +33,24 @@
         load = machineload.describe(context.load_before, machineload.measure())
         print(f"machine: {load}")
         (context.folder / MACHINE_FILE).write_text(load + "\n")
+        (context.folder / REASON_FILE).write_text(describe_failure(scenario))
         keep(context.folder, scenario.name)
     shutil.rmtree(context.folder, ignore_errors=True)
 
 
+def describe_failure(scenario) -> str:
+    """Return where a scenario failed, its failed steps and their messages."""
+    failed = [step for step in scenario.all_steps if step.status.has_failed()]
+    return "\n".join(
+        [
+            f"{scenario.location} {scenario.name}",
+            *(f"{step.keyword} {step.name}" for step in failed),
+            *(step.error_message or "" for step in failed),
+            "",
+        ]
+    )
+
+
 def keep(folder: pathlib.Path, name: str) -> None:
     """Copy the files of a scenario, such as its logs, to KEPT_FOLDER."""
     slug = re.sub(r"[^a-z0-9]+", "-", name.lower())[:NAME_LENGTH]
