--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases. They are Python programs that need only the
+# standard library, so this checks that they compile.
+set -eu
+cd "$(dirname "$0")"
+python3 -m compileall -q common
