--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,51 +1,89 @@
-"""A gateway gets SIGTERM while its client slowly reads an answer.
+"""An operator changes the configuration; its versions are dates with the time.
 
-The request was passed on and answered by its server; the client must get the
-whole answer, as there is time for it before `graceS`.
+The change must be acknowledged, or refused with a 4xx, and no process may end
+of it.
 """
 
+import datetime
+import http.client
+import json
 import pathlib
-import signal
 import sys
-import threading
 import time
 
 CASE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / "common"))
 
-import client as client_lib  # noqa: E402
 import rig  # noqa: E402
-import server as server_lib  # noqa: E402
-
-BODY_BYTES = 12 * 1024 * 1024
-# The client reads for 7.0 s, which ends before `graceS` and its deadline. When
-# the process may end at the earliest, 6 MB are left: more than the 4 MB that a
-# kernel keeps for a connection.
-READ_BYTES_PER_S = 1_800_000
-RECEIVE_BUFFER = 64 * 1024
-DEADLINE_MS = 10_000
-TERM_AFTER_S = 0.3
-
-
-def ask(deployment, attempt, answers):
-    """Send one request to the first machine and read its answer."""
-    address = (deployment.machines[0], deployment.ports["front"])
-    client = client_lib.Client(address, RECEIVE_BUFFER, READ_BYTES_PER_S)
-    client.send(
-        rig.request_bytes(
-            "POST", "/book/seat", attempt, b"seat 12", DEADLINE_MS
-        )
-    )
-    sent_at = time.monotonic()
-    deployment.note(f"client sent {attempt} to front-0")
-    answer = client.read_answer(DEADLINE_MS / 1000)
-    client.close()
-    answers[attempt] = answer
-    deployment.note(
-        f"client got for {attempt} after {time.monotonic() - sent_at:.2f} s:"
-        f" status {answer.status}, {len(answer.body)} of {BODY_BYTES} bytes,"
-        f" {answer.end}"
+
+# Callers move on after a second without a response.
+OPERATOR_TIMEOUT_S = 1.0
+# A refusal ends a call; other responses are followed by the next daemon.
+FINAL_STATUSES = (400, 409, 412, 413, 422)
+BACKOFF_S = 0.2
+MAX_BACKOFF_S = 1.0
+TRIES = 20
+# Year to microsecond: 20 digits, such as 20261204155536000000.
+VERSION_FORMAT = "%Y%m%d%H%M%S%f"
+USUAL_VERSION = 9
+# The platform starts a process that ended again after a short delay.
+RESTART_DELAY_S = 0.5
+# The rule counts processes that end three times on half of the core.
+ENDS_PER_MACHINE = 3
+MACHINES = 2
+
+
+class Platform:
+    """Starts processes that have ended again, and counts their ends."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.ends = dict.fromkeys(deployment.processes, 0)
+        self.due = {}
+
+    def check(self):
+        """Count processes that have ended, and start those that are due."""
+        deployment = self.deployment
+        for name in self.ends:
+            process = deployment.processes[name]
+            if process.poll() is not None and name not in self.due:
+                self.ends[name] += 1
+                self.due[name] = time.time() + RESTART_DELAY_S
+                deployment.note(
+                    f"{name} ended by itself with {process.returncode}"
+                )
+            if name in self.due and time.time() >= self.due[name]:
+                del self.due[name]
+                role, _, index = name.partition("-")
+                deployment.start_program(role, int(index))
+
+    def wait(self, seconds):
+        """Wait and check meanwhile."""
+        end = time.time() + seconds
+        while time.time() < end:
+            self.check()
+            time.sleep(0.05)
+
+
+def put(deployment, index, body):
+    """Send a configuration to one daemon; return the status, 0 for none."""
+    connection = http.client.HTTPConnection(
+        deployment.machines[index],
+        deployment.ports["control"],
+        timeout=OPERATOR_TIMEOUT_S,
     )
+    try:
+        connection.request(
+            "PUT",
+            "/v1/configuration",
+            body,
+            {"Content-Type": "application/json"},
+        )
+        return connection.getresponse().status
+    except (OSError, http.client.HTTPException):
+        return 0
+    finally:
+        connection.close()
 
 
 def main(case, trouble):
@@ -53,29 +91,34 @@
     deployment = rig.Deployment(case)
     try:
         deployment.start_all()
-        deployment.put_configuration(
-            rig.configuration([rig.route("book", "unsafe", "app")], ["app"])
-        )
-        deployment.start_server(1, service="app", body_bytes=BODY_BYTES)
+        routes = [rig.route("book", "unsafe", "app")]
+        deployment.put_configuration(rig.configuration(routes, ["app"]))
+        deployment.start_server(1, service="app")
         deployment.wait_until_ready(1)
-        answers = {}
-        attempt = rig.attempt_id()
-        thread = threading.Thread(
-            target=ask, args=(deployment, attempt, answers)
-        )
-        thread.start()
-        sent = deployment.wait_for_event("answer sent", attempt=attempt)
-        deployment.note(f"server has sent its answer to {sent['attempt']}")
-        time.sleep(TERM_AFTER_S)
+        platform = Platform(deployment)
+        version = USUAL_VERSION
         if trouble:
-            deployment.signal("gateway-0", signal.SIGTERM)
-            status = deployment.processes["gateway-0"].wait()
-            deployment.note(f"gateway-0 ended with {status}")
-        thread.join()
-        deployment.copy_server_events()
-        answer = answers[attempt]
-        whole = server_lib.answer_body(attempt, BODY_BYTES)
-        return answer.complete and answer.body == whole
+            now = datetime.datetime.now(datetime.UTC)
+            version = int(now.strftime(VERSION_FORMAT))
+        body = json.dumps(rig.configuration(routes, ["app"], version))
+        deployment.note(f"operator: sends version {version}")
+        backoff_s = BACKOFF_S
+        for number in range(TRIES):
+            index = number % 3
+            status = put(deployment, index, body)
+            deployment.note(f"operator: PUT at front-{index}: {status}")
+            if status in FINAL_STATUSES or 200 <= status < 300:
+                break
+            platform.wait(backoff_s)
+            backoff_s = min(MAX_BACKOFF_S, 1.5 * backoff_s)
+        platform.wait(2)
+        deployment.note(f"processes that ended by themselves: {platform.ends}")
+        often = [
+            name
+            for name, ends in platform.ends.items()
+            if ends >= ENDS_PER_MACHINE
+        ]
+        return len(often) < MACHINES
     finally:
         deployment.stop()
 
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -359,6 +359,8 @@
 def run_case(main, case):
     """Run a case; exit with 0 if the rule held, 1 if not, 2 if it can't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes that a case has started end also if it is stopped early.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     status = 2
     try:
         status = 0 if main(case, trouble) else 1
