--- a/review/common/client.py
+++ b/review/common/client.py
@@ -28,7 +28,7 @@
 
     Args:
         address: IP address and port of the daemon.
-        receive_buffer: Size of the socket's receive buffer, 0 for the usual one.
+        receive_buffer: Size of the socket's receive buffer, 0 for the default.
         bytes_per_s: Rate at which the client reads, 0 for as fast as it can.
     """
 
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -23,14 +23,23 @@
 PYTHON = ["python3", "-X", "no_debug_ranges", "-S"]
 START_TIMEOUT_S = 30.0
 ZONES = ("zone-a", "zone-b", "zone-c")
-PORT_NAMES = ("front", "ready", "directory", "control", "peer", "gossip",
-              "gateway_metrics", "control_metrics", "server")
+PORT_NAMES = (
+    "front",
+    "ready",
+    "directory",
+    "control",
+    "peer",
+    "gossip",
+    "gateway_metrics",
+    "control_metrics",
+    "server",
+)
 KEY = "k7f3a91c2d4e5b6a7c8d"
 TENANT = "tenant-1"
 HOST = "shop.example"
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not be run, which says nothing of the rule."""
 
 
@@ -177,7 +186,7 @@
     def start_all(self):
         """Start all programs."""
         if not (REPOSITORY / "target" / "app" / "gateway.py").exists():
-            raise CannotRun("the system is not built")
+            raise CannotRunError("the system is not built")
         for index in range(len(self.machines)):
             if index < 3:
                 self.start_program("control", index)
@@ -223,11 +232,16 @@
         end = time.time() + START_TIMEOUT_S
         while time.time() < end:
             for ip in self.machines[:3]:
-                if self.call(ip, "control", "PUT", "/v1/configuration", body) == 200:
-                    self.note(f"configuration {document['version']} acknowledged")
+                if (
+                    self.call(ip, "control", "PUT", "/v1/configuration", body)
+                    == 200
+                ):
+                    self.note(
+                        f"configuration {document['version']} acknowledged"
+                    )
                     return
             time.sleep(0.2)
-        raise CannotRun("the configuration was not acknowledged")
+        raise CannotRunError("the configuration was not acknowledged")
 
     def call(self, ip, port, method, path, body=None):
         """Call a process; return the status, 0 for none."""
@@ -250,7 +264,7 @@
                 self.note("all gateways are ready")
                 return
             time.sleep(0.2)
-        raise CannotRun("the gateways do not become ready")
+        raise CannotRunError("the gateways do not become ready")
 
     def is_ready(self, ip, servers):
         """Return whether a gateway is ready and knows the servers."""
@@ -267,7 +281,10 @@
         finally:
             connection.close()
         for line in text.splitlines():
-            if line.startswith("colts_gateway_endpoints") and "reached" not in line:
+            if (
+                line.startswith("colts_gateway_endpoints")
+                and "reached" not in line
+            ):
                 return float(line.split()[-1]) >= servers
         return False
 
@@ -288,7 +305,7 @@
                 if fields.items() <= found.items():
                     return found
             time.sleep(0.01)
-        raise CannotRun(f"no event {event!r} with {fields}")
+        raise CannotRunError(f"no event {event!r} with {fields}")
 
     def copy_server_events(self):
         """Append the servers' events to the record."""
@@ -338,7 +355,9 @@
     }
 
 
-def request_bytes(method, path, attempt, body=b"", deadline_ms=10_000, extra=""):
+def request_bytes(
+    method, path, attempt, body=b"", deadline_ms=10_000, extra=""
+):
     """Return the bytes of a client's request."""
     length = f"Content-Length: {len(body)}\r\n" if body else ""
     return (
@@ -364,7 +383,7 @@
     status = 2
     try:
         status = 0 if main(case, trouble) else 1
-    except CannotRun as error:
+    except CannotRunError as error:
         print(f"the case cannot run: {error}", file=sys.stderr)
     except Exception as error:  # noqa: BLE001
         print(f"the case cannot run: {error!r}", file=sys.stderr)
--- a/review/common/server.py
+++ b/review/common/server.py
@@ -56,7 +56,7 @@
         self.state = "ready"
         self.sequence = 0
         self.control = list(settings["control"])
-        self.record_file = open(settings["record"], "a", buffering=1)
+        self.record_file = open(settings["record"], "a", buffering=1)  # noqa: SIM115
         self.slots = asyncio.Semaphore(settings.get("slots", 6))
         self.beat_now = asyncio.Event()
 
@@ -133,8 +133,7 @@
                 f"Host: {address}\r\n"
                 "Content-Type: application/json\r\n"
                 f"Content-Length: {len(body)}\r\n"
-                "Connection: close\r\n\r\n".encode()
-                + body
+                "Connection: close\r\n\r\n".encode() + body
             )
             head = await read_head(reader)
             return int(head[0].split()[1]) if head else 0
@@ -161,7 +160,9 @@
         method, target, _ = line.split()
         attempt = headers.get("x-attempt-id", "")
         if target == "/health":
-            self.write_whole(writer, "200 OK", f"X-Instance-Id: {self.identifier}")
+            self.write_whole(
+                writer, "200 OK", f"X-Instance-Id: {self.identifier}"
+            )
             return True
         expected = headers.get("x-expected-instance", self.identifier)
         if expected != self.identifier:
