--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,8 @@
 import time
 
 CASE = pathlib.Path(__file__).resolve().parent
-sys.path.insert(0, str(CASE.parent / "common"))
+RECORD = CASE / "record.txt"
+sys.path.insert(0, str(CASE.parent))
 
 import rig  # noqa: E402
 
@@ -86,9 +87,9 @@
         connection.close()
 
 
-def main(case, trouble):
+def main(record, trouble):
     """Run the case; return whether the rule held."""
-    deployment = rig.Deployment(case)
+    deployment = rig.Deployment(record)
     try:
         deployment.start_all()
         routes = [rig.route("book", "unsafe", "app")]
@@ -124,4 +125,4 @@
 
 
 if __name__ == "__main__":
-    rig.run_case(main, CASE)
+    rig.run_case(main, RECORD)
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # standard library, so this checks that they compile.
 set -eu
 cd "$(dirname "$0")"
-python3 -m compileall -q common
+python3 -m py_compile client.py rig.py server.py
--- a/review/common/client.py
+++ b/review/client.py
@@ -3,6 +3,8 @@
 import socket
 import time
 
+TIME_IS_OVER = "the client's time is over"
+
 
 class Answer:
     """What a client has received of one answer.
@@ -60,7 +62,7 @@
             time.sleep(max(0.0, due - time.monotonic()))
         left = until - time.monotonic()
         if left <= 0:
-            raise TimeoutError("the client's time is over")
+            raise TimeoutError(TIME_IS_OVER)
         self.socket.settimeout(left)
         data = self.socket.recv(16 * 1024)
         if self.read_since is None:
@@ -86,7 +88,7 @@
                 answer.headers[name.strip().lower()] = value.strip()
             self.read_body(answer, until)
         except TimeoutError:
-            answer.end = "the client's time is over"
+            answer.end = TIME_IS_OVER
         except OSError as error:
             answer.end = f"connection failed: {error}"
         return answer
--- a/review/common/rig.py
+++ b/review/rig.py
@@ -19,7 +19,7 @@
 import tempfile
 import time
 
-REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
+REPOSITORY = pathlib.Path(__file__).resolve().parents[1]
 PYTHON = ["python3", "-X", "no_debug_ranges", "-S"]
 START_TIMEOUT_S = 30.0
 ZONES = ("zone-a", "zone-b", "zone-c")
@@ -69,9 +69,8 @@
 class Deployment:
     """The processes of a deployment, and the stand-ins beside them."""
 
-    def __init__(self, case, machines=3, bounds=None):
-        self.case = pathlib.Path(case)
-        self.record_path = self.case / "record.txt"
+    def __init__(self, record, machines=3, bounds=None):
+        self.record_path = pathlib.Path(record)
         self.record_path.write_text("")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="colts-review-"))
         self.bounds = {
@@ -375,14 +374,14 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def run_case(main, case):
+def run_case(main, record):
     """Run a case; exit with 0 if the rule held, 1 if not, 2 if it can't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     # The processes that a case has started end also if it is stopped early.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     status = 2
     try:
-        status = 0 if main(case, trouble) else 1
+        status = 0 if main(record, trouble) else 1
     except CannotRunError as error:
         print(f"the case cannot run: {error}", file=sys.stderr)
     except Exception as error:  # noqa: BLE001
--- a/review/common/server.py
+++ b/review/server.py
@@ -7,7 +7,8 @@
     record: File to which it appends one JSON line for each event.
     work_s: Time that a request takes before its answer begins.
     body_bytes: Size of its answers.
-    unframed: Whether answers have no length and end with their connection.
+    unframed: Path whose answers have no length and end with their connection,
+        and are sent in pieces; empty for none.
     pieces: Number of parts in which an answer is sent.
     piece_gap_s: Pause between the parts.
 
@@ -185,7 +186,7 @@
                 tenant=headers.get("x-tenant", ""),
             )
             await asyncio.sleep(self.settings.get("work_s", 0.02))
-            return await self.send_answer(attempt, writer)
+            return await self.send_answer(attempt, target, writer)
 
     def write_whole(self, writer, status, headers):
         """Write a response without a body."""
@@ -194,10 +195,10 @@
             "Content-Length: 0\r\n\r\n".encode()
         )
 
-    async def send_answer(self, attempt, writer):
-        """Send an answer, in pieces if the settings say so."""
+    async def send_answer(self, attempt, target, writer):
+        """Send an answer, in pieces without a length on the path set so."""
         size = self.settings.get("body_bytes", 800)
-        unframed = self.settings.get("unframed", False)
+        unframed = target == self.settings.get("unframed", "")
         body = answer_body(attempt, size)
         framing = (
             "Connection: close"
@@ -210,7 +211,7 @@
             f"X-Response-Signature: {SIGNATURE}\r\n"
             f"{framing}\r\n\r\n".encode()
         )
-        pieces = self.settings.get("pieces", 1)
+        pieces = self.settings.get("pieces", 1) if unframed else 1
         step = -(-size // pieces)
         for start in range(0, size, step):
             if start:
@@ -220,6 +221,7 @@
             self.record(
                 "answer sent",
                 attempt=attempt,
+                target=target,
                 sent=min(size, start + step),
                 of=size,
             )
