control: refuse calls that cannot be handled, without ending the process

Callers saw: a call that the replica could not handle ended the process; sent again, it ended the next one. Reads were protected from this, commands and other calls were not: a text with half of a surrogate pair, which JSON can hold and UTF-8 cannot, did it from each of the operators' calls, and so would any exception in a crash report, a loan of retries, a join or a leave.

Cause: `ControlServer.run_critical` ends the process on any exception of `ControlNode.call`. That is right for a step of Raft, which may leave a state in memory that the disk does not hold, but most calls fail before that step.

Fix: a command is encoded, and its size checked, before it is appended, and only by the leader. An exception outside of Raft's steps is logged and refused; one within them ends the process as before. A replica whose name has no UTF-8 form is refused as a member.

--- a/features/control/commandlog.feature
+++ b/features/control/commandlog.feature
@@ -36,3 +36,13 @@
       | a response to a gateway  |
       | a delta to a gateway     |
       | a snapshot               |
+
+  # Guards against an entry that no replica can read, which would end each of them
+  # after each restart.
+  Scenario Outline: A command <fault> is refused and not logged
+    Then packing a command <fault> returns the error <code>
+
+    Examples:
+      | fault                      | code        |
+      | with half a surrogate pair | bad_request |
+      | above the size of entries  | too_large   |
--- a/features/shell/replicafaults.feature
+++ b/features/shell/replicafaults.feature
@@ -21,8 +21,28 @@
     And the same holds after a restart of all replicas
 
   # Guards against a call that terminates one leader after another.
-  Scenario: A call that cannot be answered is refused, and the leader keeps running
-    Given a leader that fails to answer one kind of call
+  Scenario Outline: <call> that cannot be answered is refused, and the leader keeps running
+    Given a leader that fails to answer <call>
     When it receives such a call, followed by a change
     Then the first is refused as internal and the second is applied
     And the leader logs "call not answered" with the exception
+
+    Examples:
+      | call                  |
+      | a read                |
+      | a report of crashes   |
+      | a request for retries |
+      | a request to join     |
+      | a request to leave    |
+
+  # Guards against a call that terminates each replica that receives it.
+  Scenario Outline: <call> with half a surrogate pair is refused by <replica>
+    Given three replicas that take changes
+    When <replica> receives <call> with half a surrogate pair, followed by another change
+    Then it is refused without an effect and the other change is applied
+
+    Examples:
+      | replica    | call             |
+      | the leader | a command        |
+      | a follower | a command        |
+      | the leader | a replica change |
--- a/features/steps/commandlog_steps.py
+++ b/features/steps/commandlog_steps.py
@@ -1,12 +1,14 @@
 """Steps for the encoding of commands in the replicated log."""
 
 import json
+from unittest import mock
 
 import attrs
 from behave import then
 
 from _coltsfootroad.control import commandlog
 from _coltsfootroad.control import messages
+from _coltsfootroad.control import packing
 from _coltsfootroad.control import state as state_lib
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import addresses
@@ -36,7 +38,7 @@
 )
 def is_decoded_unchanged(context, routes, limit):
     command = version_of(routes)
-    data = commandlog.pack(command)
+    data = commandlog.pack(command).ok
     assert len(data) <= limit, len(data)
     assert commandlog.unpack(data).ok == command
 
@@ -97,7 +99,7 @@
     calls = wireformats.CALLS
     decoded, expected = {
         "a log entry": lambda: (
-            commandlog.unpack(commandlog.pack(command)).ok,
+            commandlog.unpack(commandlog.pack(command).ok).ok,
             command,
         ),
         "a call of a replica": lambda: (
@@ -119,3 +121,16 @@
         ),
     }[form]()
     assert decoded == expected, decoded
+
+
+@then("packing a command {fault} returns the error {code}")
+def packing_returns_error(_, fault, code):
+    command = version_of(300)
+    if fault == "with half a surrogate pair":
+        route = attrs.evolve(command.config.routes[0], name="\ud800")
+        config = attrs.evolve(command.config, routes=(route,))
+        command = attrs.evolve(command, config=config)
+    with mock.patch.object(packing, "MAX_PLAIN_BYTES", 20_000):
+        packed = commandlog.pack(command)
+    assert packed.is_error(), packed
+    assert packed.error.code.value == code, packed.error
--- a/features/steps/controlevacuation_steps.py
+++ b/features/steps/controlevacuation_steps.py
@@ -131,7 +131,7 @@
         if isinstance(message, evacuations.ReadEvacuations):
             orders = context.newer.evacuation.orders.values()
             return Ok(evacuations.EvacuationsCopy(orders=tuple(orders)))
-        data = commandlog.pack(message)
+        data = commandlog.pack(message).ok
         # An older build decodes the log without `evacuations.from_log`.
         context.older.apply(state_lib.COMMANDS.decode(data).ok, 1.0)
         return Ok(context.newer.apply(commandlog.unpack(data).ok, 1.0))
--- a/features/steps/replicafaults_steps.py
+++ b/features/steps/replicafaults_steps.py
@@ -12,9 +12,14 @@
 import logbook
 
 from _coltsfootroad.control import configstore
+from _coltsfootroad.control import coordinator
+from _coltsfootroad.control import crashreports
+from _coltsfootroad.control import membership
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import reads
+from _coltsfootroad.control import replicas
+from _coltsfootroad.control import retrylending
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import controlserver
 from _coltsfootroad.shell import quorumlogger
@@ -123,15 +128,47 @@
     assert not site.faults()
 
 
-@given("a leader that fails to answer one kind of call")
-def fails_to_answer(context):
+def fail(*_):
+    """Fail to handle a call."""
+    raise ZeroDivisionError
+
+
+JOINING = replicas.Replica(name="z", disk="d", address="z")
+# A call of each kind, and what makes it fail.
+FAILING_CALLS = {
+    "a read": (
+        messages.ReadRoutes(),
+        lambda: mock.patch.dict(reads.ANSWERS, {messages.ReadRoutes: fail}),
+    ),
+    "a report of crashes": (
+        crashreports.ReportCrashes(gateway="g"),
+        lambda: mock.patch.object(
+            coordinator.Coordinator, "record_crashes", fail
+        ),
+    ),
+    "a request for retries": (
+        retrylending.BorrowRetries(
+            gateway="g", service="s", wanted=1, slack=9.0, window_s=9.0
+        ),
+        lambda: mock.patch.object(retrylending.RetryLender, "lend", fail),
+    ),
+    "a request to join": (
+        messages.JoinReplica(replica=JOINING),
+        lambda: mock.patch.object(membership.Membership, "join_refusal", fail),
+    ),
+    "a request to leave": (
+        messages.LeaveReplica(replica=JOINING),
+        lambda: mock.patch.object(membership.Membership, "plan_leave", fail),
+    ),
+}
+
+
+@given("a leader that fails to answer {call}")
+def fails_to_answer(context, call):
     context.site = replacements.Site(random.Random(8))
     context.site.begin()
-
-    def fail(*_):
-        raise ZeroDivisionError
-
-    patched = mock.patch.dict(reads.ANSWERS, {messages.ReadRoutes: fail})
+    context.call, make_fail = FAILING_CALLS[call]
+    patched = make_fail()
     patched.start()
     context.add_cleanup(patched.stop)
 
@@ -145,9 +182,7 @@
     with logbook.TestHandler() as handler:
         now = site.clock(leader)
         call = leader.node.call
-        site.guard(
-            leader, call, messages.ReadRoutes(), now, context.answers.append
-        )
+        site.guard(leader, call, context.call, now, context.answers.append)
         site.call_leader(context.answers)
         log_for(context, 1.0)
     context.records = handler.records
@@ -158,3 +193,62 @@
 def leader_logs(context, what):
     (record,) = [r for r in context.records if r.message == what]
     assert "ZeroDivisionError" in record.kwargs["fault"], record.kwargs
+
+
+@given("three replicas that take changes")
+def replicas_that_take_changes(context):
+    context.site = replacements.Site(random.Random(8))
+    context.site.begin()
+
+
+def unencodable(call: str) -> object:
+    """Return a call with a text that has no UTF-8 form."""
+    if call == "a command":
+        return messages.PatchConfig(
+            patch_id="\ud800", base_version=0, patch=b"{}"
+        )
+    return messages.ChangeReplicas(
+        action=messages.ReplicaAction.LEARN,
+        replica=replicas.Replica(name="\ud800", disk="d", address="z"),
+    )
+
+
+@when(
+    "{who} receives {call} with half a surrogate pair, followed by another"
+    " change"
+)
+def receives_unencodable(context, who, call):
+    site = context.site
+    leader = site.leader()
+    replica = leader
+    if who == "a follower":
+        replica = site.replicas[site.follower()]
+    context.leader = leader
+    context.before = leader.node.raft.replica_set
+    context.answers = []
+    now = site.clock(replica)
+    site.guard(
+        replica,
+        replica.node.call,
+        unencodable(call),
+        now,
+        context.answers.append,
+    )
+    site.guard(replica, replica.node.process, now)
+    site.call_leader(context.answers)
+    site.run_until(site.now + 1.0)
+
+
+@then("it is refused without an effect and the other change is applied")
+def refused_without_effect(context):
+    site = context.site
+    first, second = context.answers
+    assert isinstance(first, outcomes.Refused | outcomes.NotLeader), first
+    assert isinstance(second, messages.PatchAnswer), second
+    assert second.failure is None, second
+    assert site.leader() is context.leader
+    assert all(site.is_up(name) for name in site.replicas)
+    node = context.leader.node
+    assert node.raft.replica_set == context.before, node.raft.replica_set
+    assert "\ud800" not in node.state.configs.answers
+    assert not site.faults()
--- a/src/_coltsfootroad/control/membership.py
+++ b/src/_coltsfootroad/control/membership.py
@@ -227,6 +227,11 @@
 ) -> Result[replicas.ReplicaSet, errors.Failure]:
     """Return the replica set that a change results in, or its refusal."""
     identity = message.replica.identity
+    try:
+        identity.encode()
+        message.replica.address.encode()
+    except UnicodeEncodeError as error:
+        return refuse(f"the replica cannot be stored: {error}")
     voters = tuple(r for r in current.voters if r.identity != identity)
     # A learner of the same name has an earlier disk that is lost permanently.
     learners = tuple(
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -6,6 +6,7 @@
 
 import collections
 from collections.abc import Callable
+import contextlib
 import random
 import traceback
 
@@ -298,19 +299,6 @@
         except Exception:  # noqa: BLE001
             return self.refuse_after_fault(command, entry.index)
 
-    def answer_read(self, message: object, now: float) -> object:
-        """Answer a call that changes no durable state.
-
-        Refuses the call on an exception. Otherwise a retried call would
-        terminate one leader after another.
-        """
-        try:
-            return reads.answer(self, message, now)
-        except errors.BrokenInvariantError:
-            raise
-        except Exception:  # noqa: BLE001
-            return self.refuse_after_fault(message, None)
-
     def refuse_after_fault(
         self, message: object, index: int | None
     ) -> outcomes.Refused:
@@ -396,7 +384,20 @@
     # --- calls -----------------------------------------------------------
 
     def call(self, message: object, now: float, reply: Reply) -> None:
-        """Handle a call; `reply` is called once, now or later."""
+        """Handle a call; `reply` is called once, now or later.
+
+        Refuses the call on an exception outside of Raft. Otherwise a call that
+        is sent again would terminate one replica after another.
+        """
+        try:
+            self.dispatch(message, now, reply)
+        except errors.BrokenInvariantError:
+            raise
+        except Exception:  # noqa: BLE001
+            reply(self.refuse_after_fault(message, None))
+
+    def dispatch(self, message: object, now: float, reply: Reply) -> None:
+        """Pass a call to its handler."""
         if isinstance(message, messages.ReplicaHello):
             reply(self.info())
         elif isinstance(message, COMMANDS):
@@ -414,7 +415,7 @@
         elif isinstance(message, retrylending.BorrowRetries):
             reply(self.coordinator.retry_lender.lend(message, now))
         else:
-            reply(self.answer_read(message, now))
+            reply(reads.answer(self, message, now))
 
     def record_crashes(
         self, report: crashreports.ReportCrashes, reply: Reply, now: float
@@ -450,15 +451,17 @@
         if len(self.pending_commands) >= MAX_PENDING_COMMANDS:
             reply(unavailable("too many commands wait for the disk"))
             return
-        index = self.raft.propose(
-            log_lib.EntryKind.COMMAND,
-            commandlog.pack(command),
-            self.wall_clock(),
-            now,
-        )
-        if index is None:
+        if not self.raft.is_leader:
             reply(outcomes.NotLeader(hint=self.leader_address()))
             return
+        packed = commandlog.pack(command)
+        if packed.is_error():
+            reply(outcomes.Refused(failure=packed.error))
+            return
+        with faults_end_process():
+            index = self.raft.propose(
+                log_lib.EntryKind.COMMAND, packed.ok, self.wall_clock(), now
+            )
         # The caller runs `process` once per iteration of the event loop, so
         # that commands that arrive together share one sync.
         self.pending_commands[index] = PendingCommand(self.raft.term, reply)
@@ -473,11 +476,9 @@
             reply(outcomes.Refused(failure=target_set.error))
         elif target_set.ok == current:
             reply(outcomes.Done())
-        elif self.raft.change_replicas(target_set.ok, now):
-            self.change_reason = message.reason or "requested by an operator"
-            index = self.raft.log.last_index
-            self.pending_commands[index] = PendingCommand(self.raft.term, reply)
-            self.process(now)
+        elif self.append_replica_set(target_set.ok, message.reason, reply, now):
+            with faults_end_process():
+                self.process(now)
         else:
             reply(
                 unavailable(
@@ -486,6 +487,22 @@
                 )
             )
 
+    def append_replica_set(
+        self,
+        target_set: replicas.ReplicaSet,
+        reason: str,
+        reply: Reply,
+        now: float,
+    ) -> bool:
+        """Append a replica set to the log; return False if Raft refuses it."""
+        with faults_end_process():
+            if not self.raft.change_replicas(target_set, now):
+                return False
+        self.change_reason = reason or "requested by an operator"
+        index = self.raft.log.last_index
+        self.pending_commands[index] = PendingCommand(self.raft.term, reply)
+        return True
+
     def join(
         self, message: messages.JoinReplica, reply: Reply, now: float
     ) -> None:
@@ -567,6 +584,22 @@
         return leader.address if leader is not None else ""
 
 
+@contextlib.contextmanager
+def faults_end_process():
+    """Turn an exception in a step of Raft into one that ends the process.
+
+    An incomplete step leaves a state in memory that the disk does not hold.
+    """
+    try:
+        yield
+    except errors.BrokenInvariantError:
+        raise
+    except Exception as error:
+        raise errors.BrokenInvariantError(
+            f"a step of Raft failed: {error!r}"
+        ) from error
+
+
 def discard_reply(_: object) -> None:
     """Ignore the reply to a command that is proposed again on failure."""
 
