--- a/features/platform/decode.feature
+++ b/features/platform/decode.feature
@@ -119,3 +119,13 @@
       | a heartbeat     |
       | a sign-off      |
       | a configuration |
+
+  # Guards against a 500, after which senders send the document again.
+  Scenario Outline: <what> that is nested too deeply is refused
+    Then <what> nested 30000 deep is refused with the words cannot be read
+
+    Examples:
+      | what            |
+      | a heartbeat     |
+      | a sign-off      |
+      | a configuration |
--- a/features/platform/documents.feature
+++ b/features/platform/documents.feature
@@ -18,3 +18,14 @@
       | tenants.0.priority             | 18446744073709551616           |
     And no control process has ended
     And the newest configuration is returned after all processes were killed
+
+  # Guards against a 500, after which callers send the document again.
+  Scenario: Documents that cannot be read in full are refused
+    Given 3 replicas and 1 relay that know the zones "za zb"
+    Then each process refuses these documents with 400 and the words cannot be read
+      | document                  |
+      | nested 100000 deep        |
+      | with a version of 5000 digits |
+      | with half of a surrogate pair |
+      | of bytes that are no text |
+    And no control process has ended
--- a/features/steps/documents_steps.py
+++ b/features/steps/documents_steps.py
@@ -11,6 +11,7 @@
 PATH = "/v1/configuration"
 # Above the limit of a call by the time that a busy machine adds.
 CALL_TIMEOUT_S = 4.0
+DEPTH = 100_000
 # Between versions of 20 digits, which differ by more than the rows change them.
 VERSION_STEP = 1_000
 FIRST_VERSION = 7
@@ -74,3 +75,34 @@
         )
         _, body = call(address, "GET")
         assert json.loads(body) == context.newest, (address, body)
+
+
+def unreadable(kind: str) -> bytes:
+    """Return a document that cannot be read in full."""
+    text = json.dumps(platform_steps.sample())
+    digits = "7" * 5_000
+    documents = {
+        "nested 100000 deep": text.replace(
+            '"version": 7', '"version": 7, "more": ' + "[" * DEPTH + "]" * DEPTH
+        ).encode(),
+        "with a version of 5000 digits": text.replace(
+            '"version": 7', f'"version": {digits}'
+        ).encode(),
+        "with half of a surrogate pair": text.replace(
+            '"name": "r1"', '"name": "\\ud800 r1"'
+        ).encode(),
+        "of bytes that are no text": text.replace("r1", "\xff").encode(
+            "latin-1"
+        ),
+    }
+    assert documents[kind] != text.encode(), kind
+    return documents[kind]
+
+
+@then("each process refuses these documents with 400 and the words {words}")
+def documents_refused(context, words):
+    for row in context.table:
+        for address in context.api:
+            status, body = call(address, "PUT", unreadable(row["document"]))
+            assert status == 400, (row, address, status, body)
+            assert words in body.decode(), (row, address, body)
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -236,3 +236,11 @@
         assert found.is_ok() or found.error.message
 
     decodes_or_refuses()
+
+
+@then("{what} nested {depth:d} deep is refused with the words {words}")
+def nested_is_refused(_, what, depth, words):
+    body = b'{"more": ' + b"[" * depth + b"]" * depth + b"}"
+    found = DECODERS[what](body)
+    assert found.is_error(), found
+    assert words in found.error.message, found.error
