gateway: read any number in a header without failing the request

Callers saw: a closed connection instead of a response if a header with a number held a superscript digit, or so many digits that Python or a float cannot hold them: the deadline, the token counts, or a gateway's own headers. With a token count of 20 digits the request was answered, but the gateway's load summaries failed while it was in flight. The time that a response states as cold could fail a sound response, or keep its endpoint cold for good.

Cause: `str.isdigit` is true for digits that `int` refuses; `int` refuses more than 4,300 digits, and division by 1,000 overflows above 308 digits; integers of summaries end at 64 bits.

Fix: one function reads the counts in headers, accepts ASCII digits only and reads larger numbers as 10**15. The version of the routes is read exactly. A response extends a cold phase by 600 s at most, as an announcement does.

--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -134,3 +134,37 @@
       | 0.3   | the routes, 0.4 s later an endpoint | 200 | 0.7 | 1.0 |
       | 9.0   | the routes and endpoints | 503    | 1.4   | 2.2  |
       | 9.0   | anything, within 0.6 s   | 503    | 0.2   | 0.6  |
+
+  # Guards against a closed connection instead of a response, and against token
+  # counts with which the gateway could no longer send load summaries.
+  Scenario Outline: A <kind> request whose <header> is <value> gets a response
+    When a <kind> request has a <header> of <value> at an endpoint that will <act>
+    Then the caller gets <status> and the response is complete
+    And the gateway can send a summary of its load
+
+    Examples:
+      | kind   | header        | value           | act    | status |
+      | unsafe | X-Deadline-Ms | a superscript 2 | answer | 200    |
+      | unsafe | X-Deadline-Ms | 20 digits       | answer | 200    |
+      | unsafe | X-Deadline-Ms | 400 digits      | answer | 200    |
+      | unsafe | X-Deadline-Ms | 5000 digits     | answer | 200    |
+      | stream | X-Tokens      | a superscript 2 | stream | 200    |
+      | stream | X-Tokens      | 20 digits       | stream | 200    |
+      | stream | X-Tokens      | 400 digits      | stream | 200    |
+      | stream | X-Tokens      | 5000 digits     | stream | 200    |
+      | unsafe | X-Gateway-Routes-Version | 5000 digits | answer | 200 |
+
+  # Guards against the same in a response, which kept the endpoint cold for good.
+  Scenario Outline: A response whose <header> is <value> is passed on
+    When a safe request meets an endpoint that answers with a <header> of <value>
+    Then the caller gets 200 and the response is complete
+    And the endpoint counts as cold for at most 600 s
+
+    Examples:
+      | header     | value           |
+      | Keep-Alive | a superscript 2 |
+      | Keep-Alive | 5000 digits     |
+      | X-Cold-Ms  | a superscript 2 |
+      | X-Cold-Ms  | 20 digits       |
+      | X-Cold-Ms  | 400 digits      |
+      | X-Cold-Ms  | 5000 digits     |
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -666,3 +666,72 @@
 def ranks(context, target, waited, rank):
     route = attrs.evolve(gatewaybed.config().routes[2], target_s=target)
     assert urgency.engine_rank(route, waited, 0.1) == rank
+
+
+def header_value(text: str) -> str:
+    """Return the value that a row describes."""
+    if text == "a superscript 2":
+        return "\xb2"
+    return "7" * int(text.removesuffix(" digits"))
+
+
+@when(
+    "a {kind} request has a {header} of {value} at an endpoint that will {act}"
+)
+def request_has_header(context, kind, header, value, act):
+    stated = header_value(value)
+    if header == "X-Tokens":
+        stated += ",10"
+
+    async def story(bed):
+        await bed.add("e1", act)
+        extra = {header: stated}
+        if header == "X-Gateway-Routes-Version":
+            extra["X-Forwarded-By-Gateway"] = "g2"
+        load = bed.gateway.load
+        context.changes = ()
+        task = asyncio.create_task(bed.ask(f"/{kind}/x", extra=extra))
+        while not task.done():
+            context.changes += load.collect_changes(True, clocks.boot_time())
+            await asyncio.sleep(0)
+        context.answer = await task
+
+    run_with_bed(context, story)
+
+
+@then("the gateway can send a summary of its load")
+def can_send_summary(context):
+    assert any(change.endpoint for change in context.changes)
+    summary = workload.Summary(
+        gateway="g1", incarnation=1, seq=1, full=True, changes=context.changes
+    )
+    assert gossip.decode(gossip.encode(summary)) == summary
+
+
+@when(
+    "a safe request meets an endpoint that answers with a {header} of {value}"
+)
+def endpoint_answers_with_header(context, header, value):
+    stated = header_value(value)
+    if header == "Keep-Alive":
+        stated = f"timeout={stated}"
+
+    async def story(bed):
+        service = routes.ServiceSpec(name="shop", cold_per_s=5.0)
+        bed.gateway.adopt(gatewaybed.config(version=2, services=(service,)))
+        endpoint = await bed.add("e1", "answer")
+        head = endpoint.head
+        endpoint.head = lambda headers, *extra, **status: head(
+            headers, *extra, f"{header}: {stated}", **status
+        )
+        context.answer = await bed.ask("/safe/x")
+        known = bed.gateway.endpoints.known["e1"]
+        now = clocks.boot_time()
+        context.cold_s = known.cold.remaining_s(0.0, now)
+
+    run_with_bed(context, story)
+
+
+@then("the endpoint counts as cold for at most {most:d} s")
+def cold_at_most(context, most):
+    assert context.cold_s <= most, context.cold_s
--- a/features/support/gatewaybed.py
+++ b/features/support/gatewaybed.py
@@ -83,7 +83,7 @@
 
     async def read_request(self, reader) -> Seen:
         """Read one complete request."""
-        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         lines = head.split("\r\n")
         headers = dict(
             line.lower().split(": ", 1) for line in lines[1:] if ": " in line
--- a/src/_coltsfootroad/core/coldness.py
+++ b/src/_coltsfootroad/core/coldness.py
@@ -5,6 +5,9 @@
 from _coltsfootroad.core import registry
 
 NEVER = float("-inf")
+# Cold phases last seconds; a longer one is cut off, as it must not outlast the
+# endpoint's next announcements by much.
+MAX_REMAINING_S = 600.0
 # Added to the remaining time that an announcement states: control publishes no
 # announcement that moves the end of the phase by up to this much.
 COUNTDOWN_MARGIN_S = registry.COLD_END_TOLERANCE_S
@@ -51,7 +54,8 @@
         phase and never ends it.
         """
         if remaining_s > 0:
-            self.stated_until = max(self.stated_until, now + remaining_s)
+            until = now + min(remaining_s, MAX_REMAINING_S)
+            self.stated_until = max(self.stated_until, until)
 
     def remaining_s(self, cold_start_s: float, now: float) -> float:
         """Return for how long the endpoint counts as cold, 0 if it is warm."""
--- a/src/_coltsfootroad/gateway/admission.py
+++ b/src/_coltsfootroad/gateway/admission.py
@@ -7,6 +7,7 @@
 from tornado import httputil
 
 from _coltsfootroad.core import errors
+from _coltsfootroad.core import headernumbers
 from _coltsfootroad.core import routes
 from _coltsfootroad.core.placement import engineplacement
 from _coltsfootroad.gateway import names as names_lib
@@ -50,8 +51,8 @@
 
     def stated_number(self, name: str, default: int) -> int:
         """Return the number in a header, `default` if it holds none."""
-        text = self.headers.get(name, "")
-        return int(text) if text.isdigit() else default
+        stated = headernumbers.read_count(self.headers.get(name, ""))
+        return default if stated is None else stated
 
     def stated_timeout_s(self, names: names_lib.HeaderNames) -> float:
         """Return the timeout that the caller states, in seconds."""
@@ -184,8 +185,8 @@
     if not request.forwarded_by:
         return None
     name = gateway.dialect.names.routes_version
-    needed = request.stated_number(name, routes.NO_VERSION)
-    if needed <= gateway.view.version:
+    needed = headernumbers.read_integer(request.headers.get(name, ""))
+    if needed is None or needed <= gateway.view.version:
         return None
     return refusal(
         errors.ErrorCode.UNAVAILABLE,
@@ -199,11 +200,13 @@
 ) -> engineplacement.Prompt | None:
     """Return the prompt size from a header, None if it states none."""
     prompt, _, output = text.partition(",")
-    if not (prompt.strip().isdigit() and output.strip().isdigit()):
+    prompt_tokens = headernumbers.read_count(prompt.strip())
+    output_tokens = headernumbers.read_count(output.strip())
+    if prompt_tokens is None or output_tokens is None:
         return None
     return engineplacement.Prompt(
-        prompt_tokens=int(prompt),
-        output_tokens=int(output),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
         target_s=route.target_s,
         gap_target_s=route.gap_target_s,
     )
--- a/src/_coltsfootroad/gateway/coldendpoints.py
+++ b/src/_coltsfootroad/gateway/coldendpoints.py
@@ -7,6 +7,7 @@
 from _coltsfootroad.control import watching
 from _coltsfootroad.core import coldlimit
 from _coltsfootroad.core import endpointset
+from _coltsfootroad.core import headernumbers
 from _coltsfootroad.core import registry
 from _coltsfootroad.core import routes
 from _coltsfootroad.core import routeview
@@ -106,8 +107,9 @@
         self, known: KnownEndpoint, text: str, now: float
     ) -> None:
         """Apply the milliseconds that a response states, if it does."""
-        if text.isascii() and text.isdigit() and self.limit_of(known):
-            known.cold.learn_from_response(int(text) / MS, now)
+        stated_ms = headernumbers.read_count(text)
+        if stated_ms is not None and self.limit_of(known):
+            known.cold.learn_from_response(stated_ms / MS, now)
             self.is_cold(known, now, "response")
 
     # --- decisions ----------------------------------------------------------
--- a/src/_coltsfootroad/gateway/upstream.py
+++ b/src/_coltsfootroad/gateway/upstream.py
@@ -15,6 +15,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from _coltsfootroad.core import headernumbers
 from _coltsfootroad.gateway import responselimits
 from _coltsfootroad.gateway import sockets
 from _coltsfootroad.shell import clocks
@@ -452,6 +453,7 @@
     """Return the peer's keep-alive time in seconds."""
     for parameter in headers.get("Keep-Alive", "").split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.strip().isdigit():
-            return float(value)
+        stated_s = headernumbers.read_count(value.strip())
+        if name.lower() == "timeout" and stated_s is not None:
+            return float(stated_s)
     return DEFAULT_KEEP_ALIVE_S
