gateway: keep ticking after a tick has failed

Callers saw: nothing at once. After one exception in a tick, such as a load summary with an integer beyond 64 bits, the gateway's ticker had ended: load of other gateways no longer expired and no full summaries were sent.

Cause: the ticker is one task, which an exception ends unlogged.

Fix: a failed tick is logged, at most five times in 10 s, and the next runs.

--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -168,3 +168,8 @@
       | X-Cold-Ms  | 20 digits       |
       | X-Cold-Ms  | 400 digits      |
       | X-Cold-Ms  | 5000 digits     |
+
+  # Guards against a gateway that never again expires or publishes load.
+  Scenario: A tick that fails does not end the ticks after it
+    When sending load summaries fails for two ticks
+    Then the gateway logs "tick failed" and runs the ticks after it
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -4,11 +4,13 @@
 import itertools
 import json
 import random
+from unittest import mock
 
 import attrs
 from behave import given
 from behave import then
 from behave import when
+import logbook
 
 from _coltsfootroad.control import retrylending
 from _coltsfootroad.core import endpointset
@@ -25,6 +27,7 @@
 from _coltsfootroad.core.placement import work as work_lib
 from _coltsfootroad.core.placement import workload
 from _coltsfootroad.gateway import gossip
+from _coltsfootroad.gateway import server
 from _coltsfootroad.shell import clocks
 from benchmarks import mixes
 from features.support import gatewaybed
@@ -735,3 +738,34 @@
 @then("the endpoint counts as cold for at most {most:d} s")
 def cold_at_most(context, most):
     assert context.cold_s <= most, context.cold_s
+
+
+@when("sending load summaries fails for {count} ticks")
+def summaries_fail(context, count):
+    assert count == "two"
+
+    async def story(bed):
+        outcomes = [ZeroDivisionError, ZeroDivisionError, None, None]
+        with (
+            logbook.TestHandler() as handler,
+            mock.patch.object(server, "TICK_INTERVAL_S", 0.001),
+            mock.patch.object(
+                gossip.Gossip, "refresh", side_effect=outcomes
+            ) as refresh,
+        ):
+            ticker = asyncio.create_task(bed.gateway.tick())
+            while refresh.call_count < len(outcomes) and not ticker.done():
+                await asyncio.sleep(0.001)
+            context.ticks = refresh.call_count
+            ticker.cancel()
+        context.records = handler.records
+
+    run_with_bed(context, story)
+
+
+@then('the gateway logs "{event}" and runs the ticks after it')
+def ticks_go_on(context, event):
+    assert context.ticks == 4, context.ticks
+    failed = [r for r in context.records if r.message == event]
+    assert len(failed) == 2, context.records
+    assert all("ZeroDivisionError" in r.kwargs["fault"] for r in failed)
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -4,6 +4,7 @@
 import collections
 import random
 import time
+import traceback
 
 from _coltsfootroad.core import crashes
 from _coltsfootroad.core import endpointset
@@ -48,6 +49,8 @@
 
 LOG = logs.logger("gateway")
 TICK_INTERVAL_S = 0.25
+# A fault that repeats with each tick.
+TICK_ERROR_LOG_LIMIT = logs.LogRateLimit(5, 10.0)
 # The gateway reports itself as not ready when its last proof from the leader is
 # older than this, so that callers move away before it refuses requests.
 MAX_READY_PROOF_AGE_S = 3.5
@@ -214,10 +217,19 @@
         """Expire old load and send load summaries periodically."""
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self.load.expire(clocks.boot_time())
-            self.pacing.advance(clocks.boot_time())
+            self.run_tick()
+
+    def run_tick(self) -> None:
+        """Run one tick; an exception in it must not end those that follow."""
+        now = clocks.boot_time()
+        try:
+            self.load.expire(now)
+            self.pacing.advance(now)
             self.gossip.refresh()
-            traffic.PROCESS.log_if_due(clocks.boot_time())
+            traffic.PROCESS.log_if_due(now)
+        except Exception:  # noqa: BLE001
+            if TICK_ERROR_LOG_LIMIT.allows(now):
+                LOG.error("tick failed", fault=traceback.format_exc())
 
     async def drain(self) -> None:
         """Stop advertising the gateway, finish requests, and stop in time."""
