routes: keep the numbers of a version within what gateways compute with

Callers saw: no response on routes of a version with a number that no gateway can compute with: an engine without slots or with a prefill rate of 0, a latency target of 0, a priority or weight beyond the range of floats. With a gap target of 1e300 ms, load summaries could not be encoded.

Cause: such versions are valid and were acknowledged, and gateways divide by these numbers or convert them to floats while they serve a request.

Fix: control stores the nearest number in range; the document that operators read back is the one sent. Weights are computed with in integers, and the factor of a priority is limited to a distance of 100.

--- a/features/platform/decode.feature
+++ b/features/platform/decode.feature
@@ -129,3 +129,35 @@
       | a heartbeat     |
       | a sign-off      |
       | a configuration |
+
+  # Guards against a closed connection for each request of a route, and against a
+  # load summary that cannot be encoded.
+  Scenario Outline: Gateways can compute with a configuration whose <path> is <value>
+    Then gateways choose engines by a configuration whose <path> is <value>
+
+    Examples:
+      | path                               | value |
+      | routes.0.targetLatencyMs           | 0     |
+      | routes.0.targetLatencyMs           | -1    |
+      | routes.0.gapTargetMs               | 1e300 |
+      | routes.0.timeoutMs                 | 1e300 |
+      | routes.0.priority                  | 1e400 |
+      | routes.0.trafficSplit.0.weight     | 1e400 |
+      | services.0.engine.slots            | 0     |
+      | services.0.engine.slots            | 1e400 |
+      | services.0.engine.cacheTokens      | -1    |
+      | services.0.engine.cacheTokens      | 1e400 |
+      | services.0.engine.stride           | 0     |
+      | services.0.engine.stride           | 1e400 |
+      | services.0.engine.chunk            | 1e400 |
+      | services.0.engine.step_ms          | -1    |
+      | services.0.engine.step_ms          | 1e300 |
+      | services.0.engine.read_per_s       | 0     |
+      | services.0.engine.read_per_s       | 1e300 |
+      | services.0.engine.pairs_per_m      | 1e300 |
+      | tenants.0.priority                 | -1e30 |
+      | tenants.0.priority                 | 1e400 |
+
+  # Guards against a limit that is changed though gateways can use it.
+  Scenario: A configuration whose numbers are in range stays as it is
+    Then the platform's sample configuration is stored unchanged
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -11,7 +11,15 @@
 from hypothesis import strategies
 
 from _coltsfootroad.core import documents
+from _coltsfootroad.core import fairqueue
+from _coltsfootroad.core import headernumbers
+from _coltsfootroad.core import routenumbers
 from _coltsfootroad.core import routes
+from _coltsfootroad.core.placement import engineplacement
+from _coltsfootroad.core.placement import enginestate
+from _coltsfootroad.core.placement import work
+from _coltsfootroad.core.placement import workload
+from _coltsfootroad.gateway import gossip
 from _coltsfootroad.shell import settings as settings_lib
 
 # The adapter's folder has the name of a standard library module, so it is not a
@@ -244,3 +252,57 @@
     found = DECODERS[what](body)
     assert found.is_error(), found
     assert words in found.error.message, found.error
+
+
+def whole_number(text: str) -> int | float:
+    """Return a number; one with an exponent from 30 on is an integer."""
+    base, _, exponent = text.partition("e")
+    if exponent in ("30", "400"):
+        return int(base) * 10 ** int(exponent)
+    return json.loads(text)
+
+
+@then("gateways choose engines by a configuration whose {path} is {value}")
+def gateways_choose(_, path, value):
+    document = sample()
+    change(document, path, whole_number(value))
+    config = decode(json.dumps(document).encode()).map(routenumbers.clamp).ok
+    engine = config.services[0].engine
+    route = config.routes[0]
+    assert routes.choose_service(route, "r") in ("s1", "s2")
+    for holder in config.holders:
+        assert fairqueue.priority_factor(holder.priority or 0) > 0
+    for tokens in (1, 5_000, headernumbers.MAX_COUNT):
+        prompt = engineplacement.Prompt(
+            prompt_tokens=tokens,
+            output_tokens=tokens,
+            target_s=route.target_s,
+            gap_target_s=route.gap_target_s,
+        )
+        load = workload.Workload()
+        load.add(
+            work.WorkItem(
+                endpoint="e0",
+                prompt_tokens=tokens,
+                gap_target_s=route.gap_target_s,
+                sent_at=1.0,
+            )
+        )
+        items = load.at_endpoint("e0")
+        states = [
+            enginestate.engine_state(f"e{n}", items, engine, 2.0)
+            for n in range(5)
+        ]
+        engineplacement.least_first_event_s(prompt, engine)
+        engineplacement.place(prompt, states, engine)
+        changes = load.collect_changes(True, 2.0)
+        summary = workload.Summary(
+            gateway="g", incarnation=1, seq=1, full=True, changes=changes
+        )
+        assert gossip.decode(gossip.encode(summary)).changes == changes
+
+
+@then("the platform's sample configuration is stored unchanged")
+def stored_unchanged(_):
+    config = decode(json.dumps(sample()).encode()).ok
+    assert routenumbers.clamp(config) == config
--- a/src/_coltsfootroad/core/fairqueue.py
+++ b/src/_coltsfootroad/core/fairqueue.py
@@ -19,11 +19,16 @@
 # would starve the lowest priority.
 PRIORITY_STEP = 1.5
 MIDDLE_PRIORITY = 5
+# Priorities further from the middle have the factor of this distance.
+MAX_PRIORITY_STEPS = 100
 
 
 def priority_factor(priority: int) -> float:
     """Return the factor of a priority (0 most urgent, 9 least) on a weight."""
-    return PRIORITY_STEP ** (MIDDLE_PRIORITY - priority)
+    steps = MIDDLE_PRIORITY - priority
+    return PRIORITY_STEP ** max(
+        -MAX_PRIORITY_STEPS, min(steps, MAX_PRIORITY_STEPS)
+    )
 
 
 @attrs.define
--- a/src/_coltsfootroad/core/routes.py
+++ b/src/_coltsfootroad/core/routes.py
@@ -261,7 +261,8 @@
 def choose_service(route: Route, request_id: str) -> str:
     """Return the service of a request, deterministic in its ID."""
     total = sum(split.weight for split in route.splits)
-    point = hashing.stable_hash(route.name, request_id) / HASH_RANGE * total
+    # In integers, as weights may be beyond the range of floats.
+    point = hashing.stable_hash(route.name, request_id) * total // HASH_RANGE
     for split in route.splits:
         point -= split.weight
         if point < 0:
