metrics: serve values beyond the range of floats

Callers saw: a scrape without the version of the routes, and a traceback in the log, while the version had more than 308 digits.

Cause: the exporter converts each value to a float.

Evidence: metrics.feature:12 failed on the parent: OverflowError, no sample.

Fix: such a value is served as the largest float.

--- a/src/_coltsfootroad/shell/metrics.py
+++ b/src/_coltsfootroad/shell/metrics.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+import sys
 
 import attrs
 
@@ -173,6 +174,11 @@
         return prometheus_client.generate_latest(self.registry)
 
 
+def in_range(value: float) -> float:
+    """Return a value that the exporter can convert to a float."""
+    return min(value, sys.float_info.max)
+
+
 def value_callback(read: ReadValue):
     """Return an OpenTelemetry callback that reads one value."""
 
@@ -180,7 +186,7 @@
         from opentelemetry import metrics as otel
 
         value = read()
-        return [] if value is None else [otel.Observation(value)]
+        return [] if value is None else [otel.Observation(in_range(value))]
 
     return callback
 
@@ -192,7 +198,7 @@
         from opentelemetry import metrics as otel
 
         return [
-            otel.Observation(value, {labelled.label: label_value})
+            otel.Observation(in_range(value), {labelled.label: label_value})
             for label_value, value in labelled.read().items()
         ]
 
