shell: accept only JSON in UTF-8 from operators and callers

Callers saw: a 500 for a text with half of a surrogate pair, in an operator's document or a prompt, and for an If-Match header or key with superscript digits or more than 4,300 digits.

Cause: `json.loads` accepts texts that have no UTF-8 form, and NaN; they fail later, where they are encoded. `str.isdigit` accepts what `int` refuses.

Fix: documents are read by msgspec, which refuses both, and headers by the function that the gateway uses.

--- a/features/shell/parsing.feature
+++ b/features/shell/parsing.feature
@@ -24,6 +24,32 @@
       | {"model": "m"}                                    | bad_request | field prompt                |
       | {"model": "m", "prompt": "x", "max_tokens": 0}    | bad_request | field max_tokens is 0       |
       | {"model": "m", "prompt": "x", "stream": 1}        | bad_request | field stream is 1           |
+      | {"model": "m", "prompt": "\ud800 x"}             | bad_request | not a JSON object           |
+      | {"model": "m", "prompt": "x", "temperature": NaN} | bad_request | not a JSON object           |
+
+  # Guards against texts that no message between processes can hold, which failed
+  # a call after it was accepted.
+  Scenario Outline: A body of <text> is no document of an operator
+    Then the body <text> is refused as a document
+
+    Examples:
+      | text                      |
+      | [1]                       |
+      | {"workspace": "\ud800 x"} |
+      | {"body_bytes": Infinity}  |
+      | {"a": "\xff"}             |
+
+  # Guards against an exception instead of a response.
+  Scenario Outline: The version <text> in a header is <number>
+    Then the version <text> in a header is <number>
+
+    Examples:
+      | text             | number |
+      | "7"              | 7      |
+      | 12               | 12     |
+      | *                | none   |
+      | a superscript 2  | none   |
+      | 5000 digits      | none   |
 
   Scenario Outline: The idempotency key <key> shows its age
     Then the time in key <key> is <seconds>
--- a/features/steps/unit_steps.py
+++ b/features/steps/unit_steps.py
@@ -26,8 +26,10 @@
 from _coltsfootroad.replay import player
 from _coltsfootroad.replay import trace as trace_lib
 from _coltsfootroad.shell import disk
+from _coltsfootroad.shell import operatorapi
 from _coltsfootroad.shell import parsing
 from _coltsfootroad.shell import settings as settings_lib
+from _coltsfootroad.shell import web
 
 NOW = 1_800_000_000.0
 RETENTION_S = 86_400.0
@@ -585,3 +587,16 @@
 def check_trace_error(context, first, second):
     assert first in context.result.error, context.result
     assert second in context.result.error, context.result
+
+
+@then("the body {text} is refused as a document")
+def body_refused(_, text):
+    raw = text.replace("\\xff", "\xff").encode("latin-1")
+    assert web.parse_object(raw) is None
+
+
+@then("the version {text} in a header is {number}")
+def version_in_header(_, text, number):
+    shown = {"a superscript 2": "\xb2", "5000 digits": "7" * 5_000}
+    found = operatorapi.parse_if_match(shown.get(text, text))
+    assert found == (None if number == "none" else int(number)), found
--- a/src/_coltsfootroad/shell/operatorapi.py
+++ b/src/_coltsfootroad/shell/operatorapi.py
@@ -9,6 +9,7 @@
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.core import documents
 from _coltsfootroad.core import errors
+from _coltsfootroad.core import headernumbers
 from _coltsfootroad.shell import web
 
 MAX_PATCH_ID_CHARS = 200
@@ -116,7 +117,7 @@
 def parse_if_match(header: str) -> int | None:
     """Return the version in an If-Match header, None if there is none."""
     text = header.strip().strip('"')
-    return int(text) if text.isdigit() else None
+    return headernumbers.read_integer(text)
 
 
 class StatusHandler(OperatorHandler):
--- a/src/_coltsfootroad/shell/parsing.py
+++ b/src/_coltsfootroad/shell/parsing.py
@@ -1,6 +1,5 @@
 """Parses callers' HTTP requests into requests of the core."""
 
-import json
 import uuid
 
 import attrs
@@ -11,8 +10,10 @@
 
 from _coltsfootroad.core import config as config_lib
 from _coltsfootroad.core import errors
+from _coltsfootroad.core import headernumbers
 from _coltsfootroad.core import request as request_lib
 from _coltsfootroad.shell import endpointclient
+from _coltsfootroad.shell import web
 
 KEY_HEADER = "Idempotency-Key"
 NON_IDEMPOTENT_HEADER = "X-Colts-Non-Idempotent"
@@ -78,7 +79,7 @@
     be admitted.
     """
     head, _, rest = key.partition("-")
-    if len(head) == 10 and head.isdigit() and rest:
+    if len(head) == 10 and headernumbers.is_number(head) and rest:
         return float(head)
     try:
         parsed = uuid.UUID(key)
@@ -186,7 +187,7 @@
         return bad_request(
             f"field max_tokens is {value!r}, must be a number above 0"
         )
-    return Ok(value)
+    return Ok(min(value, headernumbers.MAX_COUNT))
 
 
 @attrs.frozen(kw_only=True)
@@ -301,12 +302,9 @@
 
 def parse_body(raw: bytes) -> Result[dict, errors.Failure]:
     """Return a body as a JSON object that names a service."""
-    try:
-        body = json.loads(raw)
-    except (ValueError, RecursionError):
-        return bad_request("the body is not JSON")
-    if not isinstance(body, dict):
-        return bad_request("the body is not a JSON object")
+    body = web.parse_object(raw)
+    if body is None:
+        return bad_request("the body is not a JSON object in UTF-8")
     if not isinstance(body.get("model"), str):
         return bad_request("field model must name a service")
     return Ok(body)
--- a/src/_coltsfootroad/shell/web.py
+++ b/src/_coltsfootroad/shell/web.py
@@ -4,6 +4,7 @@
 import hmac
 import json
 
+import msgspec
 import tornado.httpserver
 import tornado.web
 
@@ -66,6 +67,18 @@
     return json.dumps({"error": detail | more}).encode()
 
 
+def parse_object(raw: bytes) -> dict | None:
+    """Return a JSON object, None if the bytes are not one in UTF-8.
+
+    Its texts can be encoded again, and its numbers are finite.
+    """
+    try:
+        value = msgspec.json.decode(raw)
+    except (msgspec.MsgspecError, RecursionError):
+        return None
+    return value if isinstance(value, dict) else None
+
+
 def secrets_equal(presented: str, expected: str) -> bool:
     """Compare secrets in constant time; an empty expected one never matches."""
     return bool(expected) and hmac.compare_digest(
@@ -121,11 +134,7 @@
 
     def read_json(self) -> dict | None:
         """Return the body as a JSON object, None if it is not one."""
-        try:
-            value = json.loads(self.request.body)
-        except (ValueError, RecursionError):
-            return None
-        return value if isinstance(value, dict) else None
+        return parse_object(self.request.body)
 
 
 class LimitedBody:
