raft: drop messages that no replica can have sent

Replicas saw: a message with a term at the end of 64 bits was adopted and stored, and every replica that campaigned after it ended, again after each restart. An entry out of place ended the replica that received it.

Fix: a message whose numbers are out of range, or whose entries are no part of a log, is dropped with a limited log line.

--- a/features/shell/replicafaults.feature
+++ b/features/shell/replicafaults.feature
@@ -46,3 +46,24 @@
       | the leader | a command        |
       | a follower | a command        |
       | the leader | a replica change |
+
+  # Guards against a term or an entry that is stored and ends each replica that
+  # counts on from it, and again after each restart.
+  Scenario Outline: A Raft message whose <fault> is dropped
+    When a replica receives a Raft message whose <fault>
+    Then the message is dropped with a log line, and the replica keeps its state
+
+    Examples:
+      | fault                          |
+      | term is 2**64 - 1              |
+      | term is negative               |
+      | commit index is 2**64 - 1      |
+      | entry has another index        |
+      | entry is of a later term       |
+      | entry holds no replica set     |
+      | snapshot has a negative index  |
+
+  # Guards against a snapshot that is stored and ends each start of the replica.
+  Scenario: A snapshot that cannot be read is not stored
+    When a replica receives a snapshot that cannot be read
+    Then the replica terminates, and starts again with its earlier state
--- a/features/steps/replicafaults_steps.py
+++ b/features/steps/replicafaults_steps.py
@@ -6,23 +6,28 @@
 import types
 from unittest import mock
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
 import logbook
+import msgspec
 
 from _coltsfootroad.control import configstore
 from _coltsfootroad.control import coordinator
 from _coltsfootroad.control import crashreports
+from _coltsfootroad.control import log as log_lib
 from _coltsfootroad.control import membership
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
+from _coltsfootroad.control import peers
 from _coltsfootroad.control import reads
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import retrylending
 from _coltsfootroad.core import errors
 from _coltsfootroad.shell import controlserver
 from _coltsfootroad.shell import quorumlogger
+from _coltsfootroad.shell import wireformats
 from features.support import replacements
 
 
@@ -252,3 +257,116 @@
     assert node.raft.replica_set == context.before, node.raft.replica_set
     assert "\ud800" not in node.state.configs.answers
     assert not site.faults()
+
+
+def raft_message(fault: str, term: int, sender: str) -> peers.PeerMessage:
+    """Return a message of a newer leader with one fault."""
+    entry = log_lib.Entry(term=term, index=1, kind=log_lib.EntryKind.NOOP)
+    append = peers.Append(
+        term=term,
+        sender=sender,
+        prev_index=0,
+        prev_term=0,
+        entries=(),
+        commit=0,
+        sent_at=0.0,
+    )
+    evolve = attrs.evolve
+    kind = log_lib.EntryKind.REPLICAS
+    chunk = peers.SnapshotChunk(
+        term=term,
+        sender=sender,
+        meta=log_lib.SnapshotMeta(index=-1),
+        offset=0,
+        data=b"",
+        sent_at=0.0,
+    )
+    return {
+        "term is 2**64 - 1": evolve(append, term=2**64 - 1),
+        "term is negative": evolve(append, term=-1),
+        "commit index is 2**64 - 1": evolve(append, commit=2**64 - 1),
+        "entry has another index": evolve(
+            append, entries=(evolve(entry, index=3),)
+        ),
+        "entry is of a later term": evolve(
+            append, entries=(evolve(entry, term=term + 1),)
+        ),
+        "entry holds no replica set": evolve(
+            append, entries=(evolve(entry, kind=kind),)
+        ),
+        "snapshot has a negative index": chunk,
+    }[fault]
+
+
+@when("a replica receives a Raft message whose {fault}")
+def receives_raft_message(context, fault):
+    site = replacements.Site(random.Random(8))
+    site.begin()
+    replica = site.replicas[site.follower()]
+    raft = replica.node.raft
+    context.state = lambda: (raft.hard_state, raft.commit, raft.log.last_index)
+    context.before = context.state()
+    server = types.SimpleNamespace(
+        node=replica.node,
+        clock=lambda: site.clock(replica),
+        on_stream=lambda *_: None,
+        run_critical=lambda function, *arguments: function(*arguments),
+        schedule_tick=lambda: None,
+    )
+    sender = raft.leader
+    message = raft_message(fault, raft.term + 1, sender)
+    with logbook.TestHandler() as handler:
+        controlserver.ControlServer.on_peer(
+            server, sender, "", wireformats.PEERS.encode(message)
+        )
+    context.records = handler.records
+
+
+@then("the message is dropped with a log line, and the replica keeps its state")
+def message_is_dropped(context):
+    events = [record.message for record in context.records]
+    assert events == ["peer message dropped"], events
+    assert context.state() == context.before
+
+
+@when("a replica receives a snapshot that cannot be read")
+def receives_unreadable_snapshot(context):
+    context.site = replacements.Site(random.Random(8))
+    context.site.begin()
+    site = context.site
+    context.replica = site.replicas[site.follower()]
+    node = context.replica.node
+    context.before = node.state.configs.version
+    data = b"no snapshot"
+    meta = log_lib.SnapshotMeta(
+        index=node.raft.log.last_index + 9,
+        term=node.raft.term,
+        replica_set=node.raft.replica_set,
+        size=len(data),
+    )
+    chunk = peers.SnapshotChunk(
+        term=node.raft.term,
+        sender=node.raft.leader,
+        meta=meta,
+        offset=0,
+        data=data,
+        sent_at=0.0,
+    )
+    context.error = None
+    try:
+        node.on_peer(chunk, site.clock(context.replica))
+    except msgspec.MsgspecError as error:
+        context.error = error
+
+
+@then("the replica terminates, and starts again with its earlier state")
+def starts_again(context):
+    assert context.error is not None
+    site = context.site
+    name = context.replica.name
+    site.take_step(f"{name} restarted for 1.0 s")
+    site.run_until(site.now + 4.0)
+    node = site.replicas[name].node
+    assert node is not None
+    assert node.state.configs.version >= context.before
+    assert not site.faults()
--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -253,6 +253,8 @@
             return True
         self.syncs += 1
         if ready.snapshot is not None:
+            # Not after it is stored: unreadable data would end each start.
+            state = state_lib.load(ready.snapshot_data)
             stored = self.storage.save_snapshot(
                 ready.snapshot,
                 ready.snapshot_data,
@@ -260,7 +262,7 @@
                 tuple(ready.entries),
             )
             if stored.is_ok():
-                self.state = state_lib.load(ready.snapshot_data)
+                self.state = state
             return stored.is_ok()
         batch = storage_lib.Batch(
             truncate_from=ready.truncate_from,
--- a/src/_coltsfootroad/control/peers.py
+++ b/src/_coltsfootroad/control/peers.py
@@ -4,11 +4,16 @@
 """
 
 import enum
+import functools
 
 import attrs
 
 from _coltsfootroad.control import log as log_lib
 
+# Terms, indexes and sizes below this fit into the log's format with room to
+# count on.
+MAX_NUMBER = 2**62
+
 
 class Refusal(enum.StrEnum):
     """Why a replica refuses its vote."""
@@ -156,3 +161,44 @@
     | SnapshotReply
     | TakeOver
 )
+
+
+def fault_of(message: PeerMessage) -> str:
+    """Return why no replica can have sent a message, empty if one can.
+
+    A term near the end of the log's format, or entries that do not follow each
+    other, would be stored and end each replica at its next step.
+    """
+    values = (message, *getattr(message, "entries", ()))
+    if isinstance(message, SnapshotChunk):
+        values += (message.meta,)
+    for value in values:
+        for name in number_fields(type(value)):
+            number = getattr(value, name)
+            if not 0 <= number < MAX_NUMBER:
+                return f"{name} is {number}"
+    if isinstance(message, Append):
+        return entries_fault(message)
+    return ""
+
+
+def entries_fault(message: Append) -> str:
+    """Return why the entries of an append are no part of a log."""
+    index, term = message.prev_index, message.prev_term
+    for entry in message.entries:
+        index += 1
+        if entry.index != index:
+            return f"entry {entry.index} is at the place of {index}"
+        if not term <= entry.term <= message.term:
+            return f"entry {index} of term {entry.term} follows {term}"
+        term = entry.term
+        is_set = entry.kind is log_lib.EntryKind.REPLICAS
+        if is_set and not (entry.replica_set and entry.replica_set.voters):
+            return f"entry {index} holds no replica set"
+    return ""
+
+
+@functools.cache
+def number_fields(kind: type) -> tuple[str, ...]:
+    """Return the names of a class's integers."""
+    return tuple(f.name for f in attrs.fields(kind) if f.type is int)
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -11,6 +11,7 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import node as node_lib
 from _coltsfootroad.control import outcomes
+from _coltsfootroad.control import peers
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import retrylending
 from _coltsfootroad.control import watchcache
@@ -38,6 +39,8 @@
 
 LOG = logs.logger("control")
 MIN_TICK_DELAY_S = 0.005
+# Messages that no replica sends may arrive at any rate.
+PEER_FAULT_LOG_LIMIT = logs.LogRateLimit(20, 10.0)
 JOIN_TIMEOUT_S = 2.0
 # How long a stopping replica waits for a leadership transfer and for its
 # removal from the voters: ten times what both take, and an eighth of the usual
@@ -370,8 +373,14 @@
         """Process a Raft message of another replica."""
         self.on_stream(sender, address)
         decoded = wireformats.PEERS.decode(data)
-        if decoded.is_error():
-            LOG.warning("peer message dropped: {}", decoded.error.message)
+        fault = (
+            decoded.error.message
+            if decoded.is_error()
+            else peers.fault_of(decoded.ok)
+        )
+        if fault:
+            if PEER_FAULT_LOG_LIMIT.allows(self.clock()):
+                LOG.warning("peer message dropped", sender=sender, fault=fault)
             return
         self.run_critical(self.node.on_peer, decoded.ok, self.clock())
         self.schedule_tick()
