--- a/features/platform/decode.feature
+++ b/features/platform/decode.feature
@@ -23,6 +23,8 @@
       | services.0.coldPerS | "14"  | cannot be read |
       | tenants.0.priority | "high" | cannot be read |
       | routes             | null   | cannot be read |
+      | routes.0.service   | "no"   | 'no' is not known |
+      | tenants            | [{"name": "t1", "apiKeys": ["k1"]}, {"name": "t1", "apiKeys": ["k1"]}] | share a key |
 
   Scenario Outline: A heartbeat in state <state> is <meaning>
     Then the platform's heartbeat in state <state> is <meaning>
--- a/src/_coltsfootroad/core/routes.py
+++ b/src/_coltsfootroad/core/routes.py
@@ -212,13 +212,14 @@
     holders: tuple[KeyHolder, ...],
 ) -> Result[None, errors.Failure]:
     """Return an error if two workspaces share a key."""
-    owners: dict[str, str] = {}
+    owners: dict[str, KeyHolder] = {}
     for holder in holders:
         for key in holder.keys:
-            owner = owners.setdefault(key, holder.workspace)
-            if owner != holder.workspace:
+            owner = owners.setdefault(key, holder)
+            if owner is not holder:
                 return invalid(
-                    f"workspaces {owner!r} and {holder.workspace!r} share a key"
+                    f"workspaces {owner.workspace!r} and {holder.workspace!r}"
+                    " share a key"
                 )
     return Ok(None)
 
