--- a/src/_coltsfootroad/control/node.py
+++ b/src/_coltsfootroad/control/node.py
@@ -588,9 +588,10 @@
 
 @contextlib.contextmanager
 def faults_end_process():
-    """Turn an exception in a step of Raft into one that ends the process.
+    """Raise `BrokenInvariantError` for any exception in a Raft step.
 
-    An incomplete step leaves a state in memory that the disk does not hold.
+    It ends the process: an incomplete step leaves a state in memory that the
+    disk does not hold.
     """
     try:
         yield
--- a/src/_coltsfootroad/core/routenumbers.py
+++ b/src/_coltsfootroad/core/routenumbers.py
@@ -1,10 +1,9 @@
 """Keeps the numbers of a version within what gateways can compute with.
 
-A document may state any number, also one that makes no sense, such as an engine
-without slots or a target of 0 s. Such a number is replaced by the nearest one
-that gateways can divide by and multiply, so that a request is served or refused
-by it and never fails. Weights and versions are only added and compared, in
-integers, and stay as they are.
+A document may state any number, such as an engine without slots or a target of
+0 s. A number out of range is replaced by the nearest number in range, so that
+requests are served or refused and no division or multiplication fails. Weights
+and versions are only added and compared, in integers, and stay unchanged.
 """
 
 import attrs
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -220,7 +220,7 @@
             self.run_tick()
 
     def run_tick(self) -> None:
-        """Run one tick; an exception in it must not end those that follow."""
+        """Run a tick; log an exception, so that the ticker continues."""
         now = clocks.boot_time()
         try:
             self.load.expire(now)
