--- a/features/shell/settings.feature
+++ b/features/shell/settings.feature
@@ -12,6 +12,7 @@
       | a short secret    | admin_token   | "x"         | admin_token is shorter than 8      |
       | an unknown key    | colour        | 1           | colour                             |
       | a bad name        | entry         | "a/b"       | entry is 'a/b'                     |
+      | a negative size   | memory_mb     | -1          | must be >= 0: -1                   |
 
   Scenario Outline: The program <program> reports a usage error and exits with 2
     When the program <program> starts with flags <flags>
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -188,6 +188,8 @@
         "bounds.budgetWindowS": 10,
         "bounds.coldOverrun": None,
         "bounds.coldSlack": None,
+        "limits.memoryMb": 300,
+        "limits.fileDescriptors": 4_100,
     }
     for name in ("front", "ready", "directory"):
         values[f"listen.{name}|json"] = '"127.0.0.1:3"'
@@ -200,6 +202,7 @@
         json.loads(text), settings_lib.GatewaySettings
     )
     assert (settings.cold_overrun, settings.cold_slack) == (overrun, slack)
+    assert (settings.memory_mb, settings.file_descriptors) == (300, 4_100)
 
 
 DECODERS = {
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -152,7 +152,8 @@
         self.caller_memory = callermemory.CallerMemory(
             heldmemory.HeldMemory(
                 heldmemory.limit_bytes(
-                    machinememory.usable_bytes(), settings.held_memory_share
+                    machinememory.usable_bytes(settings.memory_mb),
+                    settings.held_memory_share,
                 )
             )
         )
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -78,7 +78,24 @@
 
 
 @attrs.frozen(kw_only=True)
-class GatewaySettings:
+class ProcessSettings:
+    """Settings of all programs that serve clients: what the process may use.
+
+    Attributes:
+        memory_mb: Memory that the process may use, in MB of 10^6 bytes; if 0,
+            that of the VM, or a smaller limit of the process.
+        file_descriptors: File descriptors that the process may use; if 0, the
+            limit of the process.
+    """
+
+    memory_mb: int = attrs.field(default=0, validator=attrs.validators.ge(0))
+    file_descriptors: int = attrs.field(
+        default=0, validator=attrs.validators.ge(0)
+    )
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings(ProcessSettings):
     """Settings of `colts-gateway`.
 
     Attributes:
@@ -151,7 +168,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class EntrySettings:
+class EntrySettings(ProcessSettings):
     """Settings of `colts-entry`.
 
     Attributes:
@@ -197,7 +214,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class ControlSettings:
+class ControlSettings(ProcessSettings):
     """Settings of `colts-control`.
 
     Attributes:
@@ -291,7 +308,7 @@
 
 
 @attrs.frozen(kw_only=True)
-class StandaloneSettings:
+class StandaloneSettings(ProcessSettings):
     """Settings of `colts-standalone`: every role in one process.
 
     Attributes:
