--- a/features/parallel.feature
+++ b/features/parallel.feature
@@ -19,3 +19,8 @@
       | 3         | 3        | 0      | 1      | 3      | 1   | 1    |
       | 3         | 2        | 1      | 1      | 1      | 2   | 1    |
       | 3         | 0        | 0      | -9     | 0      | 1   | 1    |
+
+  Scenario: Exclusive scenarios run after all others, one at a time
+    Given the plan of all features
+    Then exclusive scenarios have units of their own
+    And they run after all others and one at a time
--- a/features/steps/parallel_steps.py
+++ b/features/steps/parallel_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import subprocess
+import time
 from unittest import mock
 
 from behave import given
@@ -12,6 +13,9 @@
 from features.steps import verdict_steps
 from features.support import parallel
 
+# Long enough for units to overlap.
+UNIT_S = 0.05
+
 
 def make_plan() -> list[parallel.Unit]:
     """Return the units that `make test` runs."""
@@ -88,3 +92,35 @@
 def verdict_is(context, line, code):
     assert context.outcome.stdout.strip().endswith(line), context.outcome.stdout
     assert context.outcome.returncode == code
+
+
+@then("exclusive scenarios have units of their own")
+def exclusive_units(context):
+    context.exclusive = [unit for unit in context.units if unit.exclusive]
+    assert context.exclusive
+    assert all(unit.scenarios == 1 for unit in context.exclusive)
+
+
+@then("they run after all others and one at a time")
+def exclusive_runs(context):
+    started, running, most = [], [], []
+
+    def run_unit(unit, _):
+        started.append(unit)
+        running.append(unit)
+        most.append((unit.exclusive, len(running)))
+        time.sleep(UNIT_S)
+        running.remove(unit)
+
+    units = (
+        context.exclusive[:3]
+        + [unit for unit in context.units if not unit.exclusive][:6]
+    )
+    with (
+        mock.patch.object(parallel, "run_unit", run_unit),
+        mock.patch.object(parallel.shutil, "rmtree"),
+    ):
+        parallel.run_all(units, 3)
+    assert started[-3:] == context.exclusive[:3], started
+    assert all(count == 1 for exclusive, count in most if exclusive), most
+    assert max(count for _, count in most) > 1, most
--- a/features/support/parallel.py
+++ b/features/support/parallel.py
@@ -1,5 +1,8 @@
 """Runs all features in several processes, the longest first.
 
+Scenarios with the tag `exclusive` measure a whole process; they run afterwards,
+one at a time.
+
 Each process writes its own JUnit report; `.ci/verdict.py` reads all reports. A
 process that exits without a complete report counts as a failed scenario.
 """
@@ -27,6 +30,7 @@
 DURATIONS = FEATURES / "durations.json"
 MIN_RECORDED_S = 0.3
 DEFAULT_DURATION_S = 0.1
+EXCLUSIVE_TAG = "exclusive"
 # A process takes about a second to start, so short scenarios share one until
 # their durations add up to this.
 MIN_UNIT_S = 6.0
@@ -39,6 +43,7 @@
     target: str
     name: str
     seconds: float
+    exclusive: bool = False
 
 
 @attrs.frozen
@@ -48,10 +53,12 @@
     Attributes:
         targets: Arguments of behave: `file:line` of each scenario.
         seconds: Expected duration.
+        exclusive: Whether no other unit may run meanwhile.
     """
 
     targets: tuple[str, ...]
     seconds: float
+    exclusive: bool = False
 
     @property
     def scenarios(self) -> int:
@@ -87,6 +94,7 @@
             target=f"{name}:{scenario.line}",
             name=scenario.name.strip(),
             seconds=durations.get(scenario.name.strip(), DEFAULT_DURATION_S),
+            exclusive=EXCLUSIVE_TAG in scenario.effective_tags,
         )
         for scenario in feature.walk_scenarios()
     ]
@@ -100,7 +108,7 @@
     shared: list[Scenario] = []
     for path in sorted(paths):
         for scenario in scenarios_of(path, durations):
-            if scenario.seconds >= MIN_UNIT_S:
+            if scenario.seconds >= MIN_UNIT_S or scenario.exclusive:
                 units.append(make_unit([scenario]))
                 continue
             shared.append(scenario)
@@ -117,6 +125,7 @@
     return Unit(
         targets=tuple(scenario.target for scenario in scenarios),
         seconds=round(sum(scenario.seconds for scenario in scenarios), 1),
+        exclusive=any(scenario.exclusive for scenario in scenarios),
     )
 
 
@@ -176,12 +185,20 @@
 def run_all(units: list[Unit], jobs: int) -> list[Outcome]:
     """Run the units, `jobs` at a time; return their outcomes in order."""
     shutil.rmtree(REPORTS, ignore_errors=True)
-    with concurrent.futures.ThreadPoolExecutor(jobs) as pool:
-        running = [
-            pool.submit(run_unit, unit, REPORTS / f"{index:03}")
-            for index, unit in enumerate(units)
-        ]
-        return [future.result() for future in running]
+    folders = {
+        unit: REPORTS / f"{index:03}" for index, unit in enumerate(units)
+    }
+    outcomes = {}
+    for exclusive, count in ((False, jobs), (True, 1)):
+        found = [unit for unit in units if unit.exclusive is exclusive]
+        with concurrent.futures.ThreadPoolExecutor(count) as pool:
+            running = {
+                unit: pool.submit(run_unit, unit, folders[unit])
+                for unit in found
+            }
+        for unit, future in running.items():
+            outcomes[unit] = future.result()
+    return [outcomes[unit] for unit in units]
 
 
 def record(count: int) -> None:
--- a/src/_coltsfootroad/fakes/fleet.py
+++ b/src/_coltsfootroad/fakes/fleet.py
@@ -78,6 +78,8 @@
     plain_s: float = 0.0
     engine_speed: dict = attrs.Factory(dict)
     sync_interval_s: float = 0.2
+    # Settings of the entries beside those that the fleet needs.
+    entry_settings: dict = attrs.Factory(dict)
     programs: dict[str, Program] = attrs.Factory(dict)
     listen: dict[str, str] = attrs.Factory(dict)
     admin: dict[str, str] = attrs.Factory(dict)
@@ -157,6 +159,7 @@
                 self.listen[f"control-{n}"] for n in range(self.replicas)
             ],
             "sync_interval_s": self.sync_interval_s,
+            **self.entry_settings,
         }
         self.add_program(name, "commands.entry", document)
 
