--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -173,8 +173,14 @@
         if status != 200:
             found.append(f"{what}: ordinary request got {status} {body[:99]}")
     peaks = {
-        what: (round(watch.peak_bytes / 1e6), watch.peak_descriptors)
+        what: (
+            round(watch.peak_bytes / 1e6),
+            round(watch.peak_queued_bytes / 1e6),
+            watch.peak_descriptors,
+        )
         for what, watch in context.watches.items()
     }
-    assert not found, "; ".join([*found, f"peaks in MB, descriptors: {peaks}"])
-    print(f"peaks in MB, descriptors: {peaks}")
+    assert not found, "; ".join(
+        [*found, f"peaks in MB, unread MB, descriptors: {peaks}"]
+    )
+    print(f"peaks in MB, unread MB, descriptors: {peaks}")
--- a/features/steps/responselimits_steps.py
+++ b/features/steps/responselimits_steps.py
@@ -22,6 +22,8 @@
 from _coltsfootroad.fakes import ports as ports_lib
 from _coltsfootroad.gateway import endpointprobe
 from _coltsfootroad.gateway import memoryreservation
+from _coltsfootroad.shell import clientmemory
+from _coltsfootroad.shell import settings as settings_lib
 from features.support import endlessendpoint
 from features.support import gatewaybed
 
@@ -335,7 +337,7 @@
         held.update(holding, unread=int(unread), request=int(request))
     context.closed = []
     while held.is_over_limit():
-        victim = held.victim()
+        victim = held.victim(0.0)
         context.closed.append(names[victim])
         held.drop(victim)
     assert held.total == sum(holding.total for holding in held.holdings)
@@ -460,7 +462,10 @@
         settings = mock.Mock(
             availability_zones=(), api_listen=f"127.0.0.1:{port}"
         )
-        server = controlapi.listen(mock.Mock(), settings)
+        clients = clientmemory.ClientMemory.of(
+            settings_lib.ProcessSettings(), controlapi.MAX_BODY_BYTES
+        )
+        server = controlapi.listen(mock.Mock(), settings, clients)
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         first, repeated = endless[fault]
         writer.write(first)
--- a/features/steps/settling_steps.py
+++ b/features/steps/settling_steps.py
@@ -11,6 +11,7 @@
 from _coltsfootroad.core import actions
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import request as request_lib
+from _coltsfootroad.shell import clientmemory
 from _coltsfootroad.shell import entryserver
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import metrics
@@ -49,7 +50,12 @@
             admin_token="",
         )
         server = entryserver.EntryServer(
-            settings, 1, SlowControl(delay_s), None, metrics.Metrics.start("t")
+            settings,
+            1,
+            SlowControl(delay_s),
+            None,
+            metrics.Metrics.start("t"),
+            clientmemory.ClientMemory.of(settings),
         )
         channel = entryserver.ResponseChannel()
         server.channels[REQUEST] = channel
--- a/features/steps/timers_steps.py
+++ b/features/steps/timers_steps.py
@@ -12,6 +12,7 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.control import outcomes
 from _coltsfootroad.control import peers
+from _coltsfootroad.shell import clientmemory
 from _coltsfootroad.shell import controlserver
 from _coltsfootroad.shell import disk
 from _coltsfootroad.shell import metrics
@@ -64,17 +65,19 @@
 
 def server_of(folder: disk.DataFolder, **settings):
     """Return a replica's server that listens on no port."""
+    control_settings = settings_lib.ControlSettings(
+        replica="r",
+        listen="127.0.0.1:1",
+        admin_listen="127.0.0.1:1",
+        admin_token="soak-token",
+        data_folder=str(folder.folder),
+        **settings,
+    )
     return controlserver.ControlServer(
-        settings_lib.ControlSettings(
-            replica="r",
-            listen="127.0.0.1:1",
-            admin_listen="127.0.0.1:1",
-            admin_token="soak-token",
-            data_folder=str(folder.folder),
-            **settings,
-        ),
+        control_settings,
         folder,
         metrics.Metrics.start("test"),
+        clientmemory.ClientMemory.of(control_settings),
     )
 
 
--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -233,12 +233,14 @@
         pid: Identifies the process.
         port: Port whose unread bytes count as well.
         peak_bytes: Largest sum of resident memory and unread bytes.
+        peak_queued_bytes: Most unread bytes.
         peak_descriptors: Most open descriptors.
     """
 
     pid: int
     port: int
     peak_bytes: int = 0
+    peak_queued_bytes: int = 0
     peak_descriptors: int = 0
     stopped: threading.Event = attrs.Factory(threading.Event)
     thread: threading.Thread | None = None
@@ -260,7 +262,9 @@
 
     def sample(self) -> None:
         """Take one sample."""
-        used = status_bytes(self.pid, "VmRSS") + queued_bytes(self.port)
+        queued = queued_bytes(self.port)
+        self.peak_queued_bytes = max(self.peak_queued_bytes, queued)
+        used = status_bytes(self.pid, "VmRSS") + queued
         self.peak_bytes = max(self.peak_bytes, used)
         self.peak_descriptors = max(
             self.peak_descriptors, descriptors(self.pid)
--- a/features/support/crowdsystem.py
+++ b/features/support/crowdsystem.py
@@ -22,6 +22,12 @@
 from features.support import crowd
 from features.support import processstate
 
+PLATFORM = pathlib.Path("platform").resolve()
+# The adapter's folder has the name of a standard library module.
+sys.path.insert(0, str(PLATFORM))
+
+from coltsplatform import dialect  # noqa: E402
+
 HOST = ports_lib.HOST
 TOKEN = "crowd-token"
 SERVICE_HOST = "shop.example"
@@ -36,8 +42,10 @@
 QUERY_BODY_BYTES = crowd.KB
 CONTROL_BODY_BYTES = 8 * crowd.MB
 ENTRY_BODY_BYTES = 32 * crowd.MB
-PLATFORM = pathlib.Path("platform").resolve()
-SHOP = {"Host": SERVICE_HOST, "X-Attempt-Id": "ordinary"}
+CONFIGURATION_FILE = pathlib.Path("features/platform/crowd-configuration.json")
+HEARTBEAT = pathlib.Path("features/platform/crowd-heartbeat.json")
+NAMES = dialect.NAMES
+SHOP = {"Host": SERVICE_HOST, NAMES.request_id: "ordinary"}
 KEY = {"Authorization": f"Bearer {fleet_lib.API_KEY}"}
 
 
@@ -151,8 +159,9 @@
         if self.path.startswith("/slow/"):
             self.server.released.wait(SLOW_S)
         self.send_response(200)
-        self.send_header("X-Attempt-Id", self.headers.get("X-Attempt-Id", ""))
-        self.send_header("X-Response-Signature", "by-e1")
+        request_id = self.headers.get(NAMES.request_id, "")
+        self.send_header(NAMES.request_id, request_id)
+        self.send_header(NAMES.signature, "by-e1")
         self.send_header("Content-Length", "4")
         self.end_headers()
         self.wfile.write(b"done")
@@ -275,7 +284,7 @@
             | more,
         )
         if not more:
-            document = json.dumps(self.configuration()).encode()
+            document = CONFIGURATION_FILE.read_bytes()
             put = Ordinary("PUT", "/v1/configuration", document)
             processstate.wait_until(
                 lambda: call(api, put)[0] == 200, "no configuration is accepted"
@@ -312,17 +321,10 @@
         """Announce the endpoint until the system is stopped."""
         host, port = self.service.server_address
         api = self.settings["replica"]["api_listen"]
+        announcement = json.loads(HEARTBEAT.read_bytes())
+        announcement["address"] = f"{host}:{port}"
         for sequence in itertools.count(1):
-            announcement = {
-                "service": "shop",
-                "address": f"{host}:{port}",
-                "zone": "z",
-                "version": "v1",
-                "slots": 500,
-                "state": "ready",
-                "coldRemainingMs": 0,
-                "sequence": sequence,
-            }
+            announcement["sequence"] = sequence
             body = json.dumps(announcement).encode()
             call(api, Ordinary("PUT", "/v1/instances/e1", body))
             if self.service.released.wait(HEARTBEAT_INTERVAL_S):
@@ -373,37 +375,6 @@
         """Return free addresses."""
         return [f"{HOST}:{port}" for port in ports_lib.free_ports(count)]
 
-    def configuration(self) -> dict:
-        """Return a platform's configuration with two routes."""
-        routes = [
-            {
-                "name": name,
-                "host": SERVICE_HOST,
-                "pathPrefix": f"/{name}/",
-                "kind": "safe",
-                "timeoutMs": 25_000,
-                "targetLatencyMs": 1_000,
-                "priority": 1,
-                "service": "shop",
-                "attempts": 1,
-                "public": True,
-            }
-            for name in ("shop", "slow")
-        ]
-        service = {"name": "shop", "healthPath": "/h", "connectionLimit": 500}
-        return {
-            "version": 1,
-            "routes": routes,
-            "services": [service],
-            "limits": {
-                "headerBytes": 16 * crowd.KB,
-                "bodyBytes": CALLER_BODY_BYTES,
-                "headerTimeoutMs": 3_000,
-                "idleTimeoutMs": 15_000,
-            },
-            "tenants": [],
-        }
-
     def stop(self) -> None:
         """Kill the processes that still run, by process id."""
         self.service.released.set()
--- a/src/_coltsfootroad/commands/common.py
+++ b/src/_coltsfootroad/commands/common.py
@@ -10,6 +10,7 @@
 from absl import flags
 
 from _coltsfootroad import version
+from _coltsfootroad.shell import allocator
 from _coltsfootroad.shell import commandline
 from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
@@ -105,6 +106,7 @@
     """
     signals = processsignals.PROCESS
     signals.install()
+    allocator.map_large_blocks()
 
     async def run_main() -> int:
         signals.attach(asyncio.get_running_loop())
--- a/src/_coltsfootroad/commands/control.py
+++ b/src/_coltsfootroad/commands/control.py
@@ -6,18 +6,25 @@
 from absl import flags
 
 from _coltsfootroad.commands import common
+from _coltsfootroad.shell import clientmemory
 from _coltsfootroad.shell import controlrelay
 from _coltsfootroad.shell import controlserver
 from _coltsfootroad.shell import disk as disk_lib
 from _coltsfootroad.shell import links
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import metrics
+from _coltsfootroad.shell import operatorapi
 from _coltsfootroad.shell import settings as settings_lib
 
 LOG = logs.logger("main")
 # Serves a platform's API; its calls are forwarded to the leader.
 AddPlatformApi = Callable[
-    [links.ControlClient, settings_lib.ControlSettings], object
+    [
+        links.ControlClient,
+        settings_lib.ControlSettings,
+        clientmemory.ClientMemory,
+    ],
+    object,
 ]
 BOOTSTRAP = flags.DEFINE_bool(
     "bootstrap",
@@ -33,13 +40,25 @@
     """Return a replica with its dependencies."""
     folder = disk_lib.DataFolder(pathlib.Path(settings.data_folder))
     folder.open()
+    process_metrics = metrics.Metrics.start("colts-control")
+    clients = count_clients(settings)
+    clients.add_metrics(process_metrics)
     return controlserver.ControlServer(
-        settings, folder, metrics.Metrics.start("colts-control")
+        settings, folder, process_metrics, clients
     )
 
 
+def count_clients(
+    settings: settings_lib.ControlSettings,
+) -> clientmemory.ClientMemory:
+    """Return the bounds of what clients cost a control process."""
+    return clientmemory.ClientMemory.of(settings, operatorapi.MAX_BODY_BYTES)
+
+
 def add_no_platform_api(
-    _link: links.ControlClient, _settings: settings_lib.ControlSettings
+    _link: links.ControlClient,
+    _settings: settings_lib.ControlSettings,
+    _clients: clientmemory.ClientMemory,
 ) -> None:
     """Serve no platform API."""
 
@@ -73,7 +92,9 @@
             " use; start without the flag"
         )
         return common.EXIT_USAGE
-    add_platform_api(controlserver.ForwardingControlClient(server), settings)
+    add_platform_api(
+        controlserver.ForwardingControlClient(server), settings, server.clients
+    )
     await server.start()
     common.set_reload_action(lambda: reload(server))
     # The settings may have changed since they were first read.
@@ -90,9 +111,9 @@
 ) -> int:
     """Run a relay, which has no disk, until it is stopped."""
     relay = controlrelay.ControlRelay(
-        settings, controlserver.make_relay(settings)
+        settings, controlserver.make_relay(settings), count_clients(settings)
     )
-    add_platform_api(relay.control_client, settings)
+    add_platform_api(relay.control_client, settings, relay.clients)
     await relay.start()
     common.set_reload_action(lambda: reload(relay))
     stopped_normally = await common.wait_for_stop(
--- a/src/_coltsfootroad/commands/entry.py
+++ b/src/_coltsfootroad/commands/entry.py
@@ -3,6 +3,7 @@
 import time
 
 from _coltsfootroad.commands import common
+from _coltsfootroad.shell import clientmemory
 from _coltsfootroad.shell import endpointclient
 from _coltsfootroad.shell import entryserver
 from _coltsfootroad.shell import links
@@ -21,12 +22,16 @@
 
 def build(settings: settings_lib.EntrySettings) -> entryserver.EntryServer:
     """Return an entry with its dependencies."""
+    process_metrics = metrics.Metrics.start("colts-entry")
+    clients = clientmemory.ClientMemory.of(settings, entryserver.MAX_BODY_BYTES)
+    clients.add_metrics(process_metrics)
     return entryserver.EntryServer(
         settings=settings,
         incarnation=new_incarnation(),
         control=links.GrpcControlClient(settings.control),
         client=endpointclient.HttpEndpointClient(settings.max_connections),
-        metrics=metrics.Metrics.start("colts-entry"),
+        metrics=process_metrics,
+        clients=clients,
     )
 
 
--- a/src/_coltsfootroad/commands/standalone.py
+++ b/src/_coltsfootroad/commands/standalone.py
@@ -11,6 +11,8 @@
 from _coltsfootroad.control import messages
 from _coltsfootroad.core import servicekind
 from _coltsfootroad.fakes import httpendpoint
+from _coltsfootroad.shell import clientmemory
+from _coltsfootroad.shell import clientserver
 from _coltsfootroad.shell import controlserver
 from _coltsfootroad.shell import disk as disk_lib
 from _coltsfootroad.shell import endpointclient
@@ -79,10 +81,11 @@
         routes = operatorapi.routes(self.control) + web.admin_routes(
             self.settings.admin_token, self.dump, self.entry.metrics
         )
-        self.admin = web.listen(
+        self.admin = clientserver.listen(
             operatorapi.make_application(routes),
             self.settings.admin_listen,
             operatorapi.MAX_BODY_BYTES,
+            self.entry.clients,
         )
 
     def dump(self) -> bytes:
@@ -108,6 +111,7 @@
 def build(settings: settings_lib.StandaloneSettings) -> Standalone:
     """Return a system whose roles share an event loop."""
     metrics = metrics_lib.Metrics.start("colts-standalone")
+    clients = clientmemory.ClientMemory.of(settings, entryserver.MAX_BODY_BYTES)
     folder = disk_lib.DataFolder(pathlib.Path(settings.data_folder))
     folder.open()
     control = controlserver.ControlServer(
@@ -120,6 +124,7 @@
         ),
         folder,
         metrics,
+        clients,
     )
     entry = entryserver.EntryServer(
         settings=settings_lib.EntrySettings(
@@ -132,12 +137,16 @@
         control=controlserver.LocalControlClient(control),
         client=endpointclient.HttpEndpointClient(MAX_CONNECTIONS),
         metrics=metrics,
+        clients=clients,
     )
-    return Standalone(settings, control, entry, fake_endpoints(settings))
+    clients.add_metrics(metrics)
+    endpoints = fake_endpoints(settings, clients)
+    return Standalone(settings, control, entry, endpoints)
 
 
 def fake_endpoints(
     settings: settings_lib.StandaloneSettings,
+    clients: clientmemory.ClientMemory,
 ) -> list[httpendpoint.FakeEndpoint]:
     """Return the fake endpoints: engines and one plain service."""
     host, port = settings_lib.split_address(settings.listen)
@@ -150,6 +159,7 @@
                 address=f"{host}:{port + 100 + number}",
                 entries=[settings.listen],
                 incarnation=entry_command.new_incarnation(),
+                clients=clients,
             )
         )
     if settings.fake_engines:
@@ -161,6 +171,7 @@
                 entries=[settings.listen],
                 kind=servicekind.ServiceKind.PLAIN,
                 incarnation=entry_command.new_incarnation(),
+                clients=clients,
             )
         )
     return fakes
--- a/src/_coltsfootroad/fakes/httpendpoint.py
+++ b/src/_coltsfootroad/fakes/httpendpoint.py
@@ -15,7 +15,10 @@
 from _coltsfootroad.core import request as request_lib
 from _coltsfootroad.core import servicekind
 from _coltsfootroad.fakes import engine as engine_lib
+from _coltsfootroad.shell import clientmemory
+from _coltsfootroad.shell import clientserver
 from _coltsfootroad.shell import endpointclient
+from _coltsfootroad.shell import settings as settings_lib
 from _coltsfootroad.shell import web
 
 MAX_BODY_BYTES = 32 * 1024 * 1024
@@ -52,6 +55,11 @@
     model: engine_lib.EngineModel = attrs.field(init=False)
     loop: asyncio.AbstractEventLoop = attrs.field(init=False)
     timer: asyncio.TimerHandle | None = None
+    clients: clientmemory.ClientMemory = attrs.Factory(
+        lambda: clientmemory.ClientMemory.of(
+            settings_lib.ProcessSettings(), MAX_BODY_BYTES
+        )
+    )
     server: object = None
     task: asyncio.Task | None = None
     client: object = None
@@ -75,7 +83,9 @@
                 (r"/.*", PlainHandler, parts),
             ]
         )
-        self.server = web.listen(app, self.address, MAX_BODY_BYTES)
+        self.server = clientserver.listen(
+            app, self.address, MAX_BODY_BYTES, self.clients
+        )
         self.client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
         self.task = self.loop.create_task(self.announce_periodically())
 
--- a/src/_coltsfootroad/gateway/exchange.py
+++ b/src/_coltsfootroad/gateway/exchange.py
@@ -14,7 +14,6 @@
 from _coltsfootroad.core.placement import startuplimit
 from _coltsfootroad.core.placement import urgency
 from _coltsfootroad.gateway import admission
-from _coltsfootroad.gateway import callermemory
 from _coltsfootroad.gateway import coldadmission
 from _coltsfootroad.gateway import contentguard
 from _coltsfootroad.gateway import engines
@@ -33,6 +32,7 @@
 from _coltsfootroad.gateway import startup
 from _coltsfootroad.gateway import upstream
 from _coltsfootroad.gateway import watchdog as watchdog_lib
+from _coltsfootroad.shell import clientmemory
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import logs
 
@@ -75,7 +75,7 @@
     connection: http1connection.HTTP1Connection
     request: admission.CallerRequest
     request_id: str = ""
-    caller: callermemory.CallerConnection | None = None
+    caller: clientmemory.ClientConnection | None = None
     admitted: admission.Admitted | None = None
     sends: sends_lib.SendHistory | None = None
     error_response: responses.BufferedResponse | None = None
@@ -95,7 +95,9 @@
         names = self.gateway.dialect.names
         self.request_id = self.request.headers.get(names.request_id, "")
         if self.caller is None:
-            self.caller = self.gateway.caller_memory.open(self.connection)
+            self.caller = self.gateway.caller_memory.track_exchange(
+                self.connection.stream
+            )
         self.guard = contentguard.ContentGuard(self)
         self.budget = sendbudget.SendBudget(self)
         self.cold = coldadmission.ColdAdmission(self)
--- a/src/_coltsfootroad/gateway/front.py
+++ b/src/_coltsfootroad/gateway/front.py
@@ -3,7 +3,6 @@
 import asyncio
 import traceback
 
-from tornado import httpserver
 from tornado import httputil
 
 from _coltsfootroad.core import errors
@@ -11,6 +10,7 @@
 from _coltsfootroad.gateway import admission
 from _coltsfootroad.gateway import exchange as exchange_lib
 from _coltsfootroad.gateway import sockets
+from _coltsfootroad.shell import clientserver
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import earlylistener
 from _coltsfootroad.shell import listening
@@ -33,8 +33,9 @@
         self.connection = connection
         self.start = None
         self.headers = None
-        self.body = bytearray()
-        self.caller = gateway.caller_memory.open(connection)
+        self.body = b""
+        self.caller = connection.stream.client
+        self.request_number = 0
         self.arrived_at = 0.0
         self.task: asyncio.Task | None = None
 
@@ -42,12 +43,12 @@
         """Receive the headers."""
         self.start = start_line
         self.headers = headers
+        self.request_number = self.caller.request_count
         self.arrived_at = clocks.boot_time()
 
     def data_received(self, chunk):
-        """Receive a chunk of the body."""
-        self.body += chunk
-        self.caller.hold_request(len(self.body))
+        """Receive the whole body."""
+        self.body = chunk
 
     def finish(self):
         """Start to serve the complete request."""
@@ -55,11 +56,11 @@
         request = admission.CallerRequest(
             self.start,
             self.headers,
-            bytes(self.body),
+            self.body,
             self.arrived_at,
             self.headers.get(names.forwarded_by, ""),
         )
-        self.body.clear()
+        self.body = b""
         exchange = exchange_lib.Exchange(
             self.gateway, self.connection, request, caller=self.caller
         )
@@ -76,7 +77,9 @@
     def on_done(self, exchange, task: asyncio.Task) -> None:
         """Handle the end of an exchange; log its exception if there is one."""
         self.gateway.running.discard(exchange)
-        self.caller.release()
+        self.caller.release(self.request_number)
+        # An exchange is part of reference cycles, which are collected later.
+        exchange.request.body = b""
         if task.cancelled():
             LOG.info(
                 "caller gone",
@@ -99,19 +102,14 @@
     def on_connection_close(self):
         """Cancel the exchange because the caller has disconnected."""
         self.on_caller_gone()
-        if self.task is None:
-            # The body was not complete, so that no exchange was started.
-            self.caller.release()
 
 
-class FrontServer(httpserver.HTTPServer):
+class FrontServer(clientserver.ClientServer):
     """Sets socket options on accepted connections."""
 
-    def handle_stream(self, stream, address):
-        """Serve a new connection."""
-        if not stream.closed():
-            sockets.tune(stream.socket)
-        super().handle_stream(stream, address)
+    def tune(self, raw):
+        """Set the options of a caller's connection."""
+        sockets.tune(raw)
 
 
 class Front(httputil.HTTPServerConnectionDelegate):
@@ -133,13 +131,16 @@
         limits = routes.CallerLimits()
         self.server = FrontServer(
             self,
+            self.gateway.caller_memory,
             max_header_size=limits.header_bytes,
             max_body_size=limits.body_bytes,
             max_buffer_size=limits.body_bytes + limits.header_bytes,
             idle_connection_timeout=limits.idle_timeout_s + IDLE_MARGIN_S,
         )
         with listening.errors_at(address):
-            self.server.add_sockets([earlylistener.take_listener(address)])
+            listener = earlylistener.take_listener(address)
+            clientserver.limit_receive_buffer(listener)
+            self.server.add_sockets([listener])
 
     def apply(self, limits: routes.CallerLimits) -> None:
         """Apply limits to new connections."""
--- a/src/_coltsfootroad/gateway/reply.py
+++ b/src/_coltsfootroad/gateway/reply.py
@@ -9,9 +9,9 @@
 
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import eventstream
-from _coltsfootroad.gateway import callermemory
 from _coltsfootroad.gateway import names as names_lib
 from _coltsfootroad.gateway import upstream
+from _coltsfootroad.shell import clientmemory
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import logs
 from _coltsfootroad.shell import web
@@ -48,7 +48,7 @@
     request_id: str
     arrived_at: float
     on_event: Callable[[int], None]
-    caller: callermemory.CallerConnection
+    caller: clientmemory.ClientConnection
     streaming: bool = False
     last_event: int | None = None
     last_event_at: float = 0.0
--- a/src/_coltsfootroad/gateway/server.py
+++ b/src/_coltsfootroad/gateway/server.py
@@ -8,7 +8,6 @@
 
 from _coltsfootroad.core import crashes
 from _coltsfootroad.core import endpointset
-from _coltsfootroad.core import heldmemory
 from _coltsfootroad.core import isolation
 from _coltsfootroad.core import minimumshare
 from _coltsfootroad.core import peerchoice
@@ -18,7 +17,6 @@
 from _coltsfootroad.core import routeview
 from _coltsfootroad.core import windowbudget
 from _coltsfootroad.core.placement import workload
-from _coltsfootroad.gateway import callermemory
 from _coltsfootroad.gateway import coldendpoints
 from _coltsfootroad.gateway import crashdetector
 from _coltsfootroad.gateway import crashreporter
@@ -38,14 +36,14 @@
 from _coltsfootroad.gateway import startup
 from _coltsfootroad.gateway import upstream
 from _coltsfootroad.gateway import watch as watch_lib
+from _coltsfootroad.shell import clientmemory
+from _coltsfootroad.shell import clientserver
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import logs
-from _coltsfootroad.shell import machinememory
 from _coltsfootroad.shell import metrics as metrics_lib
 from _coltsfootroad.shell import settings as settings_lib
 from _coltsfootroad.shell import traffic
-from _coltsfootroad.shell import web
 
 LOG = logs.logger("gateway")
 TICK_INTERVAL_S = 0.25
@@ -149,14 +147,7 @@
         # Requests sent to, answered by and received from other gateways.
         self.forwards: collections.Counter = collections.Counter()
         self.lost_in_crashes = 0
-        self.caller_memory = callermemory.CallerMemory(
-            heldmemory.HeldMemory(
-                heldmemory.limit_bytes(
-                    machinememory.usable_bytes(settings.memory_mb),
-                    settings.held_memory_share,
-                )
-            )
-        )
+        self.caller_memory = clientmemory.ClientMemory.of(settings)
         self.front = front_lib.Front(self)
         self.gossip = gossip_lib.Gossip(self)
         self.watch = watch_lib.Watch(self)
@@ -188,21 +179,24 @@
         """Open the listeners and start to poll the control plane."""
         settings = self.settings
         self.front.listen(settings.listen)
-        web.listen(
+        clientserver.listen(
             directory.directory_app(self),
             settings.directory_listen,
             directory.MAX_QUERY_BODY,
+            self.caller_memory,
         )
-        web.listen(
+        clientserver.listen(
             directory.ready_app(self),
             settings.ready_listen,
             directory.MAX_QUERY_BODY,
+            self.caller_memory,
         )
         if settings.metrics_listen:
-            web.listen(
+            clientserver.listen(
                 directory.metrics_app(self.metrics),
                 settings.metrics_listen,
                 directory.MAX_QUERY_BODY,
+                self.caller_memory,
             )
         await self.gossip.start(settings.peer_listen)
         self.watch.start()
@@ -522,6 +516,21 @@
         self.cold.add_metrics(self.metrics)
         self.fairness.add_metrics(self.metrics)
         self.caller_memory.add_metrics(self.metrics)
+        gauge(
+            "colts_gateway_held_bytes",
+            "Bytes held for callers",
+            lambda: self.caller_memory.held.total,
+        )
+        gauge(
+            "colts_gateway_held_limit_bytes",
+            "Most bytes that may be held for callers",
+            lambda: self.caller_memory.held.limit,
+        )
+        counter(
+            "colts_gateway_slow_readers_closed",
+            "Connections closed as too many bytes were held for callers",
+            lambda: self.caller_memory.closed,
+        )
         self.metrics.labelled_counter(
             "colts_gateway_abandoned_responses",
             "Responses over a limit or malformed, by fault",
--- a/src/_coltsfootroad/shell/controlrelay.py
+++ b/src/_coltsfootroad/shell/controlrelay.py
@@ -13,6 +13,8 @@
 from _coltsfootroad.control import replicas
 from _coltsfootroad.control import watchcache
 from _coltsfootroad.control import watching
+from _coltsfootroad.shell import clientmemory
+from _coltsfootroad.shell import clientserver
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import leaderpoller
 from _coltsfootroad.shell import links
@@ -34,9 +36,13 @@
     """Answers gateways from a watch cache and other callers with a redirect."""
 
     def __init__(
-        self, settings: settings_lib.ControlSettings, relay: watching.Relay
+        self,
+        settings: settings_lib.ControlSettings,
+        relay: watching.Relay,
+        clients: clientmemory.ClientMemory,
     ):
         self.settings = settings
+        self.clients = clients
         self.control_client = links.GrpcControlClient(settings.peers())
         self.watch_cache = watchcache.WatchCache(relay)
         self.watch_server = watchserver.WatchServer(
@@ -69,6 +75,7 @@
             "1 while the leader answers this relay",
             lambda: self.watch_server.leader_poller.is_connected,
         )
+        self.clients.add_metrics(self.metrics)
         traffic.PROCESS.add_metrics(self.metrics)
 
     def listen_admin(self) -> None:
@@ -76,10 +83,11 @@
         routes = web.admin_routes(
             self.settings.admin_token, self.dump, self.metrics
         )
-        self.http_server = web.listen(
+        self.http_server = clientserver.listen(
             operatorapi.make_application(routes),
             self.settings.admin_listen,
             operatorapi.MAX_BODY_BYTES,
+            self.clients,
         )
 
     async def start(self) -> None:
@@ -150,6 +158,7 @@
             {
                 "settings": self.settings,
                 "info": self.info(),
+                "clients": self.clients.dump(),
                 "mirror": self.watch_cache,
             }
         )
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -16,6 +16,8 @@
 from _coltsfootroad.control import retrylending
 from _coltsfootroad.control import watchcache
 from _coltsfootroad.control import watching
+from _coltsfootroad.shell import clientmemory
+from _coltsfootroad.shell import clientserver
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import controlrelay
 from _coltsfootroad.shell import disk as disk_lib
@@ -65,8 +67,10 @@
         settings: settings_lib.ControlSettings,
         folder: disk_lib.DataFolder,
         metrics: metrics_lib.Metrics,
+        clients: clientmemory.ClientMemory,
     ):
         self.settings = settings
+        self.clients = clients
         self.folder = folder
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
@@ -146,8 +150,11 @@
             ),
         ]
         app = operatorapi.make_application(routes)
-        self.http_server = web.listen(
-            app, self.settings.admin_listen, operatorapi.MAX_BODY_BYTES
+        self.http_server = clientserver.listen(
+            app,
+            self.settings.admin_listen,
+            operatorapi.MAX_BODY_BYTES,
+            self.clients,
         )
 
     async def stop(self) -> None:
@@ -428,6 +435,7 @@
             {
                 "settings": self.settings,
                 "info": self.node.info(),
+                "clients": self.clients.dump(),
                 "replica_set": raft.replica_set,
                 "quorum": self.node.voter_monitor.view(self.clock()),
                 "progress": raft.progress,
--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -16,6 +16,8 @@
 from _coltsfootroad.core import errors
 from _coltsfootroad.core import request as request_lib
 from _coltsfootroad.core import servicekind
+from _coltsfootroad.shell import clientmemory
+from _coltsfootroad.shell import clientserver
 from _coltsfootroad.shell import dispatchnotes
 from _coltsfootroad.shell import dumps
 from _coltsfootroad.shell import endpointclient
@@ -80,8 +82,10 @@
         control: links.ControlClient,
         client: endpointclient.EndpointClient,
         metrics: metrics_lib.Metrics,
+        clients: clientmemory.ClientMemory,
     ):
         self.settings = settings
+        self.clients = clients
         self.control = control
         self.client = client
         self.metrics = metrics
@@ -124,17 +128,20 @@
     async def start(self, listen_admin: bool = True) -> None:
         """Open the sockets; start the heartbeats and timers."""
         app = operatorapi.make_application(entryapi.routes(self))
-        self.http_server = web.listen(app, self.settings.listen, MAX_BODY_BYTES)
+        self.http_server = clientserver.listen(
+            app, self.settings.listen, MAX_BODY_BYTES, self.clients
+        )
         if listen_admin:
             routes = web.admin_routes(
                 self.settings.admin_token, self.dump, self.metrics
             )
             arguments = {"token": self.settings.admin_token, "server": self}
             routes.append((r"/admin/drain", DrainHandler, arguments))
-            self.admin_server = web.listen(
+            self.admin_server = clientserver.listen(
                 operatorapi.make_application(routes),
                 self.settings.admin_listen,
                 MAX_BODY_BYTES,
+                self.clients,
             )
         await self.notes.start()
         self.spawn(self.send_heartbeats())
@@ -521,6 +528,7 @@
             {
                 "settings": self.settings,
                 "owner": self.core.owner,
+                "clients": self.clients.dump(),
                 "freshness": self.core.freshness,
                 "counters": self.core.counters,
                 "draining": self.core.draining,
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -86,12 +86,16 @@
             that of the VM, or a smaller limit of the process.
         file_descriptors: File descriptors that the process may use; if 0, the
             limit of the process.
+        held_memory_share: Largest part of the memory that is used to hold
+            requests and responses for clients, from 0 to 1.
     """
 
     memory_mb: int = attrs.field(default=0, validator=attrs.validators.ge(0))
     file_descriptors: int = attrs.field(
         default=0, validator=attrs.validators.ge(0)
     )
+    # A process without load takes 50 to 80 MB; the smallest VMs have 200 MB.
+    held_memory_share: float = attrs.field(default=0.2, validator=check_share)
 
 
 @attrs.frozen(kw_only=True)
@@ -122,8 +126,6 @@
             gateways.
         fair_admission: Whether workspaces share scarce capacity fairly also
             where all of them have the same priority.
-        held_memory_share: Largest part of the memory that is used to hold
-            requests and responses for callers, from 0 to 1.
         log_level: Least severe level that is logged.
     """
 
@@ -158,8 +160,6 @@
         default=5.0, validator=attrs.validators.ge(0)
     )
     fair_admission: bool = False
-    # A gateway without load takes 50 MB; the smallest VMs have 200 MB.
-    held_memory_share: float = attrs.field(default=0.2, validator=check_share)
     log_level: str = "INFO"
 
     def control(self) -> tuple[str, ...]:
--- a/src/_coltsfootroad/shell/web.py
+++ b/src/_coltsfootroad/shell/web.py
@@ -1,22 +1,15 @@
-"""HTTP server setup and base handlers shared by all programs."""
+"""Base handlers of HTTP requests shared by all programs."""
 
 import hashlib
 import hmac
 import json
 
 import msgspec
-import tornado.httpserver
 import tornado.web
 
 from _coltsfootroad.core import errors
-from _coltsfootroad.shell import listening
 from _coltsfootroad.shell import logs
-from _coltsfootroad.shell import settings as settings_lib
 
-IDLE_TIMEOUT_S = 300.0
-# Longest wait for a complete body. At 10 Mbit/s, 32 MB take 27 s.
-BODY_TIMEOUT_S = 60.0
-MAX_HEADER_BYTES = 64 * 1024
 # Expected responses, logged by the components that send them.
 UNLOGGED_STATUSES = (503,)
 MIN_LOGGED_STATUS = 500
@@ -24,25 +17,6 @@
 JSON_TYPE = "application/json"
 
 
-def listen(
-    app: tornado.web.Application, address: str, max_body_bytes: int
-) -> tornado.httpserver.HTTPServer:
-    """Serve an application on `ip:port`, with limits on sizes and idle time."""
-    app.settings["log_function"] = log_request
-    server = tornado.httpserver.HTTPServer(
-        app,
-        max_body_size=max_body_bytes,
-        max_buffer_size=max_body_bytes + MAX_HEADER_BYTES,
-        max_header_size=MAX_HEADER_BYTES,
-        idle_connection_timeout=IDLE_TIMEOUT_S,
-        body_timeout=BODY_TIMEOUT_S,
-    )
-    host, port = settings_lib.split_address(address)
-    with listening.errors_at(address):
-        server.listen(port, host)
-    return server
-
-
 def log_request(handler: tornado.web.RequestHandler) -> None:
     """Log only requests that ended in an internal error."""
     status = handler.get_status()
