--- a/src/_coltsfootroad/shell/clientmemory.py
+++ b/src/_coltsfootroad/shell/clientmemory.py
@@ -13,6 +13,7 @@
 import attrs
 from tornado import iostream
 
+from _coltsfootroad.core import clientlimits
 from _coltsfootroad.core import heldmemory
 from _coltsfootroad.shell import clocks
 from _coltsfootroad.shell import logs
@@ -27,6 +28,7 @@
 MAX_UNPARSED_BYTES = 256 * 1024
 # Reasons why a connection is closed or not accepted.
 MEMORY = "memory"
+CONNECTIONS = "connections"
 
 
 class Refusable(abc.ABC):
@@ -133,6 +135,7 @@
 
     Attributes:
         held: The bytes by connection and their limit.
+        max_connections: Most connections that may be open.
         open: All open connections.
         waiting: Those without a request that runs, the one that has been
             silent for longest first.
@@ -142,6 +145,7 @@
     """
 
     held: heldmemory.HeldMemory
+    max_connections: int
     open: set[ClientConnection] = attrs.Factory(set)
     waiting: dict[ClientConnection, None] = attrs.Factory(dict)
     by_holding: dict[heldmemory.Holding, ClientConnection] = attrs.Factory(dict)
@@ -164,13 +168,35 @@
             heldmemory.limit_bytes(memory_bytes, settings.held_memory_share),
             max_body_bytes + MAX_UNPARSED_BYTES,
         )
-        return cls(heldmemory.HeldMemory(limit_bytes))
+        return cls(
+            heldmemory.HeldMemory(limit_bytes),
+            settings.max_client_connections
+            or clientlimits.max_connections(
+                memory_bytes,
+                machinememory.usable_descriptors(settings.file_descriptors),
+            ),
+        )
 
     @property
     def closed(self) -> int:
         """Return how many connections were closed to free memory."""
         return self.closed_by_reason[MEMORY]
 
+    def admits(self) -> bool:
+        """Return whether another connection may be opened.
+
+        The connection that has been silent for longest is closed for it,
+        unless requests run on all of them.
+        """
+        if len(self.open) < self.max_connections:
+            return True
+        victim = next(iter(self.waiting), None)
+        if victim is None:
+            self.count_closed(CONNECTIONS, None)
+            return False
+        self.close(victim, CONNECTIONS)
+        return True
+
     def accept(self, stream: iostream.IOStream) -> ClientConnection:
         """Return the record of a new connection, which counts until closed."""
         client = self.track_exchange(stream)
@@ -266,6 +292,7 @@
             held=self.held.total,
             limit=self.held.limit,
             connections=len(self.open),
+            max_connections=self.max_connections,
         )
 
     def dump(self) -> dict:
@@ -275,6 +302,7 @@
             "limit": self.held.limit,
             "peak": self.held.peak,
             "connections": len(self.open),
+            "max_connections": self.max_connections,
             "closed": dict(self.closed_by_reason),
         }
 
@@ -285,6 +313,11 @@
             "Open connections of clients",
             lambda: len(self.open),
         )
+        metrics.gauge(
+            "colts_client_connections_limit",
+            "Most connections of clients",
+            lambda: self.max_connections,
+        )
         metrics.gauge(
             "colts_client_held_bytes",
             "Bytes held for clients",
--- a/src/_coltsfootroad/shell/clientserver.py
+++ b/src/_coltsfootroad/shell/clientserver.py
@@ -159,9 +159,12 @@
         super().initialize(request_callback, chunk_size=READ_BYTES, **options)
 
     def handle_stream(self, stream, address):
-        """Serve a new connection."""
+        """Serve a new connection, or close it if there are too many."""
         if stream.closed():
             return
+        if not self.clients.admits():
+            stream.close()
+            return
         self.tune(stream.socket)
         # The stream has not read anything yet.
         client_stream = ClientStream(
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -88,6 +88,8 @@
             limit of the process.
         held_memory_share: Largest part of the memory that is used to hold
             requests and responses for clients, from 0 to 1.
+        max_client_connections: Most connections of clients to all HTTP
+            listeners; if 0, as many as memory and descriptors allow.
     """
 
     memory_mb: int = attrs.field(default=0, validator=attrs.validators.ge(0))
@@ -96,6 +98,9 @@
     )
     # A process without load takes 50 to 80 MB; the smallest VMs have 200 MB.
     held_memory_share: float = attrs.field(default=0.2, validator=check_share)
+    max_client_connections: int = attrs.field(
+        default=0, validator=attrs.validators.ge(0)
+    )
 
 
 @attrs.frozen(kw_only=True)
