--- a/features/crowd.feature
+++ b/features/crowd.feature
@@ -74,3 +74,15 @@
       | replica | 300   | short bodies without their end |
       | relay   | 300   | headers without their end      |
       | entry   | 300   | nothing                        |
+
+  # Guards against small chunks whose parsing keeps the event loop from all
+  # others, so that even the routes of a gateway are no longer proved current.
+
+  Scenario Outline: <count> clients of the listener for <listener> of a <program> send <size> KB in chunks of 1 byte
+    Given the listener for <listener> of a <program>
+    When <count> clients send bodies of <size> KB in chunks of 1 byte
+    Then the process runs, stays within its memory and descriptors, and answers an ordinary request each time
+
+    Examples:
+      | program | listener | count | size |
+      | gateway | callers  | 150   | 120  |
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -18,6 +18,9 @@
 MAX_BYTES = crowdsystem.MEMORY_MB * 1_000_000
 # In this time the crowd sends all that the process takes.
 SEND_MESSAGES_S = 10.0
+# Ordinary requests while a crowd sends.
+REQUESTS_MEANWHILE = 10
+REQUEST_INTERVAL_S = 0.5
 
 
 def start(context, program: str, listener: str, **options) -> None:
@@ -92,6 +95,33 @@
     return shape(target, number % crowd.COMPLETES == 0)
 
 
+@when("{count:d} clients send bodies of {size:d} KB in chunks of 1 byte")
+def send_small_chunks(context, count, size):
+    context.descriptor_limit = crowdsystem.FILE_DESCRIPTORS
+    watch = watch_process(context, context.target.address[1])
+    clients = crowd.Crowd(context.target)
+    clients.connect(
+        count,
+        lambda number: crowd.chunked_small(
+            context.target, number % crowd.COMPLETES == 0, size * crowd.KB
+        ),
+    )
+    sending = threading.Thread(target=clients.send)
+    sending.start()
+    try:
+        for number in range(REQUESTS_MEANWHILE):
+            time.sleep(REQUEST_INTERVAL_S)
+            what = f"request {number} meanwhile"
+            context.answers[what] = context.system.ask(
+                context.program, context.listener
+            )
+            context.watches[what] = watch
+    finally:
+        clients.close()
+        sending.join()
+        watch.close()
+
+
 @when("{count:d} clients send {what} and stay open")
 def send_and_stay(context, count, what):
     pieces = crowd.OPEN_SHAPES[what]
--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -92,10 +92,12 @@
         yield chunk(b"")
 
 
-def chunked_small(target: Target, completes: bool) -> Pieces:
+def chunked_small(
+    target: Target, completes: bool, size: int = SMALL_CHUNK_BODY_BYTES
+) -> Pieces:
     """Yield a body in chunks of one byte, without its end as above."""
     yield target.head("Transfer-Encoding: chunked")
-    size = min(target.body_limit - 1, SMALL_CHUNK_BODY_BYTES)
+    size = min(target.body_limit - 1, size)
     for _ in range(size // KB):
         yield chunk(b"x") * KB
     if completes:
--- a/src/_coltsfootroad/shell/clientmemory.py
+++ b/src/_coltsfootroad/shell/clientmemory.py
@@ -26,6 +26,12 @@
 CLOSED_LOG_LIMIT = logs.LogRateLimit(20, 10.0)
 # Bytes of a request beside its body: the headers and the last reads.
 MAX_UNPARSED_BYTES = 256 * 1024
+# Larger requests wait for their turn to be parsed. Each small chunk costs as
+# much time as a large one, and the event loop serves others only after it has
+# parsed some chunks of every request that has bytes.
+UNPACED_BYTES = 2 * 1024
+# Larger requests that are parsed at a time.
+MAX_PARSING = 4
 # Reasons why a connection is closed or not accepted.
 MEMORY = "memory"
 CONNECTIONS = "connections"
@@ -49,6 +55,7 @@
         holding: Bytes that are held.
         request: The request that is being received, None if there is none.
         request_count: Number of requests so far.
+        received: Bytes that arrived since the headers of the request.
         is_flushing: Whether bytes wait for the client to read.
         read_at: Boot clock seconds when the client had last read all bytes
             that had to wait; 0 before.
@@ -59,11 +66,19 @@
     holding: heldmemory.Holding = attrs.Factory(heldmemory.Holding)
     request: Refusable | None = None
     request_count: int = 0
+    received: int = 0
     is_flushing: bool = False
     read_at: float = 0.0
 
-    def on_received(self, buffered: int) -> None:
+    def readable_bytes(self, size: int) -> int:
+        """Return how many bytes, up to a size, may be read now."""
+        if self.received < UNPACED_BYTES:
+            return UNPACED_BYTES
+        return size if self.memory.begin_parsing(self) else 0
+
+    def on_received(self, count: int, buffered: int) -> None:
         """Record that bytes arrived, and how many are buffered now."""
+        self.received += count
         self.holding.progress_at = clocks.boot_time()
         self.memory.record_progress(self)
         self.memory.update_soon(self, buffered=buffered)
@@ -72,6 +87,7 @@
         """Start to receive a request, whose headers were read."""
         self.request = request
         self.request_count += 1
+        self.received = 0
         self.holding.stage = heldmemory.Stage.RECEIVING
         self.memory.update(self, buffered=buffered_bytes(self.stream))
 
@@ -142,6 +158,7 @@
         by_holding: Connections with at least one byte.
         closed_by_reason: Number of connections that were closed or refused.
         is_enforcing: Whether the limit is about to be enforced.
+        parsing: Connections whose buffered bytes are being parsed.
     """
 
     held: heldmemory.HeldMemory
@@ -151,6 +168,7 @@
     by_holding: dict[heldmemory.Holding, ClientConnection] = attrs.Factory(dict)
     closed_by_reason: collections.Counter = attrs.Factory(collections.Counter)
     is_enforcing: bool = False
+    parsing: set[ClientConnection] = attrs.Factory(set)
 
     @classmethod
     def of(
@@ -209,6 +227,20 @@
         """Return a record of the bytes that are held for one connection."""
         return ClientConnection(self, stream)
 
+    def begin_parsing(self, client: ClientConnection) -> bool:
+        """Return whether a connection may read, and so parse, more bytes.
+
+        The others keep their bytes in the kernel until it is their turn. Large
+        chunks are parsed at once, so that these bodies do not wait.
+        """
+        self.parsing = {
+            other for other in self.parsing if buffered_bytes(other.stream)
+        }
+        if len(self.parsing) >= MAX_PARSING and client not in self.parsing:
+            return False
+        self.parsing.add(client)
+        return True
+
     def record_progress(self, client: ClientConnection) -> None:
         """Move a connection without a running request to the end."""
         if client.holding.stage is heldmemory.Stage.SERVING:
--- a/src/_coltsfootroad/shell/clientserver.py
+++ b/src/_coltsfootroad/shell/clientserver.py
@@ -47,10 +47,19 @@
         self.client = clients.accept(self)
 
     def read_from_fd(self, buf):
-        """Read from the socket and record the number of bytes."""
-        count = super().read_from_fd(buf)
+        """Read from the socket and record the number of bytes.
+
+        Nothing is read while it is not this connection's turn; the event loop
+        calls again, as the socket stays readable.
+        """
+        size = self.client.readable_bytes(len(buf))
+        if not size:
+            return None
+        with memoryview(buf) as view, view[:size] as part:
+            count = super().read_from_fd(part)
         if count:
-            self.client.on_received(clientmemory.buffered_bytes(self) + count)
+            buffered = clientmemory.buffered_bytes(self) + count
+            self.client.on_received(count, buffered)
         return count
 
     def close_fd(self):
