--- a/features/gateway/responselimits.feature
+++ b/features/gateway/responselimits.feature
@@ -122,6 +122,32 @@
       | a 10 0, b 30 0, c 0 70  | 100   | b      |
       | a 10 0, b 0 90, c 0 110 | 100   | c      |
 
+  # Guards against closing requests that run, or have just arrived, for others
+  # that have stopped.
+  Scenario Outline: Requests hold <holdings> of <limit>
+    When requests hold <holdings> of <limit> bytes
+    Then <closed> are closed in this order
+
+    Examples: stage, bytes and seconds without progress of each request
+      | holdings                                               | limit | closed |
+      | a receiving 50 9, b serving 50 9                       | 100   | none   |
+      | a receiving 40 9, b receiving 60 0, c serving 50 9     | 130   | a      |
+      | a receiving 40 0, b receiving 60 0, c serving 50 9     | 130   | b      |
+      | a receiving 1 9, b receiving 60 9, c serving 90 9      | 100   | b      |
+      | a receiving 10 9, b serving 70 0, c serving 80 0       | 100   | c      |
+      | a idle 30 5, b receiving 10 5, c serving 90 9          | 100   | a      |
+
+  Scenario Outline: Connections with <memory> MB and <descriptors> descriptors
+    Then <memory> MB and <descriptors> descriptors allow <clients> connections of clients and <peers> of peers
+
+    Examples:
+      | memory | descriptors | clients | peers |
+      | 200    | 4100        | 813     | 1025  |
+      | 300    | 4100        | 1220    | 1025  |
+      | 24000  | 4100        | 2050    | 1025  |
+      | 200    | 256         | 128     | 64    |
+      | 1      | 2           | 1       | 1     |
+
   # Guards against responses of many callers that fill the memory.
   Scenario: Callers that do not read
     Given a gateway that may hold 32 MB for callers
--- a/features/steps/responselimits_steps.py
+++ b/features/steps/responselimits_steps.py
@@ -17,12 +17,14 @@
 from behave import when
 from tornado import iostream
 
+from _coltsfootroad.core import clientlimits
 from _coltsfootroad.core import eventstream
 from _coltsfootroad.core import heldmemory
 from _coltsfootroad.fakes import ports as ports_lib
 from _coltsfootroad.gateway import endpointprobe
 from _coltsfootroad.gateway import memoryreservation
 from _coltsfootroad.shell import clientmemory
+from _coltsfootroad.shell import machinememory
 from _coltsfootroad.shell import settings as settings_lib
 from features.support import endlessendpoint
 from features.support import gatewaybed
@@ -40,6 +42,7 @@
 TRIALS = 5
 # Longer than a busy machine takes for the responses of these tests.
 LONG_TIMEOUT_S = 20.0
+NOW = 100.0
 
 
 @attrs.define
@@ -335,12 +338,46 @@
         holding = heldmemory.Holding()
         names[holding] = name
         held.update(holding, unread=int(unread), request=int(request))
-    context.closed = []
+    context.closed = close_victims(held, names)
+
+
+def close_victims(
+    held: heldmemory.HeldMemory, names: dict[heldmemory.Holding, str]
+) -> list[str]:
+    """Drop victims until the limit is met; return their names."""
+    closed = []
     while held.is_over_limit():
-        victim = held.victim(0.0)
-        context.closed.append(names[victim])
+        victim = held.victim(NOW)
+        closed.append(names[victim])
         held.drop(victim)
     assert held.total == sum(holding.total for holding in held.holdings)
+    return closed
+
+
+@when("requests hold {holdings} of {limit:d} bytes")
+def requests_hold(context, holdings, limit):
+    held = heldmemory.HeldMemory(limit)
+    names = {}
+    for text in holdings.split(", "):
+        name, stage, size, silent_s = text.split()
+        holding = heldmemory.Holding(
+            stage=heldmemory.Stage(stage), progress_at=NOW - int(silent_s)
+        )
+        names[holding] = name
+        held.update(holding, request=int(size))
+    context.closed = close_victims(held, names)
+
+
+@then(
+    "{memory:d} MB and {descriptors:d} descriptors allow {clients:d} connections"
+    " of clients and {peers:d} of peers"
+)
+def connection_limits(_, memory, descriptors, clients, peers):
+    memory_bytes = memory * machinememory.BYTES_PER_MB
+    found = clientlimits.max_connections(memory_bytes, descriptors)
+    assert found == clients, found
+    found = clientlimits.max_peer_connections(descriptors)
+    assert found == peers, found
 
 
 @then("{names} are closed in this order")
--- a/src/_coltsfootroad/core/clientlimits.py
+++ b/src/_coltsfootroad/core/clientlimits.py
@@ -1,4 +1,4 @@
-"""Limits of the connections that clients may open to a process."""
+"""Limits of the connections that may be opened to a process."""
 
 # Objects of a connection, and its receive buffer in the kernel, which is part
 # of the VM's memory.
@@ -8,6 +8,7 @@
 # use; the others are left to the process itself, its endpoints and peers.
 MEMORY_SHARE = 0.4
 DESCRIPTOR_SHARE = 0.5
+PEER_DESCRIPTOR_SHARE = 0.25
 
 
 def max_connections(memory_bytes: int, descriptors: int) -> int:
@@ -25,3 +26,8 @@
             int(descriptors * DESCRIPTOR_SHARE),
         ),
     )
+
+
+def max_peer_connections(descriptors: int) -> int:
+    """Return the most connections to the gRPC listener of a process."""
+    return max(1, int(descriptors * PEER_DESCRIPTOR_SHARE))
--- a/src/_coltsfootroad/shell/channels.py
+++ b/src/_coltsfootroad/shell/channels.py
@@ -47,6 +47,10 @@
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
 ]
+# Connections to a server without a limit of its own.
+MAX_CONNECTIONS = 1_024
+# Longest wait for the first bytes of HTTP/2 on a new connection.
+HANDSHAKE_TIMEOUT_MS = 3_000
 # How long calls in flight may continue on a channel that is being closed.
 CLOSE_GRACE_S = 3.0
 # Unused channels are closed after this time: their pings cost both sides CPU
@@ -54,6 +58,15 @@
 IDLE_TIMEOUT_S = 5.0
 
 
+def server_options(max_connections: int) -> list[tuple[str, int]]:
+    """Return the options of a server; further connections are closed."""
+    return [
+        *OPTIONS,
+        ("grpc.max_allowed_incoming_connections", max_connections),
+        ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+    ]
+
+
 def target(address: str) -> str:
     """Return a gRPC target that needs no name resolution."""
     return f"ipv4:{address}"
--- a/src/_coltsfootroad/shell/controlrelay.py
+++ b/src/_coltsfootroad/shell/controlrelay.py
@@ -93,7 +93,11 @@
     async def start(self) -> None:
         """Open the listeners and start polling the leader."""
         self.listen_admin()
-        self.grpc_server = links.make_server(self.on_call, self.on_peer)
+        self.grpc_server = links.make_server(
+            self.on_call,
+            self.on_peer,
+            max_connections=self.settings.peer_connection_limit,
+        )
         links.listen(self.grpc_server, self.settings.listen)
         await self.grpc_server.start()
         self.watch_server.leader_poller.start()
--- a/src/_coltsfootroad/shell/controlserver.py
+++ b/src/_coltsfootroad/shell/controlserver.py
@@ -123,7 +123,10 @@
         if listen_admin:
             self.listen_admin()
         self.grpc_server = links.make_server(
-            self.on_call, self.on_peer, self.on_stream
+            self.on_call,
+            self.on_peer,
+            self.on_stream,
+            max_connections=self.settings.peer_connection_limit,
         )
         links.listen(self.grpc_server, self.settings.listen)
         await self.grpc_server.start()
--- a/src/_coltsfootroad/shell/dispatchnotes.py
+++ b/src/_coltsfootroad/shell/dispatchnotes.py
@@ -26,12 +26,16 @@
         listen: Address of the server for other entries; empty for none.
         owner: Identity of this entry, stated as sender.
         on_note: Called with each note that is received.
+        max_connections: Most connections of other entries.
     """
 
-    def __init__(self, listen: str, owner: str, on_note: OnNote):
+    def __init__(
+        self, listen: str, owner: str, on_note: OnNote, max_connections: int
+    ):
         self.listen = listen
         self.owner = owner
         self.on_note = on_note
+        self.max_connections = max_connections
         self.loop = asyncio.get_running_loop()
         self.streams: dict[str, links.PeerLink] = {}
         self.queued: list[actions.DispatchNote] = []
@@ -41,7 +45,9 @@
         """Listen for notes of other entries, if an address is set."""
         if not self.listen:
             return
-        self.server = links.make_server(refuse_call, self.receive)
+        self.server = links.make_server(
+            refuse_call, self.receive, max_connections=self.max_connections
+        )
         links.listen(self.server, self.listen)
         await self.server.start()
 
--- a/src/_coltsfootroad/shell/entryserver.py
+++ b/src/_coltsfootroad/shell/entryserver.py
@@ -101,7 +101,10 @@
         self.heartbeat_requested = asyncio.Event()
         self.timer: asyncio.TimerHandle | None = None
         self.notes = dispatchnotes.DispatchNoteExchange(
-            settings.peer_listen, self.core.owner, self.on_dispatch_note
+            settings.peer_listen,
+            self.core.owner,
+            self.on_dispatch_note,
+            settings.peer_connection_limit,
         )
         self.http_server = None
         self.admin_server = None
--- a/src/_coltsfootroad/shell/links.py
+++ b/src/_coltsfootroad/shell/links.py
@@ -318,7 +318,12 @@
             yield ACK
 
 
-def make_server(on_call, on_peer, on_stream=ignore_stream) -> grpc.aio.Server:
+def make_server(
+    on_call,
+    on_peer,
+    on_stream=ignore_stream,
+    max_connections: int = channels_lib.MAX_CONNECTIONS,
+) -> grpc.aio.Server:
     """Return a server of the methods `Call` and `Peer`.
 
     Args:
@@ -327,6 +332,7 @@
             message.
         on_stream: Takes the identity and address of a peer that has opened a
             stream, before its first message.
+        max_connections: Most connections; further ones are closed.
     """
 
     async def call(request: bytes, _) -> bytes:
@@ -338,7 +344,9 @@
         ):
             yield ack
 
-    server = grpc.aio.server(options=channels_lib.OPTIONS)
+    server = grpc.aio.server(
+        options=channels_lib.server_options(max_connections)
+    )
     handlers = {
         "Call": grpc.unary_unary_rpc_method_handler(call),
         "Peer": grpc.stream_stream_rpc_method_handler(peer),
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -9,7 +9,9 @@
 from expression import Ok
 from expression import Result
 
+from _coltsfootroad.core import clientlimits
 from _coltsfootroad.core import documents
+from _coltsfootroad.shell import machinememory
 
 MIN_TOKEN_LENGTH = 8
 MAX_PORT = 65_535
@@ -90,6 +92,8 @@
             requests and responses for clients, from 0 to 1.
         max_client_connections: Most connections of clients to all HTTP
             listeners; if 0, as many as memory and descriptors allow.
+        max_peer_connections: Most connections of gateways, entries and replicas
+            to the gRPC listener; if 0, a quarter of the descriptors.
     """
 
     memory_mb: int = attrs.field(default=0, validator=attrs.validators.ge(0))
@@ -101,6 +105,16 @@
     max_client_connections: int = attrs.field(
         default=0, validator=attrs.validators.ge(0)
     )
+    max_peer_connections: int = attrs.field(
+        default=0, validator=attrs.validators.ge(0)
+    )
+
+    @property
+    def peer_connection_limit(self) -> int:
+        """Return the most connections to the gRPC listener."""
+        return self.max_peer_connections or clientlimits.max_peer_connections(
+            machinememory.usable_descriptors(self.file_descriptors)
+        )
 
 
 @attrs.frozen(kw_only=True)
