--- a/features/shell/settings.feature
+++ b/features/shell/settings.feature
@@ -13,6 +13,10 @@
       | an unknown key    | colour        | 1           | colour                             |
       | a bad name        | entry         | "a/b"       | entry is 'a/b'                     |
       | a negative size   | memory_mb     | -1          | must be >= 0: -1                   |
+      | a negative limit  | max_client_connections | -1 | must be >= 0: -1                   |
+      | a negative limit  | max_peer_connections | -1   | must be >= 0: -1                   |
+      | a share above 1   | held_memory_share | 1.5     | must be above 0 and at most 1      |
+      | a time-out of 0   | body_timeout_s | 0          | body_timeout_s is 0                |
 
   Scenario Outline: The program <program> reports a usage error and exits with 2
     When the program <program> starts with flags <flags>
--- a/src/_coltsfootroad/shell/clientmemory.py
+++ b/src/_coltsfootroad/shell/clientmemory.py
@@ -89,7 +89,12 @@
         self.request_count += 1
         self.received = 0
         self.holding.stage = heldmemory.Stage.RECEIVING
-        self.memory.update(self, buffered=buffered_bytes(self.stream))
+        self.memory.update(
+            self,
+            request=0,
+            response=0,
+            buffered=buffered_bytes(self.stream),
+        )
 
     def hold_request(self, size: int) -> None:
         """Set the bytes of the request's body."""
@@ -152,6 +157,7 @@
     Attributes:
         held: The bytes by connection and their limit.
         max_connections: Most connections that may be open.
+        body_timeout_s: Longest wait for a complete body.
         open: All open connections.
         waiting: Those without a request that runs, the one that has been
             silent for longest first.
@@ -163,6 +169,7 @@
 
     held: heldmemory.HeldMemory
     max_connections: int
+    body_timeout_s: float
     open: set[ClientConnection] = attrs.Factory(set)
     waiting: dict[ClientConnection, None] = attrs.Factory(dict)
     by_holding: dict[heldmemory.Holding, ClientConnection] = attrs.Factory(dict)
@@ -193,6 +200,7 @@
                 memory_bytes,
                 machinememory.usable_descriptors(settings.file_descriptors),
             ),
+            settings.body_timeout_s,
         )
 
     @property
--- a/src/_coltsfootroad/shell/clientserver.py
+++ b/src/_coltsfootroad/shell/clientserver.py
@@ -25,8 +25,6 @@
 READ_BYTES = 16 * 1024
 IDLE_TIMEOUT_S = 300.0
 MAX_HEADER_BYTES = 64 * 1024
-# Longest wait for a complete body. At 10 Mbit/s, 32 MB take 27 s.
-BODY_TIMEOUT_S = 60.0
 RETRY_AFTER_S = 1
 
 
@@ -164,8 +162,12 @@
             options: Further options of `HTTPServer`.
         """
         self.clients = clients
-        options.setdefault("body_timeout", BODY_TIMEOUT_S)
-        super().initialize(request_callback, chunk_size=READ_BYTES, **options)
+        super().initialize(
+            request_callback,
+            chunk_size=READ_BYTES,
+            body_timeout=clients.body_timeout_s,
+            **options,
+        )
 
     def handle_stream(self, stream, address):
         """Serve a new connection, or close it if there are too many."""
--- a/src/_coltsfootroad/shell/settings.py
+++ b/src/_coltsfootroad/shell/settings.py
@@ -92,6 +92,7 @@
             requests and responses for clients, from 0 to 1.
         max_client_connections: Most connections of clients to all HTTP
             listeners; if 0, as many as memory and descriptors allow.
+        body_timeout_s: Longest wait for the complete body of a request.
         max_peer_connections: Most connections of gateways, entries and replicas
             to the gRPC listener; if 0, a quarter of the descriptors.
     """
@@ -105,6 +106,10 @@
     max_client_connections: int = attrs.field(
         default=0, validator=attrs.validators.ge(0)
     )
+    # At 10 Mbit/s, 32 MB take 27 s.
+    body_timeout_s: float = attrs.field(
+        default=60.0, validator=documents.check_positive
+    )
     max_peer_connections: int = attrs.field(
         default=0, validator=attrs.validators.ge(0)
     )
