--- a/features/crowd.feature
+++ b/features/crowd.feature
@@ -75,6 +75,19 @@
       | relay   | 300   | headers without their end      |
       | entry   | 300   | nothing                        |
 
+  # Guards against clients that stop and keep others from being parsed.
+
+  Scenario Outline: <count> clients of a gateway send <what> beside a large request
+    Given the listener for callers of a gateway
+    When <count> clients send <what> and stay open
+    Then the process runs, stays within its memory and descriptors, and answers an ordinary request each time
+
+    Examples:
+      | count | what                            |
+      | 20    | long headers without their end  |
+      | 20    | chunks without their first line |
+      | 20    | bytes behind a slow request     |
+
   # Guards against small chunks whose parsing keeps the event loop from all
   # others, so that even the routes of a gateway are no longer proved current.
 
--- a/features/steps/crowd_steps.py
+++ b/features/steps/crowd_steps.py
@@ -40,6 +40,7 @@
 @given("the listener for {listener} of a {program}")
 def listener_of_program(context, listener, program):
     start(context, program, listener)
+    context.descriptor_limit = crowdsystem.FILE_DESCRIPTORS
 
 
 @given(
@@ -78,7 +79,6 @@
 
 @when("crowds send each kind of large and incomplete request")
 def send_all_shapes(context):
-    context.descriptor_limit = crowdsystem.FILE_DESCRIPTORS
     for name, shape in crowd.SHAPES.items():
         if context.process.poll() is not None:
             return
@@ -97,7 +97,6 @@
 
 @when("{count:d} clients send bodies of {size:d} KB in chunks of 1 byte")
 def send_small_chunks(context, count, size):
-    context.descriptor_limit = crowdsystem.FILE_DESCRIPTORS
     watch = watch_process(context, context.target.address[1])
     clients = crowd.Crowd(context.target)
     clients.connect(
@@ -155,7 +154,6 @@
     " last byte"
 )
 def send_messages(context, count):
-    context.descriptor_limit = crowdsystem.FILE_DESCRIPTORS
     host, _, port = grpc_address(context).rpartition(":")
     stopped = threading.Event()
     path = channels.PEER if context.program == "entry" else channels.CALL
--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -292,6 +292,23 @@
     yield target.head().removesuffix(b"\r\n")
 
 
+def long_stopped_header(target: Target) -> Pieces:
+    """Yield long headers without their end."""
+    yield target.head("X-Long: " + "x" * 3 * KB).removesuffix(b"\r\n")
+
+
+def stopped_chunk_line(target: Target) -> Pieces:
+    """Yield a body whose last chunk has no complete first line."""
+    yield target.head("Transfer-Encoding: chunked")
+    yield chunk(BODY[: 8 * KB]) + b"1"
+
+
+def following_bytes(target: Target) -> Pieces:
+    """Yield a request that takes long, and bytes of the next one."""
+    yield target.head(f"Content-Length: {8 * KB}")
+    yield BODY[: 12 * KB]
+
+
 def nothing(target: Target) -> Pieces:
     """Yield no bytes."""
     yield b""
@@ -302,4 +319,7 @@
     "short bodies without their end": stopped_body,
     "headers without their end": stopped_header,
     "nothing": nothing,
+    "long headers without their end": long_stopped_header,
+    "chunks without their first line": stopped_chunk_line,
+    "bytes behind a slow request": following_bytes,
 }
--- a/features/support/crowdsystem.py
+++ b/features/support/crowdsystem.py
@@ -113,7 +113,7 @@
             "listen",
             "/slow/x",
             CALLER_BODY_BYTES,
-            Ordinary("POST", "/shop/x", b"hello", SHOP),
+            Ordinary("POST", "/shop/x", b"hello" * 20_000, SHOP),
         ),
         "readiness": Listener(
             "ready_listen",
--- a/src/_coltsfootroad/shell/clientmemory.py
+++ b/src/_coltsfootroad/shell/clientmemory.py
@@ -26,11 +26,11 @@
 CLOSED_LOG_LIMIT = logs.LogRateLimit(20, 10.0)
 # Bytes of a request beside its body: the headers and the last reads.
 MAX_UNPARSED_BYTES = 256 * 1024
-# Larger requests wait for their turn to be parsed. Each small chunk costs as
-# much time as a large one, and the event loop serves others only after it has
-# parsed some chunks of every request that has bytes.
-UNPACED_BYTES = 2 * 1024
-# Larger requests that are parsed at a time.
+# Headers are read in small parts, so that few chunks of a body come with them.
+HEADER_READ_BYTES = 2 * 1024
+# Chunked bodies that are parsed at a time; others wait for their turn. A small
+# chunk costs as much time as a large one, and the event loop serves others only
+# after it has parsed some chunks of every body that has bytes.
 MAX_PARSING = 4
 # Reasons why a connection is closed or not accepted.
 MEMORY = "memory"
@@ -55,7 +55,7 @@
         holding: Bytes that are held.
         request: The request that is being received, None if there is none.
         request_count: Number of requests so far.
-        received: Bytes that arrived since the headers of the request.
+        is_chunked: Whether the body of the request is sent in chunks.
         is_flushing: Whether bytes wait for the client to read.
         read_at: Boot clock seconds when the client had last read all bytes
             that had to wait; 0 before.
@@ -66,28 +66,40 @@
     holding: heldmemory.Holding = attrs.Factory(heldmemory.Holding)
     request: Refusable | None = None
     request_count: int = 0
-    received: int = 0
+    is_chunked: bool = False
     is_flushing: bool = False
     read_at: float = 0.0
 
     def readable_bytes(self, size: int) -> int:
         """Return how many bytes, up to a size, may be read now."""
-        if self.received < UNPACED_BYTES:
-            return UNPACED_BYTES
-        return size if self.memory.begin_parsing(self) else 0
+        if self.holding.stage is not heldmemory.Stage.RECEIVING:
+            return HEADER_READ_BYTES
+        if self.is_chunked and not self.memory.begin_parsing(self):
+            return 0
+        return size
 
-    def on_received(self, count: int, buffered: int) -> None:
+    def is_parsing(self) -> bool:
+        """Return whether buffered bytes of a request are being parsed.
+
+        A connection that reads waits for further bytes.
+        """
+        is_waiting = self.stream.closed() or self.stream.reading()
+        is_receiving = self.holding.stage is heldmemory.Stage.RECEIVING
+        return (
+            is_receiving and not is_waiting and buffered_bytes(self.stream) > 0
+        )
+
+    def on_received(self, buffered: int) -> None:
         """Record that bytes arrived, and how many are buffered now."""
-        self.received += count
         self.holding.progress_at = clocks.boot_time()
         self.memory.record_progress(self)
         self.memory.update_soon(self, buffered=buffered)
 
-    def begin_request(self, request: Refusable) -> None:
+    def begin_request(self, request: Refusable, is_chunked: bool) -> None:
         """Start to receive a request, whose headers were read."""
         self.request = request
         self.request_count += 1
-        self.received = 0
+        self.is_chunked = is_chunked
         self.holding.stage = heldmemory.Stage.RECEIVING
         self.memory.update(
             self,
@@ -236,14 +248,12 @@
         return ClientConnection(self, stream)
 
     def begin_parsing(self, client: ClientConnection) -> bool:
-        """Return whether a connection may read, and so parse, more bytes.
+        """Return whether a connection may read, and so parse, more chunks.
 
         The others keep their bytes in the kernel until it is their turn. Large
         chunks are parsed at once, so that these bodies do not wait.
         """
-        self.parsing = {
-            other for other in self.parsing if buffered_bytes(other.stream)
-        }
+        self.parsing = {other for other in self.parsing if other.is_parsing()}
         if len(self.parsing) >= MAX_PARSING and client not in self.parsing:
             return False
         self.parsing.add(client)
--- a/src/_coltsfootroad/shell/clientserver.py
+++ b/src/_coltsfootroad/shell/clientserver.py
@@ -56,8 +56,7 @@
         with memoryview(buf) as view, view[:size] as part:
             count = super().read_from_fd(part)
         if count:
-            buffered = clientmemory.buffered_bytes(self) + count
-            self.client.on_received(count, buffered)
+            self.client.on_received(clientmemory.buffered_bytes(self) + count)
         return count
 
     def close_fd(self):
@@ -93,7 +92,8 @@
 
     def headers_received(self, start_line, headers):
         """Receive the headers."""
-        self.client.begin_request(self)
+        encoding = headers.get("Transfer-Encoding", "")
+        self.client.begin_request(self, "chunked" in encoding.lower())
         return self.delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk):
