--- a/review/rig2.py
+++ b/review/rig2.py
@@ -232,9 +232,8 @@
 
     # --- processes -----------------------------------------------------------
 
-    def spawn(self, command, stdin_pipe=False, **options):
-        stdin = subprocess.PIPE if stdin_pipe else subprocess.DEVNULL
-        child = subprocess.Popen(command, stdin=stdin, **options)
+    def spawn(self, command, **options):
+        child = subprocess.Popen(command, stdin=subprocess.DEVNULL, **options)
         self.children.append(child)
         return child
 
--- a/review/server2.py
+++ b/review/server2.py
@@ -1,7 +1,6 @@
-"""A stand-in server process of the platform: heartbeats, requests, draining.
+"""A stand-in server process of the platform: heartbeats and requests.
 
-Commands come as lines on standard input and are not needed by every case; what
-happens is written as JSON lines to standard output.
+What happens is written as JSON lines to standard output.
 
 Arguments: a JSON object with `identifier`, `service`, `address`, `zone`,
 `control` (addresses of control), and the behaviour of its answers.
@@ -9,9 +8,7 @@
 
 import http.client
 import json
-import os
 import random
-import signal
 import socket
 import sys
 import threading
@@ -19,11 +16,10 @@
 
 CONFIG = json.loads(sys.argv[1])
 ADDRESS = CONFIG["address"]
-LONG_EVENTS = 60
 SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
 lock = threading.Lock()
 chance = random.Random(CONFIG.get("seed", 1))
-state = {"value": "ready", "sequence": 0, "stop": False}
+state = {"sequence": 0}
 
 
 def say(event, **fields):
@@ -62,14 +58,14 @@
     return call_control("PUT", {
         "service": CONFIG["service"], "address": ADDRESS,
         "zone": CONFIG["zone"], "version": "v1",
-        "slots": CONFIG.get("slots", 8), "state": state["value"],
+        "slots": CONFIG.get("slots", 8), "state": "ready",
         "coldRemainingMs": 0, "stage": "both",
         "models": [{"name": "m", "version": 1, "adapters": []}],
         "sequence": sequence})
 
 
 def beats():
-    while not state["stop"]:
+    while True:
         beat()
         time.sleep(1.2)
 
@@ -142,8 +138,7 @@
 def answer(connection, method, target, headers, body):
     """Answer one request; return whether the connection is kept."""
     if target == "/health":
-        ready = state["value"] == "ready"
-        connection.sendall(plain("200 OK" if ready else "503 Not ready",
+        connection.sendall(plain("200 OK",
                                  {"X-Instance-Id": CONFIG["identifier"]}))
         return True
     expected = headers.get("x-expected-instance")
@@ -169,55 +164,19 @@
     output_tokens = int(headers.get("x-token-counts", "0,0").split(",")[1])
     total = max(1, output_tokens // 46)
     last = int(headers.get("last-event-id", "0") or 0)
-    unframed = total >= LONG_EVENTS and take_unframed()
-    framing = "Connection: close" if unframed else "Transfer-Encoding: chunked"
     connection.sendall((
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         f"X-Attempt-Id: {attempt}\r\nX-Response-Signature: {SIGNATURE}\r\n"
-        f"{framing}\r\n\r\n").encode())
+        "Transfer-Encoding: chunked\r\n\r\n").encode())
     text = "t" * CONFIG.get("event_bytes", 46)
     for number in range(last + 1, total + 1):
         time.sleep(CONFIG["pause_s"])
         event = f"id: {number}\ndata: {text}\n\n".encode()
-        if not unframed:
-            event = f"{len(event):x}\r\n".encode() + event + b"\r\n"
-        connection.sendall(event)
-    if not unframed:
-        connection.sendall(b"0\r\n\r\n")
-    say("answered", attempt=attempt, events=total - last, unframed=unframed)
-    return not unframed
-
-
-def take_unframed():
-    """Return whether this answer has no length; only the first ones have none."""
-    with lock:
-        left = CONFIG.get("unframed", 0)
-        CONFIG["unframed"] = left - 1
-    return left > 0
-
-
-def leave(*_):
-    """Shut down as planned: report draining, serve on, sign off, exit."""
-    threading.Thread(target=drain, daemon=True).start()
-
-
-def drain():
-    state["value"] = "draining"
-    acknowledged = beat()
-    say("draining", acknowledged=acknowledged)
-    time.sleep(CONFIG.get("serve_on_s", 2.5))
-    state["stop"] = True
-    say("signs off", acknowledged=call_control("DELETE", None))
-    say("exits")
-    os._exit(0)
-
-
-def read_commands():
-    """Follow the commands on standard input."""
-    for line in sys.stdin:
-        if line.strip() == "stop beats":
-            state["stop"] = True
-            say("sends no more heartbeats")
+        chunk = f"{len(event):x}\r\n".encode() + event + b"\r\n"
+        connection.sendall(chunk)
+    connection.sendall(b"0\r\n\r\n")
+    say("answered", attempt=attempt, events=total - last)
+    return True
 
 
 def main():
@@ -226,9 +185,7 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, int(port)))
     listener.listen(256)
-    signal.signal(signal.SIGTERM, leave)
     threading.Thread(target=beats, daemon=True).start()
-    threading.Thread(target=read_commands, daemon=True).start()
     say("starts")
     while True:
         try:
