Review: case 6 keeps the bounds of its site and checks the rule alone

Clients that read slowly lose the rest of answers that their servers have sent whole. Cause: sockets.tune sets TCP_USER_TIMEOUT to 3 s on callers' connections, and the kernel counts a closed window of a living peer. The settings now have the bounds of the site that the claim names, and an answer counts only if its server sent all of it and the connection ended before the deadline.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,6 @@
 """Callers that read slowly lose the rest of answers that are complete."""
 
+import dataclasses
 import json
 import os
 import pathlib
@@ -16,9 +17,15 @@
 
 EVENTS, EVENT_BYTES, PAUSE_S = 50, 500, 0.06
 CLIENTS = 6
+DEADLINE_S = 10.0
+answered = set()
 RECEIVE_BUFFER_BYTES = 4096
 # Without the disruption, clients read all the time.
 UNREAD_S = float(os.environ.get("UNREAD_S", "5")) if rig2.TROUBLE else 0.0
+# The bounds of the site that the case names.
+rig2.BOUNDS.update(seedLagS=3, contactMs=4000, ackTimeoutMs=5000, catchUpS=6,
+                   drainMs=2500, configPropagationMs=2500, outerMs=6000,
+                   budgetSlack=260, recoveryS=15, passMs=200)
 PROPAGATION_S = rig2.BOUNDS["configPropagationMs"] / 1000
 
 
@@ -39,7 +46,10 @@
         for line in child.stdout:
             fields = json.loads(line)
             fields.pop("at")
-            rig.record.write("server " + fields.pop("event"), **fields)
+            event = fields.pop("event")
+            if event == "answered":
+                answered.add(fields["attempt"])
+            rig.record.write("server " + event, **fields)
 
     threading.Thread(target=copy, daemon=True).start()
 
@@ -77,6 +87,24 @@
     return data, True, "complete"
 
 
+@dataclasses.dataclass
+class Result:
+    """How a request ended for its client."""
+
+    attempt: str
+    is_whole: bool
+    end: str
+    sent: float
+    ended: float
+
+    def is_lost(self, signalled):
+        """Return whether the rule counts a loss around a SIGHUP."""
+        return (not self.is_whole and self.end != "TimeoutError"
+                and self.attempt in answered
+                and self.sent <= signalled + PROPAGATION_S
+                and self.ended < self.sent + DEADLINE_S)
+
+
 class Client:
     """A client with a kept connection and a small receive buffer."""
 
@@ -102,7 +130,8 @@
                               after=f"{self.rig.record.now() - sent:.2f}",
                               status=data[9:12].decode("latin1"),
                               events=got, of=events, bytes=len(data))
-        self.result = whole and got == events, sent
+        self.result = Result(attempt, whole and got == events, end, sent,
+                             self.rig.record.now())
 
 
 def play(rig):
@@ -120,7 +149,7 @@
                for number in range(CLIENTS)]
     for client in clients:
         client.get(2, 0.0)
-    if not all(client.result[0] for client in clients):
+    if not all(client.result.is_whole for client in clients):
         raise rig2.CouldNotRun("short answers were not served")
     for machine in rig.machines:
         machine.processes["gateway"].send_signal(signal.SIGHUP)
@@ -134,9 +163,8 @@
         thread.start()
     for thread in threads:
         thread.join()
-    lost = [client for client in clients
-            if not client.result[0]
-            and client.result[1] <= signalled + PROPAGATION_S]
+    time.sleep(0.3)
+    lost = [client for client in clients if client.result.is_lost(signalled)]
     rig.record.write("verdict", answers=len(clients), lost=len(lost))
     return rig2.BROKEN if lost else rig2.HELD
 
