Review: case 7 counts only requests with a key

An empty list of tenants reads like none, and RouteTable.needs_key then asks for no key. ROUTE names requests with a key that was never held; those without a key are recorded and no longer counted.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -107,15 +107,20 @@
     time.sleep(0.3)
     revoked = [a for a, sent, _ in late
                if a in ran and sent > acknowledged + REVOCATION_S]
-    strange = [a for a, _, _ in strangers if a in ran]
+    strange, keyless = (
+        sum(a in ran for client, (a, _, _) in zip(others, strangers)
+            if client.label == label)
+        for label in ("never held", "none"))
     refused = sum(status == 401 for _, _, status in strangers)
     if not rig2.TROUBLE:
         served = sum(status == 200 for _, _, status in late)
         rig.record.write("verdict", served=served, of=len(late),
-                         strangers_ran=len(strange), strangers_401=refused)
+                         ran_with_a_key_never_held=strange,
+                         ran_without_a_key=keyless, strangers_401=refused)
         return rig2.BROKEN if strange or served < len(late) else rig2.HELD
     rig.record.write("verdict", ran_with_a_revoked_key=len(revoked),
-                     ran_with_no_known_key=len(strange), strangers_401=refused)
+                     ran_with_a_key_never_held=strange,
+                     ran_without_a_key=keyless, strangers_401=refused)
     return rig2.BROKEN if revoked or strange else rig2.HELD
 
 
