Review: case 8 stays inside the share and the length of its faults

A late refusal with the id of an earlier request counts for the next one. Cause: BufferedResponse.is_genuine accepts a not-run answer whose id differs. The case had one faulty server of three all the time, the site allows a share of 0.14 for 6.5 s. It now has one of eight in episodes of 5 s, the next one each time.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A server that is full answers a few requests a second time, late."""
+"""One full server at a time answers a few requests a second time, late."""
 
 import collections
 import http.client
@@ -16,24 +16,28 @@
 
 SEED = int(os.environ.get("SEED", "1"))
 PLAY_S = 90
-CLIENTS = 40
-SERVERS = 3
+CLIENTS = 64
+SERVERS = 8
 ATTEMPTS = 1
 # The rule allows three requests.
 ALLOWED = 3
 SHED_SHARE, EXTRA_SHARE = 0.45, 0.03
+# An episode is one entry of each of both faults; it strikes one server of
+# eight, and the next server in the next episode.
+EPISODE_S, EVERY_S = 5.0, 6.0
 ran = collections.defaultdict(list)
 
 
 def start_server(rig, number):
     port = rig2.free_port([rig.server_host])
-    is_full = number == 0
     settings = {
         "identifier": f"i-7f3a91c{number}", "service": "wuno96b",
         "address": f"{rig.server_host}:{port}", "seed": SEED,
         "zone": rig2.ZONES[number % 3], "slots": 6, "work_s": 0.06,
-        "shed_share": SHED_SHARE if is_full else 0,
-        "extra_share": EXTRA_SHARE if is_full and rig2.TROUBLE else 0,
+        "shed_share": SHED_SHARE,
+        "episode_s": EPISODE_S, "every_s": EVERY_S,
+        "turn": number, "turns": SERVERS,
+        "extra_share": EXTRA_SHARE if rig2.TROUBLE else 0,
         "control": [m.address("control") for m in rig.machines],
     }
     child = rig.spawn(
@@ -70,7 +74,7 @@
             status = type(error).__name__
         counts[status] += 1
         rig.record.write("client got", attempt=attempt, status=status)
-        time.sleep(0.1)
+        time.sleep(0.05)
 
 
 def play(rig):
--- a/review/server2.py
+++ b/review/server2.py
@@ -20,6 +20,7 @@
 lock = threading.Lock()
 chance = random.Random(CONFIG.get("seed", 1))
 state = {"sequence": 0}
+STARTED = time.monotonic()
 
 
 def say(event, **fields):
@@ -80,10 +81,21 @@
     return head.decode("latin1"), rest
 
 
+def is_faulty():
+    """Return whether an episode of faults lasts; without `every_s`, always."""
+    every_s = CONFIG.get("every_s")
+    if not every_s:
+        return True
+    episode, passed = divmod(time.monotonic() - STARTED, every_s)
+    return (passed < CONFIG["episode_s"]
+            and episode % CONFIG["turns"] == CONFIG["turn"])
+
+
 def sheds(target):
     """Return whether a request is rejected as if the server were full."""
     is_request = target not in ("/health", "/v1/report", "/v1/order")
-    return is_request and chance.random() < CONFIG.get("shed_share", 0)
+    return (is_request and is_faulty()
+            and chance.random() < CONFIG.get("shed_share", 0))
 
 
 def serve(connection):
